The thin path: entry, sidecar, control, operator commands, stand-ins

Ruled out: orders pushed from the leader to each sidecar (a leader that was cut off could still send them); the chosen way is that sidecars follow the committed configuration and order from it, so an order exists only for what a majority has committed. Change: packages types, utils, logger, settings, replication, configuration, intents, claims, placement, routing, http, control, sidecar, entry, fakes and the command line with `mastvalve dev`. Before: nothing. No tests yet; they come next.

--- /dev/null
+++ b/packages/mastvalve-claims/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * At-most-once claims: deterministic state to be driven by a replicated log.
+ */
+
+export * from './claim-decision.js';
+export * from './claim-request.js';
+export * from './claim-table.js';
--- /dev/null
+++ b/packages/mastvalve-configuration/src/empty-configuration.ts
@@ -0,0 +1,17 @@
+/**
+ * The configuration before anything was declared.
+ */
+
+import type {Configuration} from 'mastvalve-types';
+
+/** A configuration at revision 0. */
+export const createEmptyConfiguration = (clusterId: string): Configuration => ({
+	clusterId,
+	revision: 0,
+	version: 0,
+	services: {},
+	models: {},
+	events: {},
+	endpoints: {},
+	placements: {},
+});
--- /dev/null
+++ b/packages/mastvalve-http/src/server.ts
@@ -0,0 +1,70 @@
+/**
+ * Serving an application on one address, and stopping without cutting anyone off.
+ */
+
+import type {Server} from 'node:http';
+import {serve} from '@hono/node-server';
+import type {Hono} from 'hono';
+import {MastvalveError} from 'mastvalve-types';
+import {describeError} from 'mastvalve-utils';
+import {err, ok, type Result} from 'neverthrow';
+
+/** Why a program can't listen. */
+export class ListenError extends MastvalveError {
+	constructor(listen: string, thrown: unknown) {
+		const isTaken = (thrown as {code?: string}).code === 'EADDRINUSE';
+		super('listen', `Can't listen on ${listen}: ${isTaken ? 'another process listens there. End it, or set another address in the settings' : describeError(thrown)}.`, {cause: thrown});
+		this.name = 'ListenError';
+	}
+}
+
+/** A server that listens. */
+export type RunningServer = {
+	/** `ip:port`, with the real port when the settings had 0. */
+	address: string;
+	/** Takes no new connections, ends when all requests in progress have their answers. */
+	drain: () => Promise<void>;
+	/** Ends at once. */
+	close: () => Promise<void>;
+};
+
+/** Idle keep-alive connections are closed after this, ms; longer than clients keep theirs. */
+const keepAliveTimeoutMs = 65_000;
+
+const splitAddress = (listen: string): {hostname: string; port: number} => {
+	const at = listen.lastIndexOf(':');
+	return {hostname: listen.slice(0, at).replaceAll(/[\[\]]/gv, ''), port: Number(listen.slice(at + 1))};
+};
+
+/** Starts to listen on `ip:port`. */
+export const startServer = async (app: Hono, listen: string): Promise<Result<RunningServer, ListenError>> =>
+	new Promise(resolve => {
+		const {hostname, port} = splitAddress(listen);
+		const server = serve({fetch: app.fetch, hostname, port}) as Server;
+		server.keepAliveTimeout = keepAliveTimeoutMs;
+		server.once('error', thrown => {
+			resolve(err(new ListenError(listen, thrown)));
+		});
+		server.once('listening', () => {
+			const bound = server.address();
+			const address = bound && typeof bound === 'object' ? `${hostname}:${bound.port}` : listen;
+			resolve(ok({address, drain: async () => drainServer(server), close: async () => closeServer(server)}));
+		});
+	});
+
+const drainServer = async (server: Server): Promise<void> => {
+	// Closes idle connections by itself, and each busy one after its answer.
+	const closed = new Promise<void>(resolve => {
+		server.close(() => {
+			resolve();
+		});
+	});
+	server.closeIdleConnections();
+	await closed;
+};
+
+const closeServer = async (server: Server): Promise<void> => {
+	const closed = drainServer(server);
+	server.closeAllConnections();
+	await closed;
+};
--- /dev/null
+++ b/packages/mastvalve-intents/src/intent-to-configuration.ts
@@ -0,0 +1,24 @@
+/**
+ * From intents to configurations and back.
+ */
+
+import type {Configuration, Intent} from 'mastvalve-types';
+import {formatCanonically, keyBy} from 'mastvalve-utils';
+
+/** A collection after an intent; unchanged items keep their identity, so that differences stay small. */
+const mergeCollection = <T extends {name: string}>(before: Record<string, T>, items: T[]): Record<string, T> =>
+	keyBy(
+		items.map(item => {
+			const known = before[item.name];
+			return known && formatCanonically(known) === formatCanonically(item) ? known : item;
+		}),
+		item => item.name,
+	);
+
+/** The configuration with the intent's declarations in place of the former ones. */
+export const declareIntent = (configuration: Configuration, intent: Intent): Configuration => ({
+	...configuration,
+	services: mergeCollection(configuration.services, intent.services),
+	models: mergeCollection(configuration.models, intent.models),
+	events: mergeCollection(configuration.events, intent.events),
+});
--- /dev/null
+++ b/packages/mastvalve-intents/src/make-plan.ts
@@ -0,0 +1,88 @@
+/**
+ * Making a plan: pure and deterministic, so that every replica of the log makes the same from the same state.
+ */
+
+import {listAssignments, memoryOfAssignments, memoryOfModel} from 'mastvalve-configuration';
+import {doEventsOverlap} from 'mastvalve-placement';
+import {AssignmentMode, EndpointState, type Assignment, type Configuration, type DeclaredEvent, type Endpoint, type Intent} from 'mastvalve-types';
+import {compareText, hashCanonically, sumOf} from 'mastvalve-utils';
+import {declareIntent} from './intent-to-configuration.js';
+import {listChangedPlacements, noKnowledge, planConfiguration} from './placement-of-configuration.js';
+import {MoveKind, type EndpointMemory, type EventMemory, type Plan, type PlannedMove, type Reachability} from './plan.js';
+
+/** Minutes before an event at which its replicas begin to load. */
+export const eventLeadMinutes = 15;
+
+/** Makes the plan that confirming an intent would carry out. */
+export const makePlan = (configuration: Configuration, intent: Intent): Plan => {
+	const declared = declareIntent(configuration, intent);
+	const {assignments, shortfalls} = planConfiguration(declared, noKnowledge);
+	const modelEndpoints = Object.values(configuration.endpoints)
+		.filter(endpoint => endpoint.state === EndpointState.Live && endpoint.capacity > 0)
+		.sort((a, b) => compareText(a.id, b.id));
+	const content = {
+		baseVersion: configuration.version,
+		intent,
+		placements: listChangedPlacements(declared, assignments),
+		moves: modelEndpoints.flatMap(endpoint => listMoves(endpoint, listAssignments(configuration, endpoint), assignments[endpoint.id] ?? [])),
+		memory: modelEndpoints.map(endpoint => describeMemory(configuration, declared, endpoint, assignments[endpoint.id] ?? [])),
+		events: intent.events.map(event => describeEvent(declared, event)),
+		reachability: listReachability(declared, assignments),
+		refusals: [...shortfalls, ...intent.events.flatMap(event => refuseEvent(declared, event, intent.events))],
+	};
+	return {id: hashCanonically(content), ...content};
+};
+
+const listMoves = (endpoint: Endpoint, before: Assignment[], after: Assignment[]): PlannedMove[] => {
+	const findIn = (list: Assignment[], model: string): Assignment | undefined => list.find(assignment => assignment.model === model);
+	const added = after
+		.filter(assignment => findIn(before, assignment.model)?.mode !== assignment.mode)
+		.map(assignment => ({
+			kind: findIn(before, assignment.model) ? MoveKind.ChangeMode : MoveKind.Load,
+			model: assignment.model,
+			endpointId: endpoint.id,
+			mode: assignment.mode,
+		}));
+	const removed = before
+		.filter(assignment => !findIn(after, assignment.model))
+		.map(assignment => ({kind: MoveKind.Unload, model: assignment.model, endpointId: endpoint.id, mode: assignment.mode}));
+	return [...removed, ...added];
+};
+
+const describeMemory = (before: Configuration, after: Configuration, endpoint: Endpoint, assignments: Assignment[]): EndpointMemory => ({
+	endpointId: endpoint.id,
+	capacity: endpoint.capacity,
+	before: memoryOfAssignments(before, listAssignments(before, endpoint)),
+	after: memoryOfAssignments(after, assignments),
+});
+
+const describeEvent = (configuration: Configuration, event: DeclaredEvent): EventMemory => ({
+	event: event.name,
+	claimed: sumOf(event.models, entry => {
+		const model = configuration.models[entry.model];
+		return model ? memoryOfModel(model) * entry.replicas : 0;
+	}),
+	allowed: event.memory,
+});
+
+/** An event must fit into what it may claim, and into the endpoints together with all events that overlap it. */
+const refuseEvent = (configuration: Configuration, event: DeclaredEvent, events: DeclaredEvent[]): string[] => {
+	const {claimed, allowed} = describeEvent(configuration, event);
+	const overClaim = claimed > allowed ? [`event ${event.name} claims ${claimed} of memory and may claim ${allowed}`] : [];
+	const together = events.filter(other => other === event || doEventsOverlap(event, other, eventLeadMinutes));
+	const models = Object.fromEntries(Object.entries(configuration.models).map(([name, model]) => {
+		const replicas = Math.max(model.minReplicas, ...together.flatMap(other => other.models).filter(entry => entry.model === name).map(entry => entry.replicas));
+		return [name, {...model, minReplicas: replicas}];
+	}));
+	const {shortfalls} = planConfiguration({...configuration, models}, noKnowledge);
+	return [...overClaim, ...shortfalls.map(shortfall => `during event ${event.name}: ${shortfall}`)];
+};
+
+const listReachability = (configuration: Configuration, assignments: Record<string, Assignment[]>): Reachability[] =>
+	Object.values(configuration.models).flatMap(model => {
+		const holders = Object.entries(assignments)
+			.flatMap(([endpointId, held]) => held.filter(assignment => assignment.model === model.name).map(assignment => ({endpointId, mode: assignment.mode})));
+		const mode = holders.some(holder => holder.mode === AssignmentMode.Resident) ? AssignmentMode.Resident : AssignmentMode.OnDemand;
+		const endpoints = holders.filter(holder => holder.mode === mode).map(holder => holder.endpointId).sort(compareText);
+		return [model.name, ...model.adapters.map(adapter => adapter.name)].map(name => ({name, model: model.name, mode, endpoints}));
+	});
--- /dev/null
+++ b/packages/mastvalve-logger/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Logs and the time line of events.
+ */
+
+export * from './logger.js';
+export * from './timeline.js';
--- /dev/null
+++ b/packages/mastvalve-logger/src/logger.ts
@@ -0,0 +1,20 @@
+/**
+ * Logs as JSON lines, each with the instance and its failure domain.
+ */
+
+import {LogLevel, type InstanceIdentity} from 'mastvalve-types';
+import {pino, type Logger} from 'pino';
+
+export type {Logger} from 'pino';
+
+
+/** A logger that writes JSON lines to standard error, so that standard output stays for data. */
+export const createLogger = (identity: InstanceIdentity, level: LogLevel = LogLevel.Info): Logger =>
+	pino(
+		{
+			level,
+			base: {instance: identity.instance, failureDomain: identity.failureDomain},
+			timestamp: pino.stdTimeFunctions.isoTime,
+		},
+		pino.destination({fd: 2, sync: true}),
+	);
--- /dev/null
+++ b/packages/mastvalve-replication/src/index.ts
@@ -0,0 +1,17 @@
+/**
+ * A replicated log to embed: a pure Raft state machine, a durable journal, and a node that runs them.
+ */
+
+export * from './effects.js';
+export * from './file-system.js';
+export * from './hard-state.js';
+export * from './journal.js';
+export {decodeJournal, encodeRecord, journalFormat, type JournalContent, type JournalHeader} from './journal-codec.js';
+export * from './log-entry.js';
+export * from './log-node.js';
+export * from './membership.js';
+export * from './membership-planner.js';
+export * from './message.js';
+export * from './replica.js';
+export * from './replica-options.js';
+export * from './snapshot.js';
--- /dev/null
+++ b/packages/mastvalve-replication/src/journal.ts
@@ -0,0 +1,148 @@
+/**
+ * Durable storage of one replica: a journal of checksummed records, synced before anything is answered.
+ *
+ * The newest `journal-N` holds all: a header, then one record for each write. Compaction writes the next one whole
+ * under a temporary name, syncs it, renames it, and only then removes the older.
+ */
+
+import {StorageError} from 'mastvalve-types';
+import type {DurableWrite} from './effects.js';
+import type {AppendFile, FileSystem} from './file-system.js';
+import {decodeJournal, encodeRecord, journalFormat, type JournalContent, type JournalHeader} from './journal-codec.js';
+import type {LogEntry} from './log-entry.js';
+import type {RestoredState} from './replica-options.js';
+
+const journalPattern = /^journal-(?<number>\d+)$/v;
+
+const formatName = (number: number): string => `journal-${number}`;
+
+const numberOf = (name: string): number => Number(journalPattern.exec(name)?.groups?.['number'] ?? -1);
+
+/** Plays writes back into the state that they left. */
+export const replayWrites = (writes: readonly DurableWrite[]): RestoredState =>
+	writes.reduce<RestoredState>((state, write) => {
+		const kept = write.snapshot
+			? []
+			: state.entries.filter(entry => entry.index < (write.truncateFrom ?? Number.POSITIVE_INFINITY));
+		return {
+			hardState: write.hardState ?? state.hardState,
+			snapshot: write.snapshot ?? state.snapshot,
+			entries: write.truncateFrom === undefined && !write.snapshot ? appendInPlace(state.entries, write.append) : [...kept, ...write.append],
+		};
+	}, {hardState: {term: 0}, snapshot: undefined, entries: []});
+
+const appendInPlace = (entries: LogEntry[], more: readonly LogEntry[]): LogEntry[] => {
+	more.forEach(entry => {
+		entries.push(entry);
+	});
+	return entries;
+};
+
+const checkHeader = (name: string, header: JournalHeader | undefined, replica: string): JournalHeader => {
+	if (!header) {
+		throw new StorageError(`${name} has no whole header. Move the data folder away and start this instance empty (docs/operations/lost-disk.md).`);
+	}
+
+	if (header.format > journalFormat) {
+		throw new StorageError(`${name} has format ${header.format}, and this mastvalve reads up to ${journalFormat}. Start the newer mastvalve that wrote it. Nothing was changed.`);
+	}
+
+	if (header.replica !== replica) {
+		throw new StorageError(`${name} belongs to "${header.replica}", and this instance is "${replica}". Set data_folder to this instance's own folder. Nothing was changed.`);
+	}
+
+	return header;
+};
+
+/** An open journal. */
+export class Journal {
+	private constructor(
+		private readonly files: FileSystem,
+		private file: AppendFile,
+		private number: number,
+		public header: JournalHeader,
+		readonly restored: RestoredState,
+		/** Bytes of a torn last record that were cut. */
+		readonly cutBytes: number,
+	) {}
+
+	/** Opens the journal in a folder; undefined when there is none. */
+	static async open(files: FileSystem, replica: string): Promise<Journal | undefined> {
+		const names = await files.list();
+		const number = Math.max(-1, ...names.map(numberOf));
+		if (number < 0) {
+			return undefined;
+		}
+
+		const name = formatName(number);
+		const content = decodeJournal(name, await files.read(name));
+		const header = checkHeader(name, content.header, replica);
+		await cutTornTail(files, name, content);
+		await removeOlder(files, names, number);
+		const file = await files.openForAppend(name);
+		return new Journal(files, file, number, header, replayWrites(content.writes), content.totalBytes - content.validBytes);
+	}
+
+	/** Makes a journal in an empty folder. */
+	static async create(files: FileSystem, header: JournalHeader): Promise<Journal> {
+		await files.list();
+		const file = await writeWhole(files, 0, header, {append: []});
+		return new Journal(files, file, 0, header, replayWrites([]), 0);
+	}
+
+	/** Makes a write durable. After an error the journal must not be used further. */
+	async persist(write: DurableWrite): Promise<void> {
+		if (write.snapshot) {
+			await this.compact(write);
+			return;
+		}
+
+		await this.file.append(encodeRecord(write));
+		await this.file.sync();
+	}
+
+	/** Records which log this replica belongs to; before that, it holds only its identity. */
+	async form(clusterId: string, initialVoters: string[]): Promise<void> {
+		this.header = {...this.header, clusterId, initialVoters};
+		await this.compact({append: []});
+	}
+
+	async close(): Promise<void> {
+		await this.file.close();
+	}
+
+	private async compact(write: DurableWrite): Promise<void> {
+		const next = await writeWhole(this.files, this.number + 1, this.header, write);
+		await this.file.close();
+		await this.files.remove(formatName(this.number));
+		this.file = next;
+		this.number += 1;
+	}
+}
+
+const writeWhole = async (files: FileSystem, number: number, header: JournalHeader, write: DurableWrite): Promise<AppendFile> => {
+	const temporary = `${formatName(number)}.tmp`;
+	const names = await files.list();
+	if (names.includes(temporary)) {
+		await files.remove(temporary);
+	}
+
+	const file = await files.openForAppend(temporary);
+	await file.append(encodeRecord(header));
+	await file.append(encodeRecord(write));
+	await file.sync();
+	await files.rename(temporary, formatName(number));
+	await files.syncFolder();
+	return file;
+};
+
+const cutTornTail = async (files: FileSystem, name: string, content: JournalContent): Promise<void> => {
+	if (content.validBytes < content.totalBytes) {
+		await files.cut(name, content.validBytes);
+	}
+};
+
+const removeOlder = async (files: FileSystem, names: string[], number: number): Promise<void> => {
+	const older = names.filter(name => numberOf(name) >= 0 && numberOf(name) < number);
+	await Promise.all(older.map(async name => files.remove(name)));
+};
--- /dev/null
+++ b/packages/mastvalve-replication/src/memory-log.ts
@@ -0,0 +1,93 @@
+/**
+ * The part of the log that a replica holds in memory.
+ */
+
+import {EntryKind, type LogEntry} from './log-entry.js';
+import type {Membership} from './membership.js';
+import type {Snapshot} from './snapshot.js';
+
+/** Entries after a base; the base is where the snapshot ended, or a little before it. */
+export class MemoryLog {
+	private entries: LogEntry[] = [];
+	private baseIndex = 0;
+	private baseTerm = 0;
+	private baseMembership: Membership;
+
+	constructor(initialMembership: Membership, public snapshot: Snapshot | undefined, entries: LogEntry[]) {
+		this.baseMembership = snapshot?.membership ?? initialMembership;
+		this.baseIndex = snapshot?.index ?? 0;
+		this.baseTerm = snapshot?.term ?? 0;
+		this.entries = entries;
+	}
+
+	get lastIndex(): number {
+		return this.baseIndex + this.entries.length;
+	}
+
+	get lastTerm(): number {
+		return this.entries.at(-1)?.term ?? this.baseTerm;
+	}
+
+	/** The first index whose entry is here. */
+	get firstIndex(): number {
+		return this.baseIndex + 1;
+	}
+
+	/** Term of an entry; undefined when it isn't here. */
+	termAt(index: number): number | undefined {
+		return index === this.baseIndex ? this.baseTerm : this.entryAt(index)?.term;
+	}
+
+	entryAt(index: number): LogEntry | undefined {
+		return index > this.baseIndex ? this.entries[index - this.baseIndex - 1] : undefined;
+	}
+
+	/** Entries from `from` on, at most `limit`. */
+	slice(from: number, limit: number): LogEntry[] {
+		const start = Math.max(0, from - this.baseIndex - 1);
+		return this.entries.slice(start, start + limit);
+	}
+
+	append(entries: readonly LogEntry[]): void {
+		this.entries.push(...entries);
+	}
+
+	truncateFrom(index: number): void {
+		this.entries.length = Math.max(0, index - this.baseIndex - 1);
+	}
+
+	/** Sets the snapshot and forgets entries up to `trailing` before it. */
+	compact(snapshot: Snapshot, trailing: number): void {
+		const base = Math.max(this.baseIndex, snapshot.index - trailing);
+		const dropped = this.entries.slice(0, base - this.baseIndex);
+		this.baseMembership = latestMembership(dropped) ?? this.baseMembership;
+		this.baseTerm = this.termAt(base) ?? snapshot.term;
+		this.entries = this.entries.slice(base - this.baseIndex);
+		this.baseIndex = base;
+		this.snapshot = snapshot;
+	}
+
+	/** Replaces everything by a snapshot. */
+	reset(snapshot: Snapshot): void {
+		this.snapshot = snapshot;
+		this.entries = [];
+		this.baseIndex = snapshot.index;
+		this.baseTerm = snapshot.term;
+		this.baseMembership = snapshot.membership;
+	}
+
+	/** The membership in force after all entries up to `index`. */
+	membershipAt(index = this.lastIndex): Membership {
+		return latestMembership(this.slice(this.firstIndex, index - this.baseIndex)) ?? this.baseMembership;
+	}
+
+	/** Index of the newest membership entry here; 0 if there is none. */
+	lastMembershipIndex(): number {
+		return this.entries.findLast(entry => entry.kind === EntryKind.Membership)?.index ?? 0;
+	}
+}
+
+const latestMembership = (entries: readonly LogEntry[]): Membership | undefined => {
+	const entry = entries.findLast(candidate => candidate.kind === EntryKind.Membership);
+	return entry?.kind === EntryKind.Membership ? entry.membership : undefined;
+};
--- /dev/null
+++ b/packages/mastvalve-routing/src/index.ts
@@ -0,0 +1,10 @@
+/**
+ * Pure routing policy: choosing endpoints, admission, retries, prefix affinity.
+ */
+
+export * from './admission-queue.js';
+export * from './backoff.js';
+export * from './candidate.js';
+export * from './choose-candidate.js';
+export * from './prefix-index.js';
+export * from './retry-budget.js';
--- /dev/null
+++ b/packages/mastvalve-utils/src/index.ts
@@ -0,0 +1,11 @@
+/**
+ * Small helpers shared by all packages: clocks, random numbers, canonical hashes, waiting.
+ */
+
+export * from './canonical.js';
+export * from './clock.js';
+export * from './collections.js';
+export * from './errors.js';
+export * from './hybrid-clock.js';
+export * from './random.js';
+export * from './wait.js';
--- /dev/null
+++ b/packages/mastvalve/src/cli/run-program.ts
@@ -0,0 +1,36 @@
+/**
+ * Running a program until it is told to stop.
+ *
+ * The first SIGTERM or SIGINT drains: everything in progress is finished. A second one ends at once.
+ */
+
+import {ExitCode} from './exit-code.js';
+import {printError} from './output.js';
+
+/** Something that runs and can be stopped as planned. */
+export type Stoppable = {drain: () => Promise<void>};
+
+/** Exit code after a second signal. */
+const forcedExitCode = 130;
+
+/** Waits for a signal, then drains. */
+export const runUntilStopped = async (program: Stoppable, failure: Promise<void> = new Promise(() => undefined)): Promise<ExitCode> => {
+	const stopped = new Promise<ExitCode>(resolve => {
+		let isStopping = false;
+		const onSignal = () => {
+			if (isStopping) {
+				printError('mastvalve: ended at once by a second signal; requests in progress were cut');
+				process.exit(forcedExitCode);
+			}
+
+			isStopping = true;
+			void program.drain().then(() => {
+				resolve(ExitCode.Ok);
+			});
+		};
+
+		process.on('SIGTERM', onSignal);
+		process.on('SIGINT', onSignal);
+	});
+	return Promise.race([stopped, failure.then(() => ExitCode.Failure)]);
+};
