--- /dev/null
+++ b/cucumber.js
@@ -0,0 +1,11 @@
+/**
+ * How cucumber finds features and steps. The features of a package stand beside its `src`.
+ */
+
+const config = {
+	paths: ['features/**/*.feature', 'packages/*/__tests__/**/*.feature'],
+	import: ['features/support/**/*.ts', 'features/steps/**/*.ts', 'packages/*/__tests__/**/*.steps.ts'],
+	format: ['progress', 'json:reports/cucumber.json'],
+};
+
+export default config;
--- a/packages/mastvalve-http/src/server.ts
+++ b/packages/mastvalve-http/src/server.ts
@@ -31,6 +31,9 @@
 /** Idle keep-alive connections are closed after this, ms; longer than clients keep theirs. */
 const keepAliveTimeoutMs = 65_000;
 
+/** While draining, connections that became idle are closed this often, ms. */
+const closeIdleMs = 50;
+
 const splitAddress = (listen: string): {hostname: string; port: number} => {
 	const at = listen.lastIndexOf(':');
 	return {hostname: listen.slice(0, at).replaceAll(/[\[\]]/gv, ''), port: Number(listen.slice(at + 1))};
@@ -53,14 +56,21 @@
 	});
 
 const drainServer = async (server: Server): Promise<void> => {
-	// Closes idle connections by itself, and each busy one after its answer.
+	// Callers that keep a connection learn with their next answer that it ends.
+	server.prependListener('request', (_req, res) => {
+		res.setHeader('connection', 'close');
+	});
 	const closed = new Promise<void>(resolve => {
 		server.close(() => {
 			resolve();
 		});
 	});
-	server.closeIdleConnections();
+	// Node closes the connections that are idle now; those that are busy become idle later.
+	const timer = setInterval(() => {
+		server.closeIdleConnections();
+	}, closeIdleMs);
 	await closed;
+	clearInterval(timer);
 };
 
 const closeServer = async (server: Server): Promise<void> => {
--- a/packages/mastvalve-sidecar/src/server/start-sidecar.ts
+++ b/packages/mastvalve-sidecar/src/server/start-sidecar.ts
@@ -35,6 +35,10 @@
 const joinPauseMs = 200;
 const heartbeatMs = 2000;
 const leaveAnnounceMs = 200;
+/** Longest wait for control to record that the endpoint leaves, ms; the bound for a configuration to be in force. */
+const maxLeaveMs = 4000;
+/** Time for the recorded leaving to reach all entries, ms. */
+const leaveSpreadMs = 500;
 
 /** Starts a sidecar. */
 export const startSidecar = async (options: StartSidecarOptions): Promise<Result<RunningSidecar, MastvalveError>> => new SidecarProgram(options).start();
@@ -237,12 +241,24 @@
 		this.isDraining = true;
 		context.timeline.record('program.draining', 'sidecar takes no new work and finishes what it has');
 		await Promise.race([this.report(), waitFor(leaveAnnounceMs)]);
+		// Whoever hasn't heard of it yet is refused as not run, rather than cut off by a closed connection.
+		await this.waitUntilLeavingIsKnown();
 		await this.gate.waitUntilIdle();
 		this.ending.abort();
 		await server.drain();
 		context.timeline.record('program.stopped', 'sidecar has stopped');
 	}
 
+	private async waitUntilLeavingIsKnown(): Promise<void> {
+		const endAt = this.options.context.clock.now() + maxLeaveMs;
+		while (!this.isLeaving() && this.options.context.clock.now() < endAt) {
+			// eslint-disable-next-line no-await-in-loop
+			await waitFor(reportPauseMs);
+		}
+
+		await waitFor(leaveSpreadMs);
+	}
+
 	private registerMetrics(): void {
 		const {registry} = this.options.context;
 		const {gate, keeper} = this;
