--- a/packages/mastvalve-control/src/client/control-client.ts
+++ b/packages/mastvalve-control/src/client/control-client.ts
@@ -29,6 +29,8 @@
 const transientCodes = new Set(['not-leader', 'proposal-lost', 'control-unavailable']);
 const attemptMs = 1500;
 const retryPauseMs = 60;
+/** With less time left than this, another attempt could only hide the last answer, ms. */
+const minAttemptMs = 100;
 
 /** A client of the control group. */
 export class ControlClient {
@@ -70,18 +72,14 @@
 	/** Asks the likely leader, then the others, until one answers for good or the time is over. */
 	private async call<T>(call: Call<T>, totalMs = this.totalMs): Promise<Result<T, MastvalveError>> {
 		const endAt = performance.now() + totalMs;
-		let result: Result<T, MastvalveError> = err(new ControlUnavailableError('No control instance is set.'));
-		while (performance.now() < endAt && this.clients.length > 0) {
+		let result = await this.callOnce(call, Math.min(attemptMs, totalMs));
+		while (endAt - performance.now() > minAttemptMs && result.isErr() && transientCodes.has(result.error.code)) {
+			this.chooseNext(assumeType<{leader?: string}>(result.error).leader);
+			// eslint-disable-next-line no-await-in-loop
+			await waitFor(retryPauseMs);
 			// One instance at a time: the leader is one.
 			// eslint-disable-next-line no-await-in-loop
 			result = await this.callOnce(call, Math.min(attemptMs, endAt - performance.now()));
-			if (result.isOk() || !transientCodes.has(result.error.code)) {
-				return result;
-			}
-
-			this.chooseNext(assumeType<{leader?: string}>(result.error).leader);
-			// eslint-disable-next-line no-await-in-loop
-			await waitFor(Math.min(retryPauseMs, Math.max(0, endAt - performance.now())));
 		}
 
 		return result;
--- a/packages/mastvalve-settings/src/check.ts
+++ b/packages/mastvalve-settings/src/check.ts
@@ -10,7 +10,8 @@
 	formatPath, readToml, type Place, type TomlDocument,
 } from './toml-document.js';
 
-type Path = Array<string | number>;
+/** Path of a key: names of tables, indexes of arrays. */
+export type Path = Array<string | number>;
 
 const toPath = (path: readonly PropertyKey[]): Path => path.map(part => (typeof part === 'symbol' ? String(part) : part));
 
@@ -45,19 +46,31 @@
 		}
 
 		case 'too_small': {
-			return `at least ${String(issue.minimum)}${issue.origin === 'string' || issue.origin === 'array' ? ` ${issue.origin === 'string' ? 'characters' : 'items'}` : ''}`;
+			return issue.inclusive === false ? `more than ${String(issue.minimum)}` : `at least ${String(issue.minimum)}${issue.origin === 'string' || issue.origin === 'array' ? ` ${issue.origin === 'string' ? 'characters' : 'items'}` : ''}`;
 		}
 
 		case 'too_big': {
 			return `at most ${String(issue.maximum)}`;
 		}
 
+		case 'invalid_union': {
+			return issue.message.replace(/^.*Expected /v, 'one of ');
+		}
+
 		default: {
 			return issue.message;
 		}
 	}
 };
 
+const createFinding = (document: TomlDocument, path: Path, allowed: string): Finding => ({
+	file: document.file,
+	...findPlace(document, path),
+	key: formatPath(path),
+	found: describeFound(valueAt(document.value, path)),
+	allowed,
+});
+
 const toFindings = (document: TomlDocument, issue: z.core.$ZodIssue): Finding[] => {
 	const path = toPath(issue.path);
 	if (issue.code === 'unrecognized_keys') {
@@ -70,22 +83,31 @@
 		}));
 	}
 
-	return [{
-		file: document.file,
-		...findPlace(document, path),
-		key: formatPath(path),
-		found: describeFound(valueAt(document.value, path)),
-		allowed: describeAllowed(issue),
-	}];
+	return [createFinding(document, path, describeAllowed(issue))];
 };
 
 const comparePlaces = (a: Finding, b: Finding): number => a.line - b.line || a.column - b.column;
 
+/** Something that one part of a file says against another. */
+export type CrossIssue = {path: Path; allowed: string};
+
+/** Looks for such issues; it gets the file's value before it is known to be valid, so that all findings come at once. */
+export type CrossCheck = (value: unknown) => CrossIssue[];
+
 /** Checks a TOML text; all findings come together, in the order of the file. */
-export const checkToml = <Schema extends z.ZodType>(file: string, text: string, schema: Schema): Result<z.output<Schema>, Finding[]> => {
+export const checkToml = <Schema extends z.ZodType>(
+	file: string,
+	text: string,
+	schema: Schema,
+	crossCheck: CrossCheck,
+): Result<z.output<Schema>, Finding[]> => {
 	const document = readToml(file, text);
 	const parsed = schema.safeParse(document.value);
-	const findings = [...document.findings, ...(parsed.success ? [] : parsed.error.issues.flatMap(issue => toFindings(document, issue)))];
+	const findings = [
+		...document.findings,
+		...(parsed.success ? [] : parsed.error.issues.flatMap(issue => toFindings(document, issue))),
+		...crossCheck(document.value).map(({path, allowed}) => createFinding(document, path, allowed)),
+	];
 	return parsed.success && findings.length === 0 ? ok(parsed.data) : err(findings.toSorted(comparePlaces));
 };
 
--- a/packages/mastvalve-settings/src/intent-schema.ts
+++ b/packages/mastvalve-settings/src/intent-schema.ts
@@ -3,9 +3,11 @@
  */
 
 import {ServiceKind, type Finding, type Intent} from 'mastvalve-types';
+import {assumeType} from 'mastvalve-utils';
 import type {Result} from 'neverthrow';
 import {z} from 'zod';
-import {checkToml} from './check.js';
+import {checkToml, type CrossCheck} from './check.js';
+import {findDuplicates} from './find-duplicates.js';
 import {
 	countSchema, nameSchema, positiveSchema, rateSchema,
 } from './scalars.js';
@@ -34,46 +36,46 @@
 	memory: rateSchema,
 });
 
-const addDuplicateIssues = (ctx: z.RefinementCtx, names: Array<{name: string; path: Array<string | number>}>): void => {
-	names.forEach(({name, path}, index) => {
-		if (names.findIndex(other => other.name === name) < index) {
-			ctx.addIssue({code: 'custom', path, message: `a name that is used once; "${name}" stands above already`});
-		}
-	});
+/** The shape of an intent file. */
+export const intentFileSchema = z.strictObject({
+	services: z.array(serviceSchema).min(1),
+	models: z.array(modelSchema).default([]),
+	events: z.array(eventSchema).default([]),
+});
+
+/** An intent file as it may be before it is checked. */
+type RawIntent = {
+	services?: Array<{name?: string; kind?: string}>;
+	models?: Array<{name?: string; service?: string; adapters?: Array<{name?: string}>}>;
+	events?: Array<{name?: string; models?: Array<{model?: string}>}>;
 };
 
-/** The shape of an intent file. */
-export const intentFileSchema = z
-	.strictObject({
-		services: z.array(serviceSchema).min(1),
-		models: z.array(modelSchema).default([]),
-		events: z.array(eventSchema).default([]),
-	})
-	.superRefine((file, ctx) => {
-		addDuplicateIssues(ctx, file.services.map((service, index) => ({name: service.name, path: ['services', index, 'name']})));
-		addDuplicateIssues(ctx, file.models.flatMap((model, index) => [
+const listItems = <T>(items: T[] | undefined): T[] => (Array.isArray(items) ? items : []);
+
+const checkIntentNames: CrossCheck = value => {
+	const raw = assumeType<RawIntent>(value);
+	const services = listItems(raw.services);
+	const models = listItems(raw.models);
+	const modelServices = services.filter(service => service.kind === String(ServiceKind.Model)).map(service => service.name);
+	const modelNames = new Set(models.map(model => model.name));
+	return [
+		...findDuplicates(services.map(({name}, index) => ({name, path: ['services', index, 'name']}))),
+		...findDuplicates(models.flatMap((model, index) => [
 			{name: model.name, path: ['models', index, 'name']},
-			...model.adapters.map((adapter, at) => ({name: adapter.name, path: ['models', index, 'adapters', at, 'name']})),
-		]));
-		const modelServices = file.services.filter(service => service.kind === ServiceKind.Model).map(service => service.name);
-		file.models.forEach((model, index) => {
-			if (!modelServices.includes(model.service)) {
-				ctx.addIssue({code: 'custom', path: ['models', index, 'service'], message: `a service of kind "model" in this file: ${modelServices.join(', ') || 'there is none'}`});
-			}
-		});
-		const modelNames = new Set(file.models.map(model => model.name));
-		file.events.forEach((event, index) => {
-			event.models.forEach((entry, at) => {
-				if (!modelNames.has(entry.model)) {
-					ctx.addIssue({code: 'custom', path: ['events', index, 'models', at, 'model'], message: 'a model of this file'});
-				}
-			});
-		});
-	});
+			...listItems(model.adapters).map(({name}, at) => ({name, path: ['models', index, 'adapters', at, 'name']})),
+		])),
+		...models.flatMap((model, index) => (modelServices.includes(model.service)
+			? []
+			: [{path: ['models', index, 'service'], allowed: `a service of kind "model" in this file: ${modelServices.join(', ') || 'there is none'}`}])),
+		...listItems(raw.events).flatMap((event, index) => listItems(event.models).flatMap(({model}, at) => (modelNames.has(model)
+			? []
+			: [{path: ['events', index, 'models', at, 'model'], allowed: 'the name of a model of this file'}]))),
+	];
+};
 
 /** Reads and checks an intent file. */
 export const readIntent = (file: string, text: string): Result<Intent, Finding[]> =>
-	checkToml(file, text, intentFileSchema).map(parsed => ({
+	checkToml(file, text, intentFileSchema, checkIntentNames).map(parsed => ({
 		services: parsed.services.map(service => ({name: service.name, kind: service.kind, notRepeated: service.not_repeated})),
 		models: parsed.models.map(({min_replicas: minReplicas, ...model}) => ({...model, minReplicas})),
 		events: parsed.events,
--- a/packages/mastvalve-settings/src/settings-schema.ts
+++ b/packages/mastvalve-settings/src/settings-schema.ts
@@ -3,9 +3,11 @@
  */
 
 import {LogLevel, type Finding} from 'mastvalve-types';
+import {assumeType} from 'mastvalve-utils';
 import type {Result} from 'neverthrow';
 import {z} from 'zod';
-import {checkToml} from './check.js';
+import {checkToml, type CrossCheck} from './check.js';
+import {findDuplicates} from './find-duplicates.js';
 import {
 	addressSchema, countSchema, nameSchema, positiveSchema, rateSchema, shareSchema, urlSchema,
 } from './scalars.js';
@@ -40,32 +42,25 @@
 
 type InstanceFile = z.output<typeof instanceSchema>;
 
-const addInstanceIssues = (ctx: z.RefinementCtx, instances: InstanceFile[]): void => {
-	const report = (index: number, key: string, message: string) => {
-		ctx.addIssue({code: 'custom', path: ['instances', index, key], message});
-	};
-
-	instances.forEach((instance, index) => {
-		if (instances.findIndex(other => other.name === instance.name) < index) {
-			report(index, 'name', 'a name that no instance above has');
-		}
-
-		if (instances.findIndex(other => other.listen === instance.listen) < index) {
-			report(index, 'listen', 'an address on which no instance above listens');
-		}
+/** Instances as they may be before they are checked. */
+type RawSettings = {instances?: Array<{name?: string; program?: string; listen?: string; upstreams?: string[]}>};
 
-		const upstreams = 'upstreams' in instance ? instance.upstreams : [];
-		upstreams.forEach((upstream, at) => {
-			const target = instances.find(other => other.name === upstream);
-			if (!target || target.program === Program.Sidecar || target.name === instance.name) {
-				ctx.addIssue({code: 'custom', path: ['instances', index, 'upstreams', at], message: 'the name of a control or entry instance of this file'});
-			}
-		});
-	});
-	const controls = instances.filter(instance => instance.program === Program.Control);
-	if (!controlCounts.includes(controls.length)) {
-		ctx.addIssue({code: 'custom', path: ['instances'], message: `${controlCounts.join(', ')} instances of program "control"; there are ${controls.length}`});
-	}
+const checkInstances: CrossCheck = value => {
+	const {instances: found} = assumeType<RawSettings>(value);
+	const instances = Array.isArray(found) ? found : [];
+	const controls = instances.filter(instance => instance.program === String(Program.Control)).length;
+	const upstreamNames = instances
+		.filter(instance => instance.program === String(Program.Control) || instance.program === String(Program.Entry))
+		.map(instance => instance.name);
+	return [
+		...findDuplicates(instances.map(({name}, index) => ({name, path: ['instances', index, 'name']}))),
+		...findDuplicates(instances.map(({listen}, index) => ({name: listen, path: ['instances', index, 'listen']}))),
+		...instances.flatMap((instance, index) => (Array.isArray(instance.upstreams) ? instance.upstreams : [])
+			.map((upstream, at) => ({upstream, path: ['instances', index, 'upstreams', at]}))
+			.filter(({upstream}) => !upstreamNames.includes(upstream) || upstream === instance.name)
+			.map(({path}) => ({path, allowed: 'the name of a control or entry instance of this file, and not its own'}))),
+		...(controlCounts.includes(controls) ? [] : [{path: ['instances'], allowed: `${controlCounts.join(', ')} instances of program "control"; there are ${controls}`}]),
+	];
 };
 
 /** The shape of a settings file. */
@@ -85,9 +80,7 @@
 		max_body_bytes: positiveSchema.default(2_000_000),
 		claim_retention_hours: rateSchema.default(24),
 	}).prefault({}),
-	instances: z.array(instanceSchema).min(1).superRefine((instances, ctx) => {
-		addInstanceIssues(ctx, instances);
-	}),
+	instances: z.array(instanceSchema).min(1),
 });
 
 const normalizeInstance = (instance: InstanceFile, controls: string[]): Instance => {
@@ -117,7 +110,7 @@
 
 /** Reads and checks a settings file. */
 export const readSettings = (file: string, text: string): Result<Settings, Finding[]> =>
-	checkToml(file, text, settingsFileSchema).map(parsed => {
+	checkToml(file, text, settingsFileSchema, checkInstances).map(parsed => {
 		const controls = parsed.instances.filter(instance => instance.program === Program.Control).map(instance => instance.name);
 		return {
 			deployment: parsed.deployment,
