Smaller processes: minified bundle; kept changes bounded by bytes

Cause 1: a sidecar had 73.7 MB resident at its start with small heap flags; 11 MB of it went when the bundle was minified (source text and what V8 keeps of it), 2 more with zod's 50 other languages left out. Ruled out: a bundle for each program (76.6 MB, trial: the same libraries), malloc arenas and stack size (65.4 and 65.6 against 65.6). Change: minify, one language; at most 2 MB of changes are kept.

--- a/packages/mastvalve-configuration/src/configuration-store.ts
+++ b/packages/mastvalve-configuration/src/configuration-store.ts
@@ -12,10 +12,16 @@
 /** Changes that are kept for those who are a little behind. */
 const defaultKeptChanges = 1000;
 
+/** Bytes of JSON that the kept changes may have in all; a change of a crowded endpoint alone can have many. */
+const maxKeptBytes = 2_000_000;
+
+type KeptChange = {change: ConfigurationChange; bytes: number};
+
 /** One process's configuration. */
 export class ConfigurationStore {
 	private configuration: Configuration | undefined;
-	private changes: ConfigurationChange[] = [];
+	private changes: KeptChange[] = [];
+	private keptBytes = 0;
 	private readonly listeners = new Set<() => void>();
 
 	constructor(
@@ -67,10 +73,10 @@
 			return undefined;
 		}
 
-		const first = this.changes.findIndex(change => change.base === revision);
+		const first = this.changes.findIndex(({change}) => change.base === revision);
 		return first === -1
 			? {clusterId: configuration.clusterId, changes: [], snapshot: configuration}
-			: {clusterId: configuration.clusterId, changes: this.changes.slice(first)};
+			: {clusterId: configuration.clusterId, changes: this.changes.slice(first).map(({change}) => change)};
 	}
 
 	/** Calls back after every change until the returned function is called. */
@@ -110,10 +116,27 @@
 		});
 	}
 
+	private keepChanges(changes: ConfigurationChange[] | undefined): void {
+		if (!changes) {
+			this.changes = [];
+			this.keptBytes = 0;
+			return;
+		}
+
+		changes.forEach(change => {
+			const bytes = JSON.stringify(change).length;
+			this.changes.push({change, bytes});
+			this.keptBytes += bytes;
+		});
+		while (this.changes.length > this.keptChanges || this.keptBytes > maxKeptBytes) {
+			this.keptBytes -= this.changes.shift()?.bytes ?? 0;
+		}
+	}
+
 	/** `changes` undefined means that the steps between are not known. */
 	private replace(next: Configuration, changes: ConfigurationChange[] | undefined): void {
 		this.configuration = next;
-		this.changes = changes ? [...this.changes, ...changes].slice(-this.keptChanges) : [];
+		this.keepChanges(changes);
 		[...this.listeners].forEach(listener => {
 			listener();
 		});
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -12,6 +12,16 @@
 
 const sentinel = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
+/** Messages of findings are our own, so zod's 50 other languages stay out. */
+const onlyEnglish = {
+	name: 'only-english',
+	setup(bundler) {
+		// The bundler reads this expression as Go does, which knows no flags.
+		// eslint-disable-next-line require-unicode-regexp
+		bundler.onLoad({filter: /zod.v4.locales.index\.js$/}, () => ({contents: 'export {default as en} from \'./en.js\';', loader: 'js'}));
+	},
+};
+
 await build({
 	entryPoints: ['packages/mastvalve/src/bin.ts'],
 	bundle: true,
@@ -19,7 +29,10 @@
 	target: 'node20',
 	format: 'cjs',
 	outfile: 'dist/mastvalve.cjs',
-	minifySyntax: true,
+	// A third of a small process's anonymous memory was source text and what V8 keeps of it; see docs/CAPACITY.md.
+	minify: true,
+	keepNames: false,
+	plugins: [onlyEnglish],
 	legalComments: 'none',
 	logLevel: 'warning',
 });
