Proofs of loading are not forgotten; Ctrl-C through npm ends cleanly

Cause 1: a whole-path scenario waited for minutes until all residents were loaded. Placements carried what their maker had seen as loaded, and one that was worked out before a proof and committed after it forgot the proof; two reports of one sidecar at once could arrive in the wrong order and undo it too. Heartbeats every 2 s had hidden both until entries held unchanged reports back for 60 s. Ruled out: engines (status showed all loaded), lost proposals alone (the first of the two mends left the scenario hanging at 2 of 3). Change: committed state keeps its own proofs; reports carry a sequence, a sidecar sends one at a time, control passes over older ones, and a report counts as passed on only when what follows from it is committed. A load that ends between review and confirmation no longer changes a plan's id. Cause 2: a terminal's Ctrl-C reaches npm and us, and npm passes it on, so `npm start` took it for a second signal and ended with 130; a shell between made npm end by the signal. Also: timers that cost less when idle; tables and "never sent" stand once. Before: whole-path hangs.

--- /dev/null
+++ b/features/dev.feature
@@ -0,0 +1,6 @@
+Feature: The whole in one process
+
+  Scenario: Ctrl-C arrives twice at once, as through npm, and ends it cleanly
+    Given "mastvalve dev" is ready on a free port
+    When it gets two SIGINT at once
+    Then it ends with code 0
--- a/packages/mastvalve-bench/src/bin.ts
+++ b/packages/mastvalve-bench/src/bin.ts
@@ -4,6 +4,7 @@
 
 import process from 'node:process';
 import {parseArgs} from 'node:util';
+import {formatTable} from 'mastvalve-utils';
 import {benchAperture} from './aperture/aperture-bench.js';
 import {logMeasurements, type BenchTable} from './log/log-bench.js';
 import {nodesMeasurements} from './nodes/nodes-bench.js';
@@ -12,14 +13,13 @@
 import {
 	allShapes, compareLoads, comparePolicies, compareRouting, compareWeights, formatPolicyRows,
 } from './policy/policy-bench.js';
-import {formatTable} from './table.js';
 
 const {values, positionals: [name = '']} = parseArgs({
 	allowPositionals: true,
 	options: {
 		seed: {type: 'string', default: '1'},
 		json: {type: 'boolean'},
-		/** For `policy`: one deployment, and one of its tables. */
+		/** For `policy` and `nodes`: one of their tables; for `policy`, one deployment. */
 		deployment: {type: 'string'},
 		table: {type: 'string'},
 	},
@@ -86,7 +86,8 @@
 		}
 	},
 	async nodes() {
-		for (const measure of nodesMeasurements) {
+		const chosen = Object.entries(nodesMeasurements).filter(([table]) => values.table === undefined || table === values.table);
+		for (const [, measure] of chosen) {
 			// eslint-disable-next-line no-await-in-loop
 			printTables(await measure());
 		}
--- a/packages/mastvalve-bench/src/nodes/nodes-bench.ts
+++ b/packages/mastvalve-bench/src/nodes/nodes-bench.ts
@@ -125,58 +125,76 @@
 	};
 };
 
-/** Latency of one chat with one token, and requests a second, directly at the engine and through entry and sidecar. */
+/** A request to measure. */
+type Call = {url: string; body?: string};
+
+const measureCalls = async ({url, body}: Call, count: number): Promise<number[]> => {
+	const times: number[] = [];
+	for (let index = 0; index < count; index += 1) {
+		const startedAt = performance.now();
+		// One caller waits for its answer before it asks again.
+		// eslint-disable-next-line no-await-in-loop
+		const res = await fetch(url, body === undefined ? {} : {method: 'POST', body});
+		// eslint-disable-next-line no-await-in-loop
+		await res.text();
+		times.push(performance.now() - startedAt);
+	}
+
+	return times;
+};
+
+const describeTimes = (name: string, times: number[]): string[] => [name, quantile(times, 0.5).toFixed(2), quantile(times, 0.99).toFixed(2)];
+
+const loadCallers = 32;
+const callsPerCaller = 250;
+
+/** What entry and sidecar add to a lookup and to a chat of one token, and what one entry carries. */
 const measureLatency = async (): Promise<BenchTable> => {
 	const processes = await BenchProcesses.prepare({
-		controls: 1, entries: 1, engines: 0, services: 1, models: 0,
+		controls: 1, entries: 1, engines: 1, services: 1, models: 1,
 	});
 	await processes.startAll();
-	await confirm(processes, 0);
-	const desk = processes.settings.instances.find(instance => instance.program === Program.Sidecar);
-	const direct = `${desk?.program === Program.Sidecar ? desk.endpointUrl : ''}/lookup`;
-	const through = `${processes.urlOf('entry-1')}/services/desk/lookup`;
-	const measure = async (url: string, count: number): Promise<number[]> => {
-		const times: number[] = [];
-		for (let index = 0; index < count; index += 1) {
-			const startedAt = performance.now();
-			// eslint-disable-next-line no-await-in-loop
-			const res = await fetch(url);
-			// eslint-disable-next-line no-await-in-loop
-			await res.text();
-			times.push(performance.now() - startedAt);
-		}
-
-		return times;
-	};
-
-	await measure(through, 500);
-	await measure(direct, 500);
-	const directTimes = await measure(direct, 2000);
-	const throughTimes = await measure(through, 2000);
-	const [entryBefore, sidecarBefore] = [await processes.read('entry-1'), await processes.read('desk-1')];
+	await confirm(processes, 1);
+	const sidecars = processes.settings.instances.filter(instance => instance.program === Program.Sidecar);
+	const urlOf = (service: string): string => sidecars.find(sidecar => sidecar.service === service)?.endpointUrl ?? '';
+	const body = JSON.stringify({model: 'model-0', max_tokens: 1, messages: [{role: 'user', content: 'short'}]});
+	const lookup: Call = {url: `${processes.urlOf('entry-1')}/services/desk/lookup`};
+	const chat: Call = {url: `${processes.urlOf('entry-1')}/v1/chat/completions`, body};
+	const directLookup: Call = {url: `${urlOf('desk')}/lookup`};
+	const directChat: Call = {url: `${urlOf('llm')}/v1/chat/completions`, body};
+	await measureCalls(lookup, 500);
+	await measureCalls(directLookup, 500);
+	const rows = [
+		['one caller', 'median ms', '99th ms'],
+		describeTimes('lookup, directly', await measureCalls(directLookup, 2000)),
+		describeTimes('lookup, through entry and sidecar', await measureCalls(lookup, 2000)),
+		describeTimes('chat of one token, directly', await measureCalls(directChat, 500)),
+		describeTimes('chat of one token, through entry and sidecar', await measureCalls(chat, 500)),
+	];
+	const names = ['entry-1', 'desk-1'];
+	const before = await Promise.all(names.map(async name => processes.read(name)));
 	const startedAt = performance.now();
-	await Promise.all(Array.from({length: 32}, async () => measure(through, 250)));
-	const seconds = (performance.now() - startedAt) / 1000;
-	const [entryAfter, sidecarAfter] = [await processes.read('entry-1'), await processes.read('desk-1')];
-	const entryMs = (entryAfter.cpuMs - entryBefore.cpuMs) / 8000;
-	const sidecarMs = (sidecarAfter.cpuMs - sidecarBefore.cpuMs) / 8000;
+	await Promise.all(Array.from({length: loadCallers}, async () => measureCalls(lookup, callsPerCaller)));
+	const elapsedMs = performance.now() - startedAt;
+	const after = await Promise.all(names.map(async name => processes.read(name)));
+	const calls = loadCallers * callsPerCaller;
+	const cpuMs = names.map((_, index) => (after[index]?.cpuMs ?? 0) - (before[index]?.cpuMs ?? 0));
 	await processes.stop();
 	return {
-		title: 'a lookup at a plain service, one caller; then 32 callers',
+		title: 'what entry and sidecar add; then 32 callers of lookups',
 		rows: [
-			['', 'median ms', '99th ms'],
-			['directly', quantile(directTimes, 0.5).toFixed(2), quantile(directTimes, 0.99).toFixed(2)],
-			['through entry and sidecar', quantile(throughTimes, 0.5).toFixed(2), quantile(throughTimes, 0.99).toFixed(2)],
-			['32 callers: requests/s', (8000 / seconds).toFixed(0), ''],
-			['processor ms a request: entry, sidecar', entryMs.toFixed(2), sidecarMs.toFixed(2)],
-			['resident MB after it: entry, sidecar', (entryAfter.residentKb / 1024).toFixed(1), (sidecarAfter.residentKb / 1024).toFixed(1)],
+			...rows,
+			['32 callers: requests/s', (calls / (elapsedMs / 1000)).toFixed(0), ''],
+			['share of a core: entry, sidecar', ...cpuMs.map(ms => (ms / elapsedMs).toFixed(2))],
+			['processor ms a request: entry, sidecar', ...cpuMs.map(ms => (ms / calls).toFixed(2))],
+			['resident MB after it: entry, sidecar', ...after.map(reading => (reading.residentKb / 1024).toFixed(1))],
 		],
 	};
 };
 
-/** The measurements, one after the other. */
-export const nodesMeasurements: ReadonlyArray<() => Promise<BenchTable[]>> = [
-	async () => [await measureLatency()],
-	async () => [await measureBytes()],
-	async () => toTables(await measureModels(smallFlags)),
-];
+/** The measurements by name. */
+export const nodesMeasurements: Readonly<Record<string, () => Promise<BenchTable[]>>> = {
+	latency: async () => [await measureLatency()],
+	bytes: async () => [await measureBytes()],
+	models: async () => toTables(await measureModels(smallFlags)),
+};
--- a/packages/mastvalve-configuration/src/lookups.ts
+++ b/packages/mastvalve-configuration/src/lookups.ts
@@ -3,7 +3,7 @@
  */
 
 import {
-	AssignmentMode, EndpointState, type Assignment, type Configuration, type Endpoint, type Model,
+	AssignmentMode, EndpointState, type Assignment, type Configuration, type Endpoint, type Model, type Placement,
 } from 'mastvalve-types';
 import {sumOf} from 'mastvalve-utils';
 
@@ -40,3 +40,14 @@
 /** Names that callers may ask for: models, then adapters. */
 export const listCallableNames = (configuration: Configuration): string[] =>
 	Object.values(configuration.models).flatMap(model => [model.name, ...model.adapters.map(adapter => adapter.name)]);
+
+/**
+ * A new placement with the proofs of the one in force. Whoever made the placement may have seen an older state, so what
+ * it says of loaded models counts for nothing.
+ */
+export const keepProofs = (configuration: Configuration, placement: Placement): Placement => {
+	const known = configuration.placements[placement.endpointId];
+	const proved = known?.incarnation === placement.incarnation ? known.loaded : [];
+	const residents = new Set(placement.assignments.filter(assignment => assignment.mode === AssignmentMode.Resident).map(assignment => assignment.model));
+	return {...placement, loaded: proved.filter(model => residents.has(model))};
+};
--- a/packages/mastvalve-control/src/server/control-handlers.ts
+++ b/packages/mastvalve-control/src/server/control-handlers.ts
@@ -52,11 +52,7 @@
 	join: async endpoint => proposeCommand(parts, {kind: CommandKind.JoinEndpoint, endpoint}),
 	async report(reports) {
 		const fresh = requireFresh(parts);
-		if (fresh.isOk()) {
-			await takeReports(parts, reports);
-		}
-
-		return fresh;
+		return fresh.isOk() ? takeReports(parts, reports) : fresh;
 	},
 	reportDemand: async report => requireFresh(parts).map(() => {
 		parts.demand.record(report, parts.clock.now());
@@ -64,9 +60,15 @@
 	}),
 });
 
-const takeReports = async (parts: ControlParts, reports: EndpointReport[]): Promise<void> => {
+/** Whether a report was made after the last one that was taken. */
+export const isNewerReport = (report: EndpointReport, last: EndpointReport | undefined): boolean =>
+	last === undefined || report.incarnation > last.incarnation || (report.incarnation === last.incarnation && report.sequence > last.sequence);
+
+/** Fails when anything that follows from the reports could not be committed, so that they are sent again. */
+const takeReports = async (parts: ControlParts, reports: EndpointReport[]): Promise<Result<true, MastvalveError>> => {
 	const {endpoints} = parts.machine.configuration;
-	const current = reports.filter(report => endpoints[report.endpointId]?.incarnation === report.incarnation);
+	const current = reports.filter(report =>
+		endpoints[report.endpointId]?.incarnation === report.incarnation && isNewerReport(report, parts.reports.get(report.endpointId)));
 	current.forEach(report => {
 		parts.reports.set(report.endpointId, report);
 	});
@@ -74,10 +76,11 @@
 	const changes = current
 		.filter(report => report.state !== EndpointState.Live && endpoints[report.endpointId]?.state === EndpointState.Live)
 		.map(({endpointId, incarnation, state}) => ({endpointId, incarnation, state}));
-	await Promise.all([
-		...proofs.map(async proof => proposeCommand(parts, {kind: CommandKind.RecordLoaded, proof})),
-		...(changes.length > 0 ? [proposeCommand(parts, {kind: CommandKind.ChangeEndpoints, changes})] : []),
+	const results = await Promise.all([
+		...proofs.map(async proof => proposeCommand<true>(parts, {kind: CommandKind.RecordLoaded, proof})),
+		...(changes.length > 0 ? [proposeCommand<true>(parts, {kind: CommandKind.ChangeEndpoints, changes})] : []),
 	]);
+	return results.find(result => result.isErr()) ?? ok(true);
 };
 
 /** Whether a report says something about residents that the configuration doesn't. */
--- a/packages/mastvalve-control/src/server/start-control.ts
+++ b/packages/mastvalve-control/src/server/start-control.ts
@@ -12,7 +12,7 @@
 import type {ControlInstance, Settings} from 'mastvalve-settings';
 import {ControlUnavailableError, type EndpointReport, type MastvalveError} from 'mastvalve-types';
 import {
-	describeError, repeatUntilAborted, toMastvalveError, waitFor, assumeType,
+	callUntilAborted, describeError, repeatUntilAborted, toMastvalveError, waitFor, assumeType,
 } from 'mastvalve-utils';
 import {err, type Result} from 'neverthrow';
 import {fetch as undiciFetch} from 'undici';
@@ -154,10 +154,10 @@
 			propose: async (body: Parameters<typeof proposeCommand>[1]) => proposeCommand(parts, body),
 			fetchList: async () => this.fetchList(),
 		};
+		callUntilAborted(signal, tickMs, () => {
+			log.node.tick();
+		});
 		await Promise.all([
-			repeatUntilAborted(signal, tickMs, async () => {
-				log.node.tick();
-			}, onError),
 			repeatUntilAborted(signal, dutyPauseMs, async () => carryOutDuties(duties), onError),
 			repeatUntilAborted(signal, announcePauseMs, async () => this.announce(), onError),
 		]);
--- a/packages/mastvalve-control/src/state/endpoint-changes.ts
+++ b/packages/mastvalve-control/src/state/endpoint-changes.ts
@@ -2,7 +2,7 @@
  * Changes of endpoints in the configuration, as pure functions.
  */
 
-import {memoryOfAssignments} from 'mastvalve-configuration';
+import {keepProofs, memoryOfAssignments} from 'mastvalve-configuration';
 import type {JoinRequest} from 'mastvalve-http';
 import {listChangedPlacements, noKnowledge, planConfiguration} from 'mastvalve-intents';
 import {
@@ -62,7 +62,7 @@
 		const endpoint = configuration.endpoints[placement.endpointId];
 		return endpoint?.incarnation === placement.incarnation && memoryOfAssignments(configuration, placement.assignments) <= endpoint.capacity;
 	});
-	const next = {...configuration, revision, placements: {...configuration.placements, ...keyBy(valid, placement => placement.endpointId)}};
+	const next = {...configuration, revision, placements: {...configuration.placements, ...keyBy(valid.map(placement => keepProofs(configuration, placement)), placement => placement.endpointId)}};
 	return valid.length === 0 || losesCoverage(configuration, next) ? configuration : next;
 };
 
--- a/packages/mastvalve-entry/src/requests/attempt.ts
+++ b/packages/mastvalve-entry/src/requests/attempt.ts
@@ -8,7 +8,7 @@
 import {
 	formatReading, parseReading, type HybridClock, describeError, assumeType,
 } from 'mastvalve-utils';
-import {Header, problemContentType} from 'mastvalve-http';
+import {Header, problemContentType, wasNeverSent} from 'mastvalve-http';
 import {
 	DeadlineError, MastvalveError, Outcome, UnknownOutcomeError, type Endpoint, type Problem,
 } from 'mastvalve-types';
@@ -35,8 +35,6 @@
 	resumeAfter: number;
 };
 
-const unsentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
-
 const toHeaderRecord = (raw: Dispatcher.ResponseData['headers']): Record<string, string> =>
 	Object.fromEntries(Object.entries(raw).map(([name, value]) => [name, [value ?? ''].flat().join(', ')]));
 
@@ -99,8 +97,7 @@
 		return new DeadlineError('The deadline passed before the endpoint had answered.', Outcome.Unknown);
 	}
 
-	const code = assumeType<{code?: string}>(thrown).code ?? '';
-	return unsentCodes.has(code)
+	return wasNeverSent(thrown)
 		? new MastvalveError('sidecar-unreachable', `The endpoint's sidecar takes no connection: ${describeError(thrown)}.`, {status: 503, outcome: Outcome.NotRun, retryAfterSeconds: 1})
 		: new UnknownOutcomeError(`The connection broke before the whole answer was here: ${describeError(thrown)}.`);
 };
--- a/packages/mastvalve-http/src/index.ts
+++ b/packages/mastvalve-http/src/index.ts
@@ -9,6 +9,7 @@
 export * from './problem-response.js';
 export * from './program-context.js';
 export * from './server.js';
+export * from './unsent.js';
 export * from './rpc/input.js';
 export * from './rpc/trpc.js';
 export * from './rpc/upstream-client.js';
--- a/packages/mastvalve-intents/src/confirm-plan.ts
+++ b/packages/mastvalve-intents/src/confirm-plan.ts
@@ -3,6 +3,7 @@
  */
 
 import {MastvalveError, type Configuration} from 'mastvalve-types';
+import {keepProofs} from 'mastvalve-configuration';
 import {keyBy} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 import {declareIntent} from './intent-to-configuration.js';
@@ -54,6 +55,6 @@
 		...declared,
 		revision,
 		version: configuration.version + 1,
-		placements: {...declared.placements, ...keyBy(plan.placements, placement => placement.endpointId)},
+		placements: {...declared.placements, ...keyBy(plan.placements.map(placement => keepProofs(configuration, placement)), placement => placement.endpointId)},
 	});
 };
--- a/packages/mastvalve-intents/src/make-plan.ts
+++ b/packages/mastvalve-intents/src/make-plan.ts
@@ -27,7 +27,8 @@
 	const content = {
 		baseVersion: configuration.version,
 		intent,
-		placements: listChangedPlacements(declared, assignments),
+		// Loads that end between review and confirmation don't change what was reviewed.
+		placements: listChangedPlacements(declared, assignments).map(placement => ({...placement, loaded: []})),
 		moves: modelEndpoints.flatMap(endpoint => listMoves(endpoint, listAssignments(configuration, endpoint), assignments[endpoint.id] ?? [])),
 		memory: modelEndpoints.map(endpoint => describeMemory(configuration, declared, endpoint, assignments[endpoint.id] ?? [])),
 		events: intent.events.map(event => describeEvent(declared, event)),
--- a/packages/mastvalve-proofs/src/run-proofs.ts
+++ b/packages/mastvalve-proofs/src/run-proofs.ts
@@ -2,6 +2,7 @@
  * Runs proofs, each with its broken twin and with the real decisions.
  */
 
+import {formatTable} from 'mastvalve-utils';
 import {
 	Property, Variant, type Proof, type ProofRow, type ProofRun,
 } from './proof.js';
@@ -31,6 +32,5 @@
 		['property', 'failure', 'scenario', 'cases', 'violations of the twin', 'violations'],
 		...rows.map(row => [`${row.property} ${Property[row.property]}`, row.failure, row.scenario, String(row.cases), `${row.brokenViolations} (${row.twin})`, String(row.realViolations)]),
 	];
-	const widths = (cells[0] ?? []).map((_, column) => Math.max(...cells.map(row => (row[column] ?? '').length)));
-	return cells.map(row => row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join('  ').trimEnd()).join('\n');
+	return formatTable(cells);
 };
--- a/packages/mastvalve-replication/src/log-node.ts
+++ b/packages/mastvalve-replication/src/log-node.ts
@@ -95,7 +95,12 @@
 		});
 	}
 
+	/** Time goes on; costs next to nothing when no timer of the replica is due. */
 	tick(): void {
+		if (this.options.clock.now() < this.options.replica.nextTimerAt) {
+			return;
+		}
+
 		this.enqueue(() => {
 			this.options.replica.tick(this.options.clock.now());
 		});
--- a/packages/mastvalve-replication/src/replica.ts
+++ b/packages/mastvalve-replication/src/replica.ts
@@ -109,6 +109,11 @@
 		return this.log.lastMembershipIndex() > this.commitIndex;
 	}
 
+	/** When `tick` next has something to do, in the clock given to it. */
+	get nextTimerAt(): number {
+		return this.role === Role.Leader ? Math.min(this.heartbeatAt, this.transferringUntil ?? Number.POSITIVE_INFINITY) : this.electionAt;
+	}
+
 	/** Whether reads of committed state are linearizable at this moment. */
 	isFresh(now: number): boolean {
 		return this.role === Role.Leader
--- a/packages/mastvalve-sidecar/src/server/dispatch.ts
+++ b/packages/mastvalve-sidecar/src/server/dispatch.ts
@@ -3,11 +3,11 @@
  */
 
 import type {Readable} from 'node:stream';
-import {Header} from 'mastvalve-http';
+import {Header, wasNeverSent} from 'mastvalve-http';
 import {
 	MastvalveError, Outcome, RefusedError, UnknownOutcomeError,
 } from 'mastvalve-types';
-import {describeError, assumeType} from 'mastvalve-utils';
+import {describeError} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 import {request, type Dispatcher} from 'undici';
 
@@ -25,9 +25,6 @@
 /** The endpoint's answer, while its body is still coming. */
 export type DispatchAnswer = {status: number; headers: Headers; body: Readable};
 
-/** Errors that come before anything was sent. */
-const unsentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND']);
-
 /** Headers that belong to one connection and are not passed on. */
 const connectionHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'host', 'content-length', 'expect', 'te', 'trailer', 'proxy-connection', Header.Clock]);
 
@@ -68,9 +65,6 @@
 	}
 };
 
-const toDispatchError = (thrown: unknown): MastvalveError => {
-	const code = assumeType<{code?: string}>(thrown).code ?? '';
-	return unsentCodes.has(code)
-		? new MastvalveError('endpoint-unreachable', `The endpoint takes no connection: ${describeError(thrown)}.`, {status: 503, outcome: Outcome.NotRun, retryAfterSeconds: 1})
-		: new UnknownOutcomeError(`The connection to the endpoint broke: ${describeError(thrown)}.`, {cause: thrown});
-};
+const toDispatchError = (thrown: unknown): MastvalveError => wasNeverSent(thrown)
+	? new MastvalveError('endpoint-unreachable', `The endpoint takes no connection: ${describeError(thrown)}.`, {status: 503, outcome: Outcome.NotRun, retryAfterSeconds: 1})
+	: new UnknownOutcomeError(`The connection to the endpoint broke: ${describeError(thrown)}.`, {cause: thrown});
--- a/packages/mastvalve-sidecar/src/server/start-sidecar.ts
+++ b/packages/mastvalve-sidecar/src/server/start-sidecar.ts
@@ -11,7 +11,9 @@
 import {
 	EndpointState, type Endpoint, type EndpointReport, type MastvalveError,
 } from 'mastvalve-types';
-import {describeError, repeatUntilAborted, waitFor} from 'mastvalve-utils';
+import {
+	callUntilAborted, describeError, repeatUntilAborted, waitFor,
+} from 'mastvalve-utils';
 import type {Result} from 'neverthrow';
 import {Agent} from 'undici';
 import {EngineClient} from '../engine/engine-client.js';
@@ -61,6 +63,8 @@
 	private isDraining = false;
 	private isSynced = false;
 	private lastReport = '';
+	private reportSequence = 0;
+	private isReporting = false;
 	private lastReportAt = 0;
 	private lastRoundAt = 0;
 	private readonly isPlain: boolean;
@@ -130,6 +134,9 @@
 		this.store.subscribe(() => {
 			this.takeConfiguration();
 		});
+		callUntilAborted(signal, gatePauseMs, () => {
+			this.gate.advance();
+		});
 		await Promise.all([
 			this.upstream.follow(this.store, signal, message => {
 				this.options.context.logger.warn(`following the configuration failed and is tried again: ${message}`);
@@ -138,9 +145,6 @@
 				this.isPlain ? undefined : repeatUntilAborted(signal, keeperPauseMs, async () => this.keepEngine(), onError),
 				repeatUntilAborted(signal, reportPauseMs, async () => this.report(), onError),
 			])),
-			repeatUntilAborted(signal, gatePauseMs, async () => {
-				this.gate.advance();
-			}, onError),
 		]);
 	}
 
@@ -207,6 +211,7 @@
 		return {
 			endpointId: endpoint.id,
 			incarnation: endpoint.incarnation,
+			sequence: this.nextReportSequence(),
 			state: this.isDraining ? EndpointState.Leaving : EndpointState.Live,
 			loaded: this.keeper.ledger.loaded,
 			loading: this.keeper.ledger.unproved,
@@ -217,7 +222,8 @@
 
 	/** Tells upstream what changed, and now and then that nothing did. */
 	private async report(): Promise<void> {
-		if (!this.endpoint || !this.isSynced) {
+		// One at a time, so that they arrive in order; what changes meanwhile goes with the next.
+		if (!this.endpoint || !this.isSynced || this.isReporting) {
 			return;
 		}
 
@@ -228,13 +234,20 @@
 			return;
 		}
 
+		this.isReporting = true;
 		const sent = await this.upstream.report([report]);
+		this.isReporting = false;
 		if (sent.isOk()) {
 			this.lastReport = text;
 			this.lastReportAt = now;
 		}
 	}
 
+	private nextReportSequence(): number {
+		this.reportSequence += 1;
+		return this.reportSequence;
+	}
+
 	private readReadiness(): string | undefined {
 		if (!this.isSynced) {
 			return 'has not joined yet';
--- a/packages/mastvalve-types/src/endpoint-report.ts
+++ b/packages/mastvalve-types/src/endpoint-report.ts
@@ -8,6 +8,8 @@
 export type EndpointReport = {
 	endpointId: string;
 	incarnation: number;
+	/** Counts the reports of one incarnation; an older one that arrives late is passed over. */
+	sequence: number;
 	state: EndpointState;
 	/** Models that the engine has proved to hold. */
 	loaded: string[];
--- a/packages/mastvalve-utils/src/wait.ts
+++ b/packages/mastvalve-utils/src/wait.ts
@@ -9,6 +9,14 @@
 	await setTimer(ms, undefined, {signal, ref: true}).catch(() => undefined);
 };
 
+/** Calls `body` every `ms` milliseconds until the signal aborts; for short work that doesn't wait, many times a second. */
+export const callUntilAborted = (signal: AbortSignal, ms: number, body: () => void): void => {
+	const timer = setInterval(body, ms);
+	signal.addEventListener('abort', () => {
+		clearInterval(timer);
+	}, {once: true});
+};
+
 /** Repeats `body` with pauses of `pauseMs` until the signal aborts. Errors go to `onError`. */
 export const repeatUntilAborted = async (
 	signal: AbortSignal,
--- a/packages/mastvalve/src/cli/format-plan.ts
+++ b/packages/mastvalve/src/cli/format-plan.ts
@@ -2,9 +2,9 @@
  * A plan as text for review.
  */
 
+import {formatTable} from 'mastvalve-utils';
 import type {Plan} from 'mastvalve-intents';
 import {AssignmentMode} from 'mastvalve-types';
-import {formatTable} from './output.js';
 
 const shortIdLength = 12;
 
--- a/packages/mastvalve/src/cli/main.ts
+++ b/packages/mastvalve/src/cli/main.ts
@@ -3,11 +3,11 @@
  */
 
 import {formatFinding} from 'mastvalve-settings';
-import {toMastvalveError} from 'mastvalve-utils';
+import {toMastvalveError, formatTable} from 'mastvalve-utils';
 import {readArgs, UsageError, type Command} from './command.js';
 import {ExitCode, exitCodeOf} from './exit-code.js';
 import {FindingsError} from './files.js';
-import {formatTable, print, printError} from './output.js';
+import {print, printError} from './output.js';
 
 /** Loads a command only when it is run, so that no program carries what it doesn't use. */
 type LazyCommand = {name: string; load: () => Promise<{command: Command}>};
--- a/packages/mastvalve/src/cli/output.ts
+++ b/packages/mastvalve/src/cli/output.ts
@@ -18,9 +18,3 @@
 export const printError = (line: string): void => {
 	process.stderr.write(`${line}\n`);
 };
-
-/** Aligns rows in columns. */
-export const formatTable = (rows: ReadonlyArray<readonly string[]>): string => {
-	const widths = (rows[0] ?? []).map((_, column) => Math.max(...rows.map(row => (row[column] ?? '').length)));
-	return rows.map(row => row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join('  ').trimEnd()).join('\n');
-};
--- a/packages/mastvalve/src/commands/status.ts
+++ b/packages/mastvalve/src/commands/status.ts
@@ -3,11 +3,11 @@
  */
 
 import type {ControlStatus} from 'mastvalve-control';
-import {compareText} from 'mastvalve-utils';
+import {compareText, formatTable} from 'mastvalve-utils';
 import {commonOptions, type Command} from '../cli/command.js';
 import {openControl, unwrap} from '../cli/control-access.js';
 import {ExitCode} from '../cli/exit-code.js';
-import {formatTable, print, printJson} from '../cli/output.js';
+import {print, printJson} from '../cli/output.js';
 
 const formatStatus = (status: ControlStatus): string => {
 	const {configuration} = status;
--- a/packages/mastvalve/src/commands/timeline.ts
+++ b/packages/mastvalve/src/commands/timeline.ts
@@ -4,7 +4,7 @@
 
 import process from 'node:process';
 import {writeFile} from 'node:fs/promises';
-import {assumeType} from 'mastvalve-utils';
+import {assumeType, formatTable} from 'mastvalve-utils';
 import {mergeTimelines} from 'mastvalve-logger';
 import type {TimelineEvent} from 'mastvalve-types';
 import {request} from 'undici';
@@ -13,9 +13,7 @@
 } from '../cli/command.js';
 import {ExitCode} from '../cli/exit-code.js';
 import {loadSettings} from '../cli/files.js';
-import {
-	formatTable, print, printError, printJson,
-} from '../cli/output.js';
+import {print, printError, printJson} from '../cli/output.js';
 import {renderTimeline} from '../timeline/render-timeline.js';
 
 const fetchMs = 2000;
--- a/xo.config.js
+++ b/xo.config.js
@@ -23,6 +23,7 @@
 			'packages/mastvalve-fakes/src/fake-engine.ts',
 			'packages/mastvalve-http/src/problem-response.ts',
 			'packages/mastvalve-http/src/program-context.ts',
+			'packages/mastvalve-bench/src/nodes/nodes-bench.ts',
 			'packages/mastvalve/src/timeline/render-timeline.ts',
 			'features/**/*.ts',
 			'packages/*/__tests__/**/*.ts',
