--- /dev/null
+++ b/packages/mastvalve-cluster/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * A group of control instances that forms from a few seeds, and the calls between mastvalve's own processes.
+ */
+
+export * from './membership/control-group.js';
+export * from './membership/formation.js';
+export * from './peer/peer-client.js';
+export * from './peer/peer-server.js';
--- /dev/null
+++ b/packages/mastvalve-cluster/src/membership/control-group.ts
@@ -0,0 +1,364 @@
+/**
+ * One control instance as a member of its group: finds or begins the replicated log, keeps a place in it, and lets
+ * the program propose and read wherever the leader is.
+ */
+
+import {randomBytes} from 'node:crypto';
+import {MastvalveError, NotLeaderError, ControlUnavailableError} from 'mastvalve-types';
+import {
+	callUntilAborted, describeError, repeatUntilAborted, waitFor, type Clock,
+} from 'mastvalve-utils';
+import {
+	createFileSystem, defaultReplicaRules, formatReplicaId, Journal, journalFormat, LogNode, nameOfReplica, planNextMembership,
+	Replica, Role, type DurableWrite, type Message, type ReplicaId, type ReplicaTimes, type StateMachine,
+} from 'mastvalve-replication';
+import {err, ok, type Result} from 'neverthrow';
+import {LogTransport} from '../peer/log-transport.js';
+import type {PeerClient} from '../peer/peer-client.js';
+import type {PeerHandler} from '../peer/peer-server.js';
+import {decideFormation, type Identity} from './formation.js';
+
+/** What a member of the group is made from. */
+export type ControlGroupOptions = {
+	/** Where the other members reach this one, `ip:port`. */
+	address: string;
+	dataFolder: string;
+	/** Whether this is the very first start of the whole system. */
+	isFirstStart: boolean;
+	/** Members to ask first; may change. */
+	readSeeds: () => string[];
+	/** How many voters are wanted: 2n + 1 bear the loss of n. */
+	voters: number;
+	machine: StateMachine;
+	client: PeerClient;
+	clock: Clock;
+	times?: ReplicaTimes;
+	onEvent: (kind: string, detail: string) => void;
+	onError: (message: string) => void;
+};
+
+/**
+ * Heartbeats well below the shortest bound for configurations (2 s), elections above a TCP retransmission (0.2 to
+ * 0.4 s), so that a lost packet alone moves no leader.
+ */
+export const groupTimes: ReplicaTimes = {electionTimeoutMs: 700, heartbeatMs: 120, maxClockDrift: 0.1};
+
+const diskIdBytes = 6;
+const tickMs = 20;
+const formationPauseMs = 60;
+const announcePauseMs = 150;
+const membershipPauseMs = 80;
+const callTimeoutMs = 700;
+/** Whoever asked to join this long ago still wants to, ms: several rounds of announcing. */
+const joiningMs = 2000;
+/** A voter that has been silent for this long gives way to one that is caught up, ms: the shortest time after which machines count as lost. */
+const silentMs = 2500;
+/** An instance that heard no leader for this long can't tell whether what it holds is the newest, ms. Half of the shortest bound for configurations. */
+export const staleAfterMs = 1000;
+/** Storage that refused a write is tried again after this, ms. */
+const storagePauseMs = 250;
+/** Entries between snapshots. */
+const snapshotEvery = 400;
+const proposeTimeoutMs = 2500;
+
+/** A member of the group. */
+export class ControlGroup {
+	private readonly transport: LogTransport;
+	private readonly joining = new Map<ReplicaId, number>();
+	private readonly known = new Set<string>();
+	private readonly ending = new AbortController();
+	private node: LogNode | undefined;
+
+	static async open(options: ControlGroupOptions): Promise<ControlGroup> {
+		const files = createFileSystem(options.dataFolder);
+		const journal = await Journal.open(files, options.address) ?? await Journal.create(files, {
+			format: journalFormat,
+			replica: options.address,
+			disk: randomBytes(diskIdBytes).toString('hex'),
+			clusterId: undefined,
+			initialVoters: [],
+			mayBegin: options.isFirstStart,
+		});
+		return new ControlGroup(options, journal);
+	}
+
+	private constructor(private readonly options: ControlGroupOptions, private readonly journal: Journal) {
+		this.transport = new LogTransport(options.client);
+	}
+
+	get ownId(): ReplicaId {
+		return formatReplicaId(this.journal.header.replica, this.journal.header.disk);
+	}
+
+	/** Address of the leader, as far as it is known. */
+	get leaderAddress(): string | undefined {
+		return this.node?.leaderName;
+	}
+
+	/** Addresses of all members. */
+	get members(): string[] {
+		const membership = this.node?.replica.currentMembership;
+		return membership ? [...new Set([...membership.voters, ...membership.learners].map(nameOfReplica))] : [];
+	}
+
+	/** Whether this one leads with a valid lease, and all that is committed is applied. */
+	get isLeading(): boolean {
+		return this.node?.isFresh() ?? false;
+	}
+
+	get term(): number {
+		return this.node?.replica.term ?? 0;
+	}
+
+	/** Whether as many voters hold the log as are wanted. */
+	get isComplete(): boolean {
+		return (this.node?.replica.currentMembership.voters.length ?? 0) >= this.options.voters;
+	}
+
+	/** Whether what is applied here is at most `staleAfterMs` old. */
+	get isCurrent(): boolean {
+		const {clock} = this.options;
+		const heardAt = this.node?.replica.leaderHeardAt(clock.now());
+		return heardAt !== undefined && clock.now() - heardAt < staleAfterMs && (this.node?.appliedIndex ?? 0) >= (this.node?.replica.commitIndex ?? 1);
+	}
+
+	/** Calls of the other members and of followers. */
+	handlers(): Array<[string, PeerHandler]> {
+		return [
+			['/identify', async () => ok(this.identify())],
+			['/log', async body => {
+				(body as Message[]).filter(message => message.to === this.ownId).forEach(message => {
+					this.node?.receive(message);
+				});
+				return ok(true);
+			}],
+			['/announce', async body => {
+				this.joining.set((body as {id: ReplicaId}).id, this.options.clock.now());
+				return ok(true);
+			}],
+			['/propose', async body => this.proposeHere(body)],
+			['/fresh', async () => this.readHere()],
+		];
+	}
+
+	/** Takes part until it is stopped. */
+	async run(): Promise<void> {
+		const {signal} = this.ending;
+		await this.form();
+		if (signal.aborted) {
+			return;
+		}
+
+		this.node = this.startNode();
+		callUntilAborted(signal, tickMs, () => {
+			this.node?.tick();
+		});
+		const onError = (thrown: unknown) => {
+			this.options.onError(`a round of membership failed: ${describeError(thrown)}`);
+		};
+
+		await Promise.all([
+			repeatUntilAborted(signal, announcePauseMs, async () => this.announce(), onError),
+			repeatUntilAborted(signal, membershipPauseMs, async () => this.planMembership(), onError),
+		]);
+	}
+
+	/** Hands leadership over, so that a planned stop costs no election. */
+	async handOver(): Promise<void> {
+		if (this.isLeading) {
+			this.node?.transferLeadership();
+			await waitFor(groupTimes.heartbeatMs * 2);
+		}
+	}
+
+	async stop(): Promise<void> {
+		this.ending.abort();
+		await this.node?.stop();
+		await this.journal.close();
+	}
+
+	/** Proposes a command at the leader, wherever that is, and gives its result. */
+	async propose(command: unknown): Promise<Result<unknown, MastvalveError>> {
+		if (this.node?.replica.role === Role.Leader) {
+			return this.proposeHere(command);
+		}
+
+		return this.callLeader('/propose', command);
+	}
+
+	/** Waits until all is applied here that was committed anywhere when it was called. */
+	async readFresh(): Promise<Result<true, MastvalveError>> {
+		const index = this.isLeading ? ok(this.node?.replica.commitIndex ?? 0) : await this.callLeader<number>('/fresh', {});
+		if (index.isErr()) {
+			return err(index.error);
+		}
+
+		const endAt = this.options.clock.now() + callTimeoutMs;
+		while ((this.node?.appliedIndex ?? 0) < index.value && this.options.clock.now() < endAt) {
+			// eslint-disable-next-line no-await-in-loop
+			await waitFor(tickMs);
+		}
+
+		return (this.node?.appliedIndex ?? 0) >= index.value ? ok(true) : err(new ControlUnavailableError('This control instance is still catching up.'));
+	}
+
+	/** Calls the leader; fails at once when none is known. */
+	async callLeader<T>(path: string, body: unknown, timeoutMs = callTimeoutMs): Promise<Result<T, MastvalveError>> {
+		const {leaderAddress} = this;
+		if (leaderAddress === undefined || leaderAddress === this.options.address) {
+			return err(new NotLeaderError(undefined));
+		}
+
+		return this.options.client.call<T>({
+			address: leaderAddress, path, body, timeoutMs,
+		});
+	}
+
+	private identify(): Identity {
+		const {header} = this.journal;
+		const membership = this.node?.replica.currentMembership;
+		return {
+			replicaId: this.ownId,
+			clusterId: header.clusterId,
+			initialVoters: header.initialVoters,
+			mayBegin: header.mayBegin ?? false,
+			members: membership ? [...membership.voters, ...membership.learners] : [],
+		};
+	}
+
+	private async proposeHere(command: unknown): Promise<Result<unknown, MastvalveError>> {
+		if (!this.node) {
+			return err(new ControlUnavailableError('This control instance is not part of a group yet.'));
+		}
+
+		const late = waitFor(proposeTimeoutMs).then(() => err(new ControlUnavailableError('No majority has confirmed the change in time.')));
+		return Promise.race([this.node.propose(command), late]);
+	}
+
+	private async readHere(): Promise<Result<number, MastvalveError>> {
+		return this.isLeading ? ok(this.node?.replica.commitIndex ?? 0) : err(new NotLeaderError(this.leaderAddress));
+	}
+
+	/** Everyone who may know the group: seeds, members, and those whom others named. */
+	private listOthers(): string[] {
+		return [...new Set([...this.options.readSeeds(), ...this.members, ...this.known])].filter(address => address !== this.options.address);
+	}
+
+	private async askOthers(): Promise<Identity[]> {
+		const answers = await Promise.all(this.listOthers().map(async address => this.options.client.call<Identity>({
+			address, path: '/identify', body: {}, timeoutMs: callTimeoutMs,
+		})));
+		return answers.flatMap(answer => (answer.isOk() ? [answer.value] : []));
+	}
+
+	/** Waits until the instance belongs to a replicated log. */
+	private async form(): Promise<void> {
+		const {signal} = this.ending;
+		while (this.journal.header.clusterId === undefined && !signal.aborted) {
+			// Each round rests on fresh answers.
+			// eslint-disable-next-line no-await-in-loop
+			const answers = await this.askOthers();
+			const formation = decideFormation(this.identify(), this.options.readSeeds(), answers);
+			if (formation) {
+				// eslint-disable-next-line no-await-in-loop
+				await this.journal.form(formation.clusterId, formation.initialVoters);
+				this.options.onEvent('log.formed', `cluster ${formation.clusterId} as ${this.ownId}, beginning with ${formation.initialVoters.join(', ')}`);
+			} else {
+				// eslint-disable-next-line no-await-in-loop
+				await waitFor(formationPauseMs, signal);
+			}
+		}
+	}
+
+	private startNode(): LogNode {
+		const {machine, clock, times, onEvent, onError} = this.options;
+		const {header, restored} = this.journal;
+		if (restored.snapshot) {
+			machine.restoreSnapshot(restored.snapshot.data, restored.snapshot.index);
+		}
+
+		const replica = new Replica({
+			id: this.ownId,
+			initialMembership: {voters: header.initialVoters, learners: []},
+			restored,
+			times: times ?? groupTimes,
+			rules: defaultReplicaRules,
+			random: Math.random,
+			now: clock.now(),
+		});
+		return new LogNode({
+			replica,
+			machine,
+			clock,
+			snapshotEvery,
+			send: message => {
+				this.transport.send(message);
+			},
+			persist: async write => this.persist(write),
+			onFailure(thrown) {
+				onError(`the log stopped, this instance takes no further part: ${describeError(thrown)}`);
+			},
+			onRoleChange(role, term, leader) {
+				onEvent('replica.changed-role', `${role} in term ${term}, leader ${leader ?? 'unknown'}`);
+			},
+		});
+	}
+
+	/** Writes until storage takes it; meanwhile nothing is answered, so others lead. */
+	private async persist(write: DurableWrite): Promise<void> {
+		const {signal} = this.ending;
+		let failures = 0;
+		while (!signal.aborted) {
+			try {
+				// eslint-disable-next-line no-await-in-loop
+				await this.journal.persist(write);
+				return;
+			} catch (error) {
+				failures += 1;
+				if (failures === 1) {
+					this.options.onError(`storage refuses a write; this instance answers nothing until it is taken: ${describeError(error)}`);
+				}
+
+				// eslint-disable-next-line no-await-in-loop
+				await waitFor(storagePauseMs, signal);
+			}
+		}
+
+		throw new Error('stopped while a write was waiting');
+	}
+
+	/** Asks to be taken into the membership as long as it isn't in it, or hears nothing of a leader. */
+	private async announce(): Promise<void> {
+		const {voters, learners} = this.node?.replica.currentMembership ?? {voters: [], learners: []};
+		const isMember = [...voters, ...learners].includes(this.ownId);
+		if (isMember && this.isCurrent) {
+			return;
+		}
+
+		(await this.askOthers()).flatMap(answer => answer.members).forEach(id => {
+			this.known.add(nameOfReplica(id));
+		});
+		await Promise.all(this.listOthers().map(async address => this.options.client.call({
+			address, path: '/announce', body: {id: this.ownId}, timeoutMs: callTimeoutMs,
+		})));
+	}
+
+	/** The leader's duty: one membership change at a time. */
+	private async planMembership(): Promise<void> {
+		const {node, options} = this;
+		const now = options.clock.now();
+		if (!node?.isFresh() || node.replica.hasUncommittedMembership) {
+			return;
+		}
+
+		const joining = [...this.joining].filter(([, at]) => now - at < joiningMs).map(([id]) => id);
+		const next = planNextMembership(node.replica.currentMembership, joining, id => node.replica.isCaughtUp(id, now), {
+			maxVoters: options.voters,
+			isSilent: id => id !== this.ownId && now - Math.max(node.replica.acknowledgedAt(id), node.replica.ledSince) > silentMs,
+		});
+		if (next) {
+			const result = await node.proposeMembership(next);
+			options.onEvent('membership.changed', `${result.isOk() ? 'voters' : 'not committed: voters'} ${next.voters.join(', ')}; learners ${next.learners.join(', ') || 'none'}`);
+		}
+	}
+}
--- /dev/null
+++ b/packages/mastvalve-cluster/src/peer/log-transport.ts
@@ -0,0 +1,49 @@
+/**
+ * Carries messages of the replicated log to other replicas, whose addresses are in their identities.
+ *
+ * One call at a time goes to each peer and takes all that waits, so messages keep their order; while a peer is out of
+ * reach only the newest wait, since the log sends again what was lost.
+ */
+
+import {nameOfReplica, type Message} from 'mastvalve-replication';
+import type {PeerClient} from './peer-client.js';
+
+/** Messages that wait for one peer at the most. */
+const maxWaiting = 64;
+/** A peer that has not answered for this long is tried over a new connection, ms. About an election timeout. */
+const callTimeoutMs = 700;
+
+type Link = {waiting: Message[]; isBusy: boolean};
+
+/** The transport. */
+export class LogTransport {
+	private readonly links = new Map<string, Link>();
+
+	constructor(private readonly client: PeerClient) {}
+
+	/** Sends a message some time soon, or never. */
+	send(message: Message): void {
+		const address = nameOfReplica(message.to);
+		const link = this.links.get(address) ?? {waiting: [], isBusy: false};
+		this.links.set(address, link);
+		link.waiting = [...link.waiting, message].slice(-maxWaiting);
+		if (!link.isBusy) {
+			void this.drain(address, link);
+		}
+	}
+
+	private async drain(address: string, link: Link): Promise<void> {
+		link.isBusy = true;
+		while (link.waiting.length > 0) {
+			const body = link.waiting;
+			link.waiting = [];
+			// One call after the other keeps the order. A lost one is not sent again: the log's own timers do that.
+			// eslint-disable-next-line no-await-in-loop
+			await this.client.call({
+				address, path: '/log', body, timeoutMs: callTimeoutMs,
+			});
+		}
+
+		link.isBusy = false;
+	}
+}
--- /dev/null
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -0,0 +1,205 @@
+/**
+ * One control instance of a fleet. Any instance takes any call; what must survive goes through the leader's log, and
+ * what must be newest is confirmed by the leader's lease.
+ */
+
+import {ControlGroup, type ControlGroupOptions, type PeerHandler} from 'mastvalve-cluster';
+import {
+	FleetCommandKind, FleetMachine, isNews, type EndpointReport, type FleetCommand, type StatedConfiguration,
+} from 'mastvalve-fleet';
+import {ControlUnavailableError, type MastvalveError} from 'mastvalve-types';
+import {describeError, repeatUntilAborted} from 'mastvalve-utils';
+import {err, ok, type Result} from 'neverthrow';
+import type {FollowAnswer, FollowRequest} from './follow.js';
+import {Liveness, type LivenessTimes} from './liveness.js';
+
+/** What a control instance is made from. */
+export type FleetControlOptions = Omit<ControlGroupOptions, 'machine'> & {
+	/** Time between two heartbeats of an endpoint, ms. */
+	heartbeatMs: number;
+};
+
+/** Heartbeats that an endpoint may miss before others are preferred; they come late by seconds at times. */
+const missedHeartbeats = 4;
+const forgetGoneAfterMs = 120_000;
+const forgetSilentAfterMs = 90_000;
+const dutyPauseMs = 300;
+/** Longest wait for a change, ms: well below the time in which a follower must notice that this instance is cut off. */
+const maxFollowWaitMs = 500;
+/** An incomplete group takes the first changes after this long all the same, ms. */
+const incompleteGraceMs = 5000;
+
+/** One control instance. */
+export class FleetControl {
+	readonly group: ControlGroup;
+	private readonly liveness = new Liveness();
+	private readonly waiting = new Set<() => void>();
+	private readonly ending = new AbortController();
+	private readonly times: LivenessTimes;
+	private readonly startedAt: number;
+	private wasLeading = false;
+
+	static async open(options: FleetControlOptions): Promise<FleetControl> {
+		const waiting = {wake: () => undefined as void};
+		const machine = new FleetMachine(() => {
+			waiting.wake();
+		});
+		const control = new FleetControl(options, machine, await ControlGroup.open({...options, machine}));
+		waiting.wake = () => {
+			control.wakeFollowers();
+		};
+
+		return control;
+	}
+
+	private constructor(private readonly options: FleetControlOptions, readonly machine: FleetMachine, group: ControlGroup) {
+		this.group = group;
+		this.startedAt = options.clock.now();
+		this.times = {silentAfterMs: missedHeartbeats * options.heartbeatMs, forgetGoneAfterMs, forgetSilentAfterMs};
+	}
+
+	/** Calls of other processes of mastvalve. */
+	handlers(): Array<[string, PeerHandler]> {
+		return [
+			...this.group.handlers(),
+			['/follow', async (body, signal) => this.follow(body as FollowRequest, signal)],
+			['/heard', async body => {
+				this.liveness.hear(body as string[], this.options.clock.now());
+				return ok(true);
+			}],
+		];
+	}
+
+	/** Takes part until it is stopped. */
+	async run(): Promise<void> {
+		const onError = (thrown: unknown) => {
+			this.options.onError(`a duty failed and is tried again: ${describeError(thrown)}`);
+		};
+
+		await Promise.all([
+			this.group.run(),
+			repeatUntilAborted(this.ending.signal, dutyPauseMs, async () => this.carryOutDuties(), onError),
+		]);
+	}
+
+	/** Hands over and stops. */
+	async stop(): Promise<void> {
+		await this.group.handOver();
+		this.ending.abort();
+		this.wakeFollowers();
+		await this.group.stop();
+	}
+
+	/** Puts a configuration in force, unless one at least as new is; the result is the version held. */
+	async configure(stated: StatedConfiguration): Promise<Result<number, MastvalveError>> {
+		const held = this.machine.configuration?.configuration.version;
+		const isYoung = this.options.clock.now() - this.startedAt < incompleteGraceMs;
+		if (held === undefined && isYoung && !this.group.isComplete) {
+			return err(new ControlUnavailableError('The control instances have not all found each other yet.'));
+		}
+
+		// What is applied here is committed; an older version changes nothing.
+		if (held !== undefined && held >= stated.configuration.version) {
+			return ok(held);
+		}
+
+		const result = await this.propose({kind: FleetCommandKind.Configure, stated});
+		return result.map(version => version as number);
+	}
+
+	/** The newest configuration; an error when this instance can't be sure of it. */
+	async readConfiguration(): Promise<Result<StatedConfiguration | undefined, MastvalveError>> {
+		const fresh = await this.group.readFresh();
+		return fresh.map(() => this.machine.configuration);
+	}
+
+	/** Takes a heartbeat. It is acknowledged once all that is new in it is committed. */
+	async report(report: EndpointReport): Promise<Result<true, MastvalveError>> {
+		this.liveness.hear([report.id], this.options.clock.now());
+		if (this.group.isCurrent && !isNews(this.machine.find(report.id), report)) {
+			return ok(true);
+		}
+
+		const result = await this.propose({kind: FleetCommandKind.Report, report});
+		return result.map(() => true as const);
+	}
+
+	/** An endpoint leaves for good. It is acknowledged once that is committed. */
+	async leave(id: string): Promise<Result<true, MastvalveError>> {
+		const result = await this.propose({kind: FleetCommandKind.Leave, id});
+		return result.map(() => true as const);
+	}
+
+	private async propose(command: FleetCommand): Promise<Result<unknown, MastvalveError>> {
+		return this.group.propose(command);
+	}
+
+	private async follow({revision, waitMs, mustBeNewest}: FollowRequest, signal: AbortSignal): Promise<Result<FollowAnswer, MastvalveError>> {
+		const fresh = mustBeNewest ? await this.group.readFresh() : ok(true);
+		if (fresh.isErr()) {
+			return err(fresh.error);
+		}
+
+		if (this.machine.revision <= revision) {
+			await this.waitForChange(Math.min(waitMs, maxFollowWaitMs), signal);
+		}
+
+		return this.group.isCurrent && !this.ending.signal.aborted
+			? ok({update: this.machine.changesSince(revision), members: this.group.members, leader: this.group.leaderAddress})
+			: err(new ControlUnavailableError('This control instance hears no leader, so it may not know the newest state.'));
+	}
+
+	private async waitForChange(ms: number, signal: AbortSignal): Promise<void> {
+		await new Promise<void>(resolve => {
+			const done = () => {
+				clearTimeout(timer);
+				this.waiting.delete(done);
+				resolve();
+			};
+
+			const timer = setTimeout(done, ms);
+			this.waiting.add(done);
+			signal.addEventListener('abort', done, {once: true});
+		});
+	}
+
+	private wakeFollowers(): void {
+		[...this.waiting].forEach(wake => {
+			wake();
+		});
+	}
+
+	private async carryOutDuties(): Promise<void> {
+		if (!this.group.isLeading) {
+			this.wasLeading = false;
+			await this.passHeard();
+			return;
+		}
+
+		if (!this.wasLeading) {
+			this.wasLeading = true;
+			this.liveness.reset();
+		}
+
+		const now = this.options.clock.now();
+		const endpoints = this.machine.list();
+		const silent = this.liveness.listSilent(endpoints, now, this.times);
+		if (silent.length > 0) {
+			await this.propose({kind: FleetCommandKind.MarkSilent, ids: silent});
+			this.options.onEvent('endpoint.silent', `no heartbeat for ${this.times.silentAfterMs} ms: ${silent.join(', ')}`);
+		}
+
+		const forgettable = this.liveness.listForgettable(endpoints, now, this.times);
+		if (forgettable.length > 0) {
+			await this.propose({kind: FleetCommandKind.Forget, ids: forgettable});
+		}
+	}
+
+	/** The leader hears from the others whom they have heard. */
+	private async passHeard(): Promise<void> {
+		const ids = this.liveness.takeFresh();
+		if (ids.length > 0) {
+			await this.group.callLeader('/heard', ids);
+		}
+	}
+}
--- /dev/null
+++ b/packages/mastvalve-fleet-control/src/follow.ts
@@ -0,0 +1,24 @@
+/**
+ * What an entry asks for when it follows the fleet, and what it gets.
+ */
+
+import type {FleetUpdate} from 'mastvalve-fleet';
+
+/** A follower's question. */
+export type FollowRequest = {
+	/** Revision that the follower has; -1 for none. */
+	revision: number;
+	/** How long to wait for a change, ms. */
+	waitMs: number;
+	/** Whether the answer must include all that was committed before the question. */
+	mustBeNewest: boolean;
+};
+
+/** The answer. */
+export type FollowAnswer = {
+	update: FleetUpdate;
+	/** Addresses of all control instances, for the next questions. */
+	members: string[];
+	/** Address of the leader, if one is known. */
+	leader: string | undefined;
+};
--- /dev/null
+++ b/packages/mastvalve-fleet-control/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Control of a fleet.
+ */
+
+export * from './fleet-control.js';
+export type * from './follow.js';
--- /dev/null
+++ b/packages/mastvalve-fleet/src/configuration/caller-limits.ts
@@ -0,0 +1,11 @@
+/**
+ * Bounds on what callers may send.
+ */
+
+/** Sizes in bytes, times in ms. */
+export type CallerLimits = {
+	maxHeaderBytes: number;
+	maxBodyBytes: number;
+	headerTimeoutMs: number;
+	idleTimeoutMs: number;
+};
--- /dev/null
+++ b/packages/mastvalve-fleet/src/configuration/check-configuration.ts
@@ -0,0 +1,30 @@
+/**
+ * Rules that a configuration must keep besides its shape.
+ */
+
+import type {Route} from './route.js';
+import type {ServingConfiguration} from './serving-configuration.js';
+
+const checkRoute = (route: Route, services: ReadonlySet<string>): string[] => {
+	const unknown = route.targets.filter(target => !services.has(target.service)).map(target => `route ${route.name} names the unknown service "${target.service}"`);
+	const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+	return [
+		...unknown,
+		...(total > 0 ? [] : [`the weights of route ${route.name} sum to ${total}; at least one must be above 0`]),
+		...(route.targets.every(target => target.weight >= 0) ? [] : [`route ${route.name} has a negative weight`]),
+		...(route.timeoutMs > 0 ? [] : [`the timeout of route ${route.name} is ${route.timeoutMs} ms; it must be above 0`]),
+	];
+};
+
+const findDuplicates = (keys: readonly string[]): string[] => [...new Set(keys.filter((key, index) => keys.indexOf(key) !== index))];
+
+/** All findings; empty when the configuration is valid. */
+export const checkConfiguration = ({routes, services}: ServingConfiguration): string[] => {
+	const names = new Set(services.map(service => service.name));
+	const places = findDuplicates(routes.map(route => `${route.host}${route.pathPrefix}`));
+	return [
+		...routes.flatMap(route => checkRoute(route, names)),
+		...places.map(place => `two routes share ${place}`),
+		...findDuplicates(services.map(service => service.name)).map(name => `two services are named ${name}`),
+	];
+};
--- /dev/null
+++ b/packages/mastvalve-fleet/src/index.ts
@@ -0,0 +1,16 @@
+/**
+ * Routes, services and endpoints as a replicated state machine, and pure policy over them.
+ */
+
+export type * from './configuration/caller-limits.js';
+export * from './configuration/check-configuration.js';
+export type * from './configuration/engine-model.js';
+export * from './configuration/find-route.js';
+export * from './configuration/route.js';
+export type * from './configuration/served-service.js';
+export type * from './configuration/serving-configuration.js';
+export * from './state/apply-report.js';
+export * from './state/fleet-command.js';
+export * from './state/fleet-endpoint.js';
+export * from './state/fleet-machine.js';
+export type * from './state/fleet-update.js';
--- /dev/null
+++ b/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
@@ -0,0 +1,49 @@
+/**
+ * An endpoint as control knows it.
+ */
+
+/** How far an endpoint is in its life. */
+export enum EndpointPhase {
+	Ready = 'ready',
+	/** It has sent no heartbeat for a while; it may still serve. */
+	Silent = 'silent',
+	/** It takes no new work. */
+	Leaving = 'leaving',
+	/** It has ended. */
+	Gone = 'gone',
+}
+
+/** A model that an engine holds, with its adapters. */
+export type HeldModel = {name: string; adapters: string[]};
+
+/** What an endpoint says of itself in a heartbeat. */
+export type EndpointReport = {
+	/** Identity of one start of the endpoint; a restart brings a new one. */
+	id: string;
+	/** Rises with every report of one identity. */
+	sequence: number;
+	service: string;
+	/** `ip:port`. */
+	address: string;
+	failureDomain: string;
+	/** Version of its software. */
+	release: string;
+	slots: number;
+	isLeaving: boolean;
+	/** Time until it is taken away whatever it runs, ms. */
+	remainingMs: number | undefined;
+	holds: HeldModel[];
+	/** Models whose weights are in its host memory. */
+	inMemory: string[];
+	/** Models whose weights are on its disk. */
+	onDisk: string[];
+};
+
+/** An endpoint with what control adds. */
+export type FleetEndpoint = EndpointReport & {
+	phase: EndpointPhase;
+	/** A model that is about to be unloaded and gets no new requests. */
+	retiring: string | undefined;
+	/** Log index of the last change. */
+	revision: number;
+};
--- /dev/null
+++ b/packages/mastvalve-gateway/src/dialect.ts
@@ -0,0 +1,57 @@
+/**
+ * What a gateway must be told of the headers that callers and endpoints use. The gateway knows their meaning only.
+ */
+
+import type {IncomingHttpHeaders} from 'node:http';
+
+/** What a caller's headers say. */
+export type CallerHeaders = {
+	/** Identity of this request; endpoints echo it. */
+	requestId: string | undefined;
+	/** How long the caller will wait, ms. */
+	remainingMs: number | undefined;
+	model: string | undefined;
+	adapter: string | undefined;
+	promptTokens: number;
+	/** Tokens that the answer may have at the most. */
+	maxOutputTokens: number;
+	/** Parts of the prompt in order; equal parts of different requests have equal ids. */
+	promptParts: PromptPart[];
+	/** Position in a stream after which the caller goes on. */
+	resumeAfter: string | undefined;
+};
+
+/** A part of a prompt that others may share. */
+export type PromptPart = {id: string; tokens: number};
+
+/** What goes to an endpoint besides the caller's own headers. */
+export type EndpointHeaders = {
+	remainingMs: number;
+	endpointId: string;
+	/** 0 is the most urgent. */
+	priority: number;
+	resumeAfter: string | undefined;
+	/** Set when the request has a body; it was read whole. */
+	bodyLength: number | undefined;
+};
+
+/** What the head of an endpoint's answer says. */
+export type AnswerHeaders = {
+	requestId: string | undefined;
+	/** The endpoint states that the request was not run. */
+	isNotRun: boolean;
+	/** The endpoint at the address is another one, or it lacks the model. */
+	isMisdirected: boolean;
+	load: ReportedLoad | undefined;
+};
+
+/** Load that an endpoint tells with an answer. */
+export type ReportedLoad = {running: number; waiting: number; slots: number};
+
+/** The dialect. */
+export type Dialect = {
+	readCaller: (headers: IncomingHttpHeaders) => CallerHeaders;
+	/** Headers for the endpoint as a flat list of names and values. */
+	writeEndpoint: (rawHeaders: readonly string[], added: EndpointHeaders) => string[];
+	readAnswer: (statusCode: number, headers: IncomingHttpHeaders) => AnswerHeaders;
+};
--- /dev/null
+++ b/packages/mastvalve-gateway/src/fleet/fleet-follower.ts
@@ -0,0 +1,86 @@
+/**
+ * Follows control: asks one instance at a time for changes, the one in the same failure domain first, and goes on to
+ * the next when it does not answer or can't be sure of what it knows.
+ */
+
+import type {PeerClient} from 'mastvalve-cluster';
+import type {FollowAnswer} from 'mastvalve-fleet-control';
+import {waitFor} from 'mastvalve-utils';
+import type {FleetView} from './fleet-view.js';
+
+/** What a follower is made from. */
+export type FleetFollowerOptions = {
+	client: PeerClient;
+	view: FleetView;
+	/** Control instances to ask first. */
+	readSeeds: () => string[];
+	/** Lower is nearer. */
+	distanceTo: (address: string) => number;
+	onEvent: (kind: string, detail: string) => void;
+};
+
+/** How long control may hold a question until something changes, ms. */
+const waitMs = 400;
+/** No answer after this long means that the instance is out of reach, ms. The sum with a second try is below the bound for configurations. */
+const timeoutMs = 800;
+const pauseMs = 60;
+
+/** The follower. */
+export class FleetFollower {
+	/** Address of control's leader, as last heard. */
+	leader: string | undefined;
+	private members: string[] = [];
+	private current: string | undefined;
+	private isConnected = false;
+
+	constructor(private readonly options: FleetFollowerOptions) {}
+
+	/** Follows until the signal aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		let candidates = this.listCandidates();
+		while (!signal.aborted) {
+			const address = this.current ?? candidates.shift();
+			if (address === undefined) {
+				candidates = this.listCandidates();
+				// eslint-disable-next-line no-await-in-loop
+				await waitFor(pauseMs, signal);
+			} else {
+				// One question after the other.
+				// eslint-disable-next-line no-await-in-loop
+				await this.ask(address, signal);
+			}
+		}
+	}
+
+	private listCandidates(): string[] {
+		return [...new Set([...this.members, ...this.options.readSeeds()])]
+			.toSorted((a, b) => this.options.distanceTo(a) - this.options.distanceTo(b));
+	}
+
+	private async ask(address: string, signal: AbortSignal): Promise<void> {
+		const {client, view, onEvent} = this.options;
+		const answer = await client.call<FollowAnswer>({
+			address, path: '/follow', timeoutMs, signal, body: {revision: view.revision, waitMs, mustBeNewest: !view.isSynced},
+		});
+		if (answer.isErr()) {
+			if (this.isConnected && !signal.aborted) {
+				onEvent('control.lost', answer.error.message);
+			}
+
+			this.isConnected = false;
+			this.current = undefined;
+			return;
+		}
+
+		const {update, members, leader} = answer.value;
+		this.members = members;
+		this.leader = leader;
+		this.current = address;
+		view.isSynced = true;
+		view.apply(update);
+		if (!this.isConnected) {
+			this.isConnected = true;
+			onEvent('control.regained', `follows ${address} at revision ${view.revision}`);
+		}
+	}
+}
--- /dev/null
+++ b/packages/mastvalve-gateway/src/index.ts
@@ -0,0 +1,16 @@
+/**
+ * The data path by routes.
+ */
+
+export type * from './dialect.js';
+export * from './fleet/fleet-follower.js';
+export * from './fleet/fleet-view.js';
+export * from './requests/caller-request.js';
+export {dropConnectionHeaders} from './requests/reply.js';
+export * from './routing/choose-endpoint.js';
+export * from './routing/endpoint-board.js';
+export * from './routing/model-demand.js';
+export * from './routing/retry-allowance.js';
+export * from './server/gateway.js';
+export type * from './server/gateway-core.js';
+export * from './upstream/upstream-agent.js';
--- /dev/null
+++ b/packages/mastvalve-gateway/src/requests/reply.ts
@@ -0,0 +1,75 @@
+/**
+ * The answer to a caller: at most one, whole or visibly broken.
+ */
+
+import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+
+/** Headers that concern one connection only. */
+const connectionHeaders = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'upgrade', 'te', 'trailer', 'proxy-authenticate', 'proxy-authorization']);
+
+/** A flat list of names and values without those of one connection. */
+export const dropConnectionHeaders = (rawHeaders: readonly string[]): string[] => {
+	const named = new Set(connectionHeaders);
+	rawHeaders.forEach((value, index) => {
+		if (index % 2 === 1 && rawHeaders[index - 1]?.toLowerCase() === 'connection') {
+			value.split(',').forEach(name => named.add(name.trim().toLowerCase()));
+		}
+	});
+	return rawHeaders.filter((_, index) => !named.has((rawHeaders[index - (index % 2)] ?? '').toLowerCase()));
+};
+
+/** An answer of mastvalve's own. */
+export type OwnAnswer = {status: number; code: string; message: string; retryAfterSeconds?: number};
+
+/** One answer. */
+export class Reply {
+	constructor(private readonly res: ServerResponse) {}
+
+	get hasBegun(): boolean {
+		return this.res.headersSent;
+	}
+
+	get isOver(): boolean {
+		return this.res.writableEnded || this.res.destroyed;
+	}
+
+	/** Answers for mastvalve itself. */
+	send({status, code, message, retryAfterSeconds}: OwnAnswer): void {
+		if (this.res.headersSent || this.res.destroyed) {
+			return;
+		}
+
+		const body = JSON.stringify({type: 'about:blank', title: code, status, detail: message});
+		this.res.writeHead(status, {
+			'content-type': 'application/problem+json',
+			'content-length': Buffer.byteLength(body),
+			...(retryAfterSeconds === undefined ? {} : {'retry-after': String(retryAfterSeconds)}),
+		});
+		this.res.end(body);
+	}
+
+	/** Begins to pass an endpoint's answer on. */
+	begin(status: number, statusText: string, rawHeaders: readonly string[]): void {
+		this.res.writeHead(status, statusText, dropConnectionHeaders(rawHeaders));
+		this.res.flushHeaders();
+	}
+
+	/** Passes bytes on; false when the caller must be waited for. */
+	write(chunk: Uint8Array): boolean {
+		return this.res.write(chunk);
+	}
+
+	onDrain(resume: () => void): void {
+		this.res.once('drain', resume);
+	}
+
+	end(): void {
+		this.res.end();
+	}
+
+	/** Breaks the answer off, so that nobody takes it for whole. */
+	breakOff(): void {
+		this.res.destroy();
+	}
+}
--- /dev/null
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -0,0 +1,213 @@
+/**
+ * Serves one request: finds an endpoint, hands the request over, passes the answer on; tries again only where that can
+ * do no harm, and refuses as "not run" only what was handed to nobody or what its endpoint says it did not run.
+ */
+
+import type {FleetEndpoint} from 'mastvalve-fleet';
+import type {GatewayCore} from '../server/gateway-core.js';
+import {exchange, ExchangeKind, type ExchangeOutcome} from '../upstream/exchange.js';
+import {isRepeatable, type CallerRequest} from './caller-request.js';
+import {relayBody, StreamPosition} from './relay.js';
+import type {Reply} from './reply.js';
+import {waitForEndpoint} from './wait-for-endpoint.js';
+
+/** Endpoints that may be out of reach before a request is given up; nothing was handed to them. */
+const maxUnsent = 3;
+/** A connection within a region is up in a few ms; a lost packet delays it by a second, ms. */
+const connectMs = 400;
+/** What is left of the time must be worth an attempt, ms. */
+const minRemainingMs = 20;
+const retryAfterSeconds = 0.1;
+
+/** What became of the tries so far. */
+type Progress = {
+	tried: Set<string>;
+	sent: number;
+	unsent: number;
+	/** Whether some endpoint may have run it. */
+	mayHaveRun: boolean;
+	position: StreamPosition | undefined;
+};
+
+/** Serves a request; the reply is over when this resolves. */
+export const serveRequest = async (core: GatewayCore, request: CallerRequest, reply: Reply): Promise<void> => {
+	const {route, caller} = request;
+	const progress: Progress = {
+		tried: new Set(), sent: 0, unsent: 0, mayHaveRun: false, position: route.isResumable ? new StreamPosition() : undefined,
+	};
+	if (progress.position && caller.resumeAfter !== undefined) {
+		progress.position.lastEventId = caller.resumeAfter;
+	}
+
+	core.allowance.recordRequest(request.service);
+	if (caller.model !== undefined) {
+		core.demand.recordRequest(caller.model);
+	}
+
+	let isOver = false;
+	while (!isOver && !reply.isOver) {
+		// Attempts follow each other.
+		// eslint-disable-next-line no-await-in-loop
+		isOver = await tryOnce(core, request, reply, progress);
+	}
+};
+
+/** One attempt; true when the request is over. */
+const tryOnce = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress): Promise<boolean> => {
+	const endpoint = await waitForEndpoint(core, request, progress.tried);
+	if (!endpoint) {
+		giveUp(core, request, reply, progress, 'no endpoint can take it');
+		return true;
+	}
+
+	if (progress.sent > 0 && !core.allowance.takeRetry(request.service)) {
+		giveUp(core, request, reply, progress, 'no retries are left');
+		return true;
+	}
+
+	progress.tried.add(endpoint.id);
+	const use = core.board.begin(endpoint.id, request.caller.promptTokens);
+	const outcome = await sendTo(core, request, endpoint, progress);
+	if (outcome.kind === ExchangeKind.Answered) {
+		progress.sent += 1;
+		const isOver = await takeAnswer(core, request, reply, progress, {endpoint, outcome, read: use.read});
+		use.end();
+		return isOver;
+	}
+
+	use.end();
+	progress.sent += outcome.kind === ExchangeKind.Lost ? 1 : 0;
+	progress.unsent += outcome.kind === ExchangeKind.NotSent ? 1 : 0;
+	progress.mayHaveRun ||= outcome.kind === ExchangeKind.Lost;
+	if (request.signal.aborted) {
+		return true;
+	}
+
+	core.board.recordFailure(endpoint.id);
+	core.log('attempt.failed', {request: request.requestId, endpoint: endpoint.id, outcome: outcome.kind, reason: outcome.reason});
+	return endOrRetry(core, request, reply, progress, outcome.reason);
+};
+
+/** Whether the request is over after an attempt that did not answer it. */
+const endOrRetry = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, reason: string): boolean => {
+	const {route, deadlineAt} = request;
+	const mayRepeat = !progress.mayHaveRun || isRepeatable(route);
+	const hasTries = progress.sent < route.maxAttempts && progress.unsent < maxUnsent;
+	if (mayRepeat && hasTries && core.clock.now() + minRemainingMs < deadlineAt) {
+		return false;
+	}
+
+	giveUp(core, request, reply, progress, reason);
+	return true;
+};
+
+const giveUp = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, reason: string): void => {
+	if (request.signal.aborted) {
+		return;
+	}
+
+	core.log('request.given-up', {
+		request: request.requestId, route: request.route.name, reason, sent: progress.sent, mayHaveRun: progress.mayHaveRun, revision: core.view.revision, ageMs: Math.round(core.clock.now() - request.arrivedAt),
+	});
+	if (reply.hasBegun) {
+		reply.breakOff();
+	} else if (progress.mayHaveRun) {
+		reply.send({status: 502, code: 'outcome-unknown', message: `The endpoint gave no whole answer: ${reason}. The request may have run.`});
+	} else {
+		reply.send({
+			status: 503, code: 'overloaded', message: `Not run: ${reason}.`, retryAfterSeconds,
+		});
+	}
+};
+
+const sendTo = async (core: GatewayCore, request: CallerRequest, endpoint: FleetEndpoint, progress: Progress): Promise<ExchangeOutcome> => {
+	const {caller, route, callerDeadlineAt, deadlineAt} = request;
+	const remainingMs = Math.max(1, Math.floor(Math.min(callerDeadlineAt, deadlineAt) - core.clock.now()));
+	return exchange({
+		agent: core.agent,
+		address: endpoint.address,
+		method: request.method,
+		path: request.path,
+		headers: core.dialect.writeEndpoint(request.rawHeaders, {
+			remainingMs, endpointId: endpoint.id, priority: route.priority, resumeAfter: progress.position?.lastEventId ?? caller.resumeAfter,
+			bodyLength: hasBody(request) ? request.body.length : undefined,
+		}),
+		body: request.body,
+		connectMs,
+		signal: request.signal,
+	});
+};
+
+/** Whether the caller announced a body, even an empty one. */
+const hasBody = ({headers}: CallerRequest): boolean => headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+
+type Answered = {endpoint: FleetEndpoint; outcome: Extract<ExchangeOutcome, {kind: ExchangeKind.Answered}>; read: () => void};
+
+/** Takes an answer's head, and its body if it is one for the caller; true when the request is over. */
+const takeAnswer = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, {endpoint, outcome, read}: Answered): Promise<boolean> => {
+	const {res, cancel} = outcome;
+	const status = res.statusCode ?? 0;
+	const head = core.dialect.readAnswer(status, res.headers);
+	core.board.recordAnswer(endpoint.id, head.load);
+	if (head.isNotRun) {
+		res.resume();
+		core.log('attempt.refused', {request: request.requestId, endpoint: endpoint.id, status, load: head.load});
+		return endOrRetry(core, request, reply, progress, `the endpoint refused it with ${status}`);
+	}
+
+	const isForeign = head.requestId !== undefined && head.requestId !== request.requestId;
+	const isUnpromised = status === 503 || status === 429 || status === 408 || status === 421;
+	if (isForeign || (isUnpromised && !isRepeatable(request.route))) {
+		cancel();
+		progress.mayHaveRun = true;
+		core.board.recordFailure(endpoint.id);
+		core.log('attempt.failed', {
+			request: request.requestId, endpoint: endpoint.id, status, reason: isForeign ? `the answer belongs to ${head.requestId}` : 'a refusal without a promise',
+		});
+		return endOrRetry(core, request, reply, progress, `an answer with status ${status} that can't be passed on`);
+	}
+
+	if (status >= 500) {
+		core.board.recordFailure(endpoint.id);
+	} else {
+		core.board.recordSuccess(endpoint.id);
+	}
+
+	progress.mayHaveRun = true;
+	const mayRetryFailure = status >= 500 && !reply.hasBegun && isRepeatable(request.route) && progress.sent < request.route.maxAttempts;
+	if (mayRetryFailure && core.clock.now() + minRemainingMs < request.deadlineAt) {
+		res.resume();
+		return false;
+	}
+
+	res.once('data', read);
+	if (reply.hasBegun && status !== 200) {
+		cancel();
+		return endOrRetry(core, request, reply, progress, `the stream can't go on: status ${status}`);
+	}
+
+	if (!reply.hasBegun) {
+		reply.begin(status, res.statusMessage ?? '', res.rawHeaders);
+	}
+
+	const isWhole = await relayBody(res, reply, progress.position);
+	if (isWhole) {
+		reply.end();
+		return true;
+	}
+
+	cancel();
+	if (request.signal.aborted) {
+		return true;
+	}
+
+	progress.position?.dropPartial();
+	core.board.recordFailure(endpoint.id);
+	core.log('answer.broken', {request: request.requestId, endpoint: endpoint.id, status, lastEvent: progress.position?.lastEventId});
+	if (progress.position) {
+		return endOrRetry(core, request, reply, progress, 'the answer broke off');
+	}
+
+	reply.breakOff();
+	return true;
+};
--- /dev/null
+++ b/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
@@ -0,0 +1,64 @@
+/**
+ * Which endpoint gets a request: pure, over what the entry knows at this moment.
+ */
+
+import {EndpointPhase, type FleetEndpoint} from 'mastvalve-fleet';
+import type {EndpointKnowledge} from './endpoint-board.js';
+
+/** What the choice rests on. */
+export type EndpointChoiceInput = {
+	endpoints: readonly FleetEndpoint[];
+	model: string | undefined;
+	adapter: string | undefined;
+	/** Failure domain of this entry. */
+	failureDomain: string;
+	/** Endpoints that this request was sent to already. */
+	tried: ReadonlySet<string>;
+	now: number;
+	knowledgeOf: (id: string) => EndpointKnowledge;
+	random: () => number;
+};
+
+/** Time in which a prompt token is read, ms; 19.1 tokens a ms on the engines of both deployments. */
+const readMsPerToken = 1 / 19.1;
+/** What one more running request adds to the wait of the next, ms: its share of a step. */
+const runningMs = 4;
+/** Bytes between failure domains are dear: another domain must be faster by this, ms. */
+const otherDomainMs = 25;
+const waitingMs = 90;
+/** A told load means less and less; ms. */
+const loadDecayMs = 700;
+
+/** Whether an endpoint holds a model, with an adapter if one is asked for, and will go on holding it. */
+export const holdsModel = (endpoint: FleetEndpoint, model: string | undefined, adapter: string | undefined): boolean => {
+	if (model === undefined) {
+		return true;
+	}
+
+	const held = endpoint.holds.find(candidate => candidate.name === model);
+	return held !== undefined && endpoint.retiring !== model && (adapter === undefined || held.adapters.includes(adapter));
+};
+
+/** Expected wait at an endpoint, ms. */
+const estimateWait = (knowledge: EndpointKnowledge, now: number): number => {
+	const {load, loadAt, inFlight, unreadTokens} = knowledge;
+	const weight = Math.exp(-(now - loadAt) / loadDecayMs);
+	const others = load ? Math.max(0, load.running + load.waiting - inFlight) * weight : 0;
+	const waiting = load ? load.waiting * weight : 0;
+	return (unreadTokens * readMsPerToken) + ((inFlight + others) * runningMs) + (waiting * waitingMs);
+};
+
+/** Chooses; undefined when no endpoint may get the request. */
+export const chooseEndpoint = (input: EndpointChoiceInput): FleetEndpoint | undefined => {
+	const {endpoints, model, adapter, failureDomain, tried, now, knowledgeOf, random} = input;
+	const candidates = endpoints
+		.filter(endpoint => !tried.has(endpoint.id) && holdsModel(endpoint, model, adapter))
+		.map(endpoint => {
+			const knowledge = knowledgeOf(endpoint.id);
+			const isDoubtful = now < knowledge.suspectUntil || (endpoint.phase === EndpointPhase.Silent && now - knowledge.answeredAt > 2000);
+			const domainMs = endpoint.failureDomain === failureDomain ? 0 : otherDomainMs;
+			return {endpoint, isDoubtful, cost: estimateWait(knowledge, now) + domainMs + random()};
+		});
+	const sound = candidates.filter(candidate => !candidate.isDoubtful);
+	return (sound.length > 0 ? sound : candidates).toSorted((a, b) => a.cost - b.cost)[0]?.endpoint;
+};
--- /dev/null
+++ b/packages/mastvalve-gateway/src/routing/endpoint-board.ts
@@ -0,0 +1,91 @@
+/**
+ * What one entry has learned of the endpoints from its own requests. Nothing in it must survive.
+ */
+
+import type {ReportedLoad} from '../dialect.js';
+
+/** What is known of one endpoint. */
+export type EndpointKnowledge = {
+	/** Own requests there. */
+	inFlight: number;
+	/** Prompt tokens of own requests there that have not had their first byte. */
+	unreadTokens: number;
+	load: ReportedLoad | undefined;
+	/** When the load was told, ms. */
+	loadAt: number;
+	/** Others are preferred until then, ms. */
+	suspectUntil: number;
+	failures: number;
+	/** When it last answered, ms. */
+	answeredAt: number;
+};
+
+/** First time for which others are preferred after a failure, ms; doubles with each failure in a row. */
+const firstSuspicionMs = 400;
+const maxSuspicionMs = 6000;
+
+/** The board. */
+export class EndpointBoard {
+	private readonly known = new Map<string, EndpointKnowledge>();
+
+	constructor(private readonly now: () => number) {}
+
+	find(id: string): EndpointKnowledge {
+		const knowledge = this.known.get(id) ?? {
+			inFlight: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, answeredAt: Number.NEGATIVE_INFINITY,
+		};
+		this.known.set(id, knowledge);
+		return knowledge;
+	}
+
+	/** A request goes there; the result ends its reading and then itself. */
+	begin(id: string, promptTokens: number): {read: () => void; end: () => void} {
+		const knowledge = this.find(id);
+		let unread = promptTokens;
+		let isOpen = true;
+		knowledge.inFlight += 1;
+		knowledge.unreadTokens += promptTokens;
+		const read = (): void => {
+			knowledge.unreadTokens -= unread;
+			unread = 0;
+		};
+
+		return {
+			read,
+			end() {
+				read();
+				knowledge.inFlight -= isOpen ? 1 : 0;
+				isOpen = false;
+			},
+		};
+	}
+
+	recordAnswer(id: string, load: ReportedLoad | undefined): void {
+		const knowledge = this.find(id);
+		knowledge.answeredAt = this.now();
+		if (load) {
+			knowledge.load = load;
+			knowledge.loadAt = this.now();
+		}
+	}
+
+	recordSuccess(id: string): void {
+		const knowledge = this.find(id);
+		knowledge.failures = 0;
+		knowledge.suspectUntil = 0;
+	}
+
+	/** It failed or did not answer: for a while others are tried first. */
+	recordFailure(id: string): void {
+		const knowledge = this.find(id);
+		knowledge.suspectUntil = this.now() + Math.min(maxSuspicionMs, firstSuspicionMs * (2 ** knowledge.failures));
+		knowledge.failures += 1;
+	}
+
+	/** Forgets endpoints without requests. */
+	keepOnly(isKnown: (id: string) => boolean): void {
+		[...this.known].filter(([id, {inFlight}]) => inFlight === 0 && !isKnown(id)).forEach(([id]) => {
+			this.known.delete(id);
+		});
+	}
+}
--- /dev/null
+++ b/packages/mastvalve-gateway/src/server/gateway-core.ts
@@ -0,0 +1,28 @@
+/**
+ * What all requests of a gateway work on.
+ */
+
+import type {Clock} from 'mastvalve-utils';
+import type {Dialect} from '../dialect.js';
+import type {FleetView} from '../fleet/fleet-view.js';
+import type {EndpointBoard} from '../routing/endpoint-board.js';
+import type {RetryAllowance} from '../routing/retry-allowance.js';
+import type {ModelDemand} from '../routing/model-demand.js';
+import type {UpstreamAgent} from '../upstream/upstream-agent.js';
+
+/** Writes one line for a decision; the fields say what decided it. */
+export type LogDecision = (kind: string, fields: Record<string, unknown>) => void;
+
+/** Shared by all requests. */
+export type GatewayCore = {
+	failureDomain: string;
+	clock: Clock;
+	random: () => number;
+	dialect: Dialect;
+	view: FleetView;
+	board: EndpointBoard;
+	agent: UpstreamAgent;
+	allowance: RetryAllowance;
+	demand: ModelDemand;
+	log: LogDecision;
+};
--- /dev/null
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -0,0 +1,151 @@
+/**
+ * The callers' side of an entry: reads requests, finds their routes, and stops without cutting any.
+ */
+
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {chooseTarget, findRoute, type CallerLimits, type ServingConfiguration} from 'mastvalve-fleet';
+import {describeError, toMastvalveError, waitFor} from 'mastvalve-utils';
+import {err, ok, type Result} from 'neverthrow';
+import type {MastvalveError} from 'mastvalve-types';
+import type {CallerRequest} from '../requests/caller-request.js';
+import {Reply} from '../requests/reply.js';
+import {serveRequest} from '../requests/serve-request.js';
+import type {GatewayCore} from './gateway-core.js';
+import {readBody} from './read-request.js';
+
+/** Bounds until a configuration tells others; the values that both deployments use. */
+const firstLimits: CallerLimits = {
+	maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+};
+/** A caller whose own deadline has passed is gone; this bounds what it may ask for, ms. */
+const maxDeadlineMs = 120_000;
+/** Callers go elsewhere at once when this entry knows nothing yet. */
+const unsyncedRetrySeconds = 0.2;
+const drainPollMs = 50;
+
+/** The server for callers. */
+export class Gateway {
+	inFlight = 0;
+	isDraining = false;
+	private server: Server | undefined;
+
+	constructor(private readonly core: GatewayCore) {}
+
+	/** Listens on `ip:port`. */
+	async start(listen: string): Promise<Result<true, MastvalveError>> {
+		const [host, port] = listen.split(':');
+		const server = createServer({maxHeaderSize: firstLimits.maxHeaderBytes, headersTimeout: firstLimits.headerTimeoutMs, requestTimeout: 0, keepAliveTimeout: firstLimits.idleTimeoutMs}, (req, res) => {
+			this.inFlight += 1;
+			res.once('close', () => {
+				this.inFlight -= 1;
+			});
+			this.handle(req, res).catch((error: unknown) => {
+				this.core.log('request.failed', {reason: describeError(error)});
+				res.destroy();
+			});
+		});
+		this.server = server;
+		this.core.view.subscribe(() => {
+			server.keepAliveTimeout = this.limits.idleTimeoutMs;
+		});
+		return new Promise(resolve => {
+			server.once('error', error => {
+				resolve(err(toMastvalveError(error)));
+			});
+			server.listen(Number(port), host, () => {
+				resolve(ok(true));
+			});
+		});
+	}
+
+	/** Takes requests for a while still, tells callers to reconnect, and ends when none is in progress. */
+	async drain(keepTakingMs: number): Promise<void> {
+		this.isDraining = true;
+		await waitFor(keepTakingMs);
+		this.server?.close();
+		this.server?.closeIdleConnections();
+		while (this.inFlight > 0) {
+			// eslint-disable-next-line no-await-in-loop
+			await waitFor(drainPollMs);
+			this.server?.closeIdleConnections();
+		}
+	}
+
+	private get limits(): CallerLimits {
+		return this.core.view.configuration?.limits ?? firstLimits;
+	}
+
+	private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const arrivedAt = this.core.clock.now();
+		const reply = new Reply(res);
+		if (this.isDraining) {
+			res.setHeader('connection', 'close');
+		}
+
+		const body = await readBody(req, this.limits.maxBodyBytes);
+		if (body === 'broken') {
+			return;
+		}
+
+		if (body === 'too-large') {
+			res.setHeader('connection', 'close');
+			reply.send({status: 413, code: 'body-too-large', message: `The body is larger than ${this.limits.maxBodyBytes} bytes. Nothing was run.`});
+			return;
+		}
+
+		const {configuration, isSynced} = this.core.view;
+		if (!configuration || !isSynced) {
+			reply.send({
+				status: 503, code: 'not-synced', message: 'This entry does not know the newest configuration yet. Nothing was run.', retryAfterSeconds: unsyncedRetrySeconds,
+			});
+			return;
+		}
+
+		await this.route(req, res, reply, {arrivedAt, body, configuration});
+	}
+
+	private async route(req: IncomingMessage, res: ServerResponse, reply: Reply, read: {arrivedAt: number; body: Uint8Array; configuration: ServingConfiguration}): Promise<void> {
+		const {core} = this;
+		const path = req.url ?? '/';
+		const route = findRoute(read.configuration.routes, req.headers.host ?? '', path.split('?', 1)[0] ?? '/');
+		const service = route && chooseTarget(route.targets, core.random());
+		const caller = core.dialect.readCaller(req.headers);
+		if (!route || service === undefined) {
+			core.log('request.unrouted', {request: caller.requestId, host: req.headers.host, path, version: read.configuration.version});
+			reply.send({status: 404, code: 'no-route', message: 'No route leads there. Nothing was run.'});
+			return;
+		}
+
+		if (caller.requestId === undefined) {
+			reply.send({status: 400, code: 'no-request-id', message: 'The request has no identity. Nothing was run.'});
+			return;
+		}
+
+		const ending = new AbortController();
+		const callerDeadlineAt = read.arrivedAt + Math.min(caller.remainingMs ?? maxDeadlineMs, maxDeadlineMs);
+		const deadlineAt = Math.min(callerDeadlineAt, read.arrivedAt + route.timeoutMs);
+		const request: CallerRequest = {
+			requestId: caller.requestId, route, service, caller, method: req.method ?? 'GET', path, headers: req.headers, rawHeaders: req.rawHeaders, body: read.body, arrivedAt: read.arrivedAt, deadlineAt, callerDeadlineAt, signal: ending.signal,
+		};
+		const timer = setTimeout(() => {
+			this.expire(request, reply);
+			ending.abort();
+		}, Math.max(1, deadlineAt - core.clock.now()));
+		res.once('close', () => {
+			clearTimeout(timer);
+			ending.abort();
+		});
+		await serveRequest(core, request, reply);
+	}
+
+	/** The time is over: a last answer at once, or a stream that is visibly broken. */
+	private expire({requestId, route, arrivedAt}: CallerRequest, reply: Reply): void {
+		const ageMs = Math.round(this.core.clock.now() - arrivedAt);
+		this.core.log('request.expired', {request: requestId, route: route.name, ageMs, hasBegun: reply.hasBegun});
+		if (reply.hasBegun) {
+			reply.breakOff();
+		} else {
+			reply.send({status: 504, code: 'deadline-passed', message: `No answer within ${ageMs} ms. The request may have run.`});
+		}
+	}
+}
--- /dev/null
+++ b/packages/mastvalve-gateway/src/upstream/exchange.ts
@@ -0,0 +1,92 @@
+/**
+ * One attempt at one endpoint: hands a request over and says truthfully what became of it.
+ */
+
+import {request, type Agent, type IncomingMessage} from 'node:http';
+import {describeError} from 'mastvalve-utils';
+
+/** How an attempt went. */
+export enum ExchangeKind {
+	/** The head of an answer is here. */
+	Answered = 'answered',
+	/** Nothing was handed over. */
+	NotSent = 'not-sent',
+	/** It was handed over, and no answer came; it may have run. */
+	Lost = 'lost',
+}
+
+/** The outcome of an attempt. */
+export type ExchangeOutcome
+	= | {kind: ExchangeKind.Answered; res: IncomingMessage; cancel: () => void}
+		| {kind: ExchangeKind.NotSent | ExchangeKind.Lost; reason: string};
+
+/** What an attempt needs. */
+export type ExchangeOptions = {
+	agent: Agent;
+	/** `ip:port`. */
+	address: string;
+	method: string;
+	/** Path and query. */
+	path: string;
+	/** Flat list of names and values. */
+	headers: string[];
+	body: Uint8Array;
+	/** A connection must be up in this time, ms. */
+	connectMs: number;
+	/** Aborts when the caller leaves or the time is over. */
+	signal: AbortSignal;
+};
+
+/** Makes the attempt; never throws. */
+export const exchange = async ({agent, address, method, path, headers, body, connectMs, signal}: ExchangeOptions): Promise<ExchangeOutcome> =>
+	new Promise(resolve => {
+		const [host, port] = address.split(':');
+		const req = request({
+			host, port, method, path, agent, headers, setHost: false, insecureHTTPParser: false,
+		});
+		let isSent = false;
+		let reason = '';
+		const cancel = (): void => {
+			req.destroy();
+		};
+
+		const timer = setTimeout(() => {
+			if (!isSent) {
+				reason = `no connection within ${connectMs} ms`;
+				req.destroy();
+			}
+		}, connectMs);
+		const onAbort = (): void => {
+			reason ||= 'given up';
+			req.destroy();
+		};
+
+		signal.addEventListener('abort', onAbort, {once: true});
+		req.once('socket', socket => {
+			if (socket.connecting) {
+				socket.once('connect', () => {
+					isSent = true;
+				});
+			} else {
+				isSent = true;
+			}
+		});
+		req.once('error', error => {
+			reason ||= describeError(error);
+		});
+		req.once('close', () => {
+			clearTimeout(timer);
+			signal.removeEventListener('abort', onAbort);
+			resolve({kind: isSent ? ExchangeKind.Lost : ExchangeKind.NotSent, reason: reason || 'the connection closed'});
+		});
+		req.once('response', res => {
+			clearTimeout(timer);
+			if (!req.writableFinished) {
+				// An answer that came before the whole request was read: the rest may not be taken for the next request.
+				res.once('end', cancel);
+			}
+
+			resolve({kind: ExchangeKind.Answered, res, cancel});
+		});
+		req.end(body);
+	});
--- a/packages/mastvalve-logger/src/index.ts
+++ b/packages/mastvalve-logger/src/index.ts
@@ -4,3 +4,4 @@
 
 export * from './logger.js';
 export * from './timeline.js';
+export * from './decision-logger.js';
--- a/packages/mastvalve-replication/src/journal-codec.ts
+++ b/packages/mastvalve-replication/src/journal-codec.ts
@@ -25,6 +25,8 @@
 	clusterId: string | undefined;
 	/** Voters with which the log began. */
 	initialVoters: string[];
+	/** Whether this replica may begin a log; a disk that was empty when the system already ran must join one. */
+	mayBegin?: boolean;
 };
 
 /** What a journal file holds. */
--- a/packages/mastvalve-replication/src/journal.ts
+++ b/packages/mastvalve-replication/src/journal.ts
@@ -64,6 +64,8 @@
 	header: JournalHeader;
 	writes: DurableWrite[];
 	cutBytes: number;
+	/** Bytes of whole records. */
+	size: number;
 };
 
 /** An open journal. */
@@ -83,16 +85,16 @@
 		await removeOlder(files, names, number);
 		const file = await files.openForAppend(name);
 		return new Journal({
-			files, file, number, header, writes: content.writes, cutBytes: content.totalBytes - content.validBytes,
+			files, file, number, header, writes: content.writes, cutBytes: content.totalBytes - content.validBytes, size: content.validBytes,
 		});
 	}
 
 	/** Makes a journal in an empty folder. */
 	static async create(files: FileSystem, header: JournalHeader): Promise<Journal> {
 		await files.list();
-		const file = await writeWhole(files, 0, header, {append: []});
+		const {file, size} = await writeWhole(files, 0, header, {append: []});
 		return new Journal({
-			files, file, number: 0, header, writes: [], cutBytes: 0,
+			files, file, number: 0, header, writes: [], cutBytes: 0, size,
 		});
 	}
 
@@ -103,25 +105,40 @@
 	private readonly files: FileSystem;
 	private file: AppendFile;
 	private number: number;
+	private size: number;
+	/** Whether a failed write may have left bytes behind the last whole record. */
+	private isTailDirty = false;
 
 	private constructor(parts: JournalParts) {
 		this.files = parts.files;
 		this.file = parts.file;
 		this.number = parts.number;
+		this.size = parts.size;
 		this.header = parts.header;
 		this.restored = replayWrites(parts.writes);
 		this.cutBytes = parts.cutBytes;
 	}
 
-	/** Makes a write durable. After an error the journal must not be used further. */
+	/**
+	 * Makes a write durable. After an error it may be tried again, and nothing else may be written before: what a failed
+	 * try has left behind the last whole record is cut first.
+	 */
 	async persist(write: DurableWrite): Promise<void> {
 		if (write.snapshot) {
 			await this.compact(write);
 			return;
 		}
 
-		await this.file.append(encodeRecord(write));
+		if (this.isTailDirty) {
+			await this.files.cut(formatName(this.number), this.size);
+		}
+
+		const record = encodeRecord(write);
+		this.isTailDirty = true;
+		await this.file.append(record);
 		await this.file.sync();
+		this.size += record.length;
+		this.isTailDirty = false;
 	}
 
 	/** Records which log this replica belongs to; before that, it holds only its identity. */
@@ -135,15 +152,18 @@
 	}
 
 	private async compact(write: DurableWrite): Promise<void> {
-		const next = await writeWhole(this.files, this.number + 1, this.header, write);
-		await this.file.close();
-		await this.files.remove(formatName(this.number));
-		this.file = next;
+		const {file, size} = await writeWhole(this.files, this.number + 1, this.header, write);
+		const former = {file: this.file, name: formatName(this.number)};
+		this.file = file;
+		this.size = size;
+		this.isTailDirty = false;
 		this.number += 1;
+		await former.file.close();
+		await this.files.remove(former.name);
 	}
 }
 
-const writeWhole = async (files: FileSystem, number: number, header: JournalHeader, write: DurableWrite): Promise<AppendFile> => {
+const writeWhole = async (files: FileSystem, number: number, header: JournalHeader, write: DurableWrite): Promise<{file: AppendFile; size: number}> => {
 	const temporary = `${formatName(number)}.tmp`;
 	const names = await files.list();
 	if (names.includes(temporary)) {
@@ -151,12 +171,14 @@
 	}
 
 	const file = await files.openForAppend(temporary);
-	await file.append(encodeRecord(header));
-	await file.append(encodeRecord(write));
+	const headerRecord = encodeRecord(header);
+	const writeRecord = encodeRecord(write);
+	await file.append(headerRecord);
+	await file.append(writeRecord);
 	await file.sync();
 	await files.rename(temporary, formatName(number));
 	await files.syncFolder();
-	return file;
+	return {file, size: headerRecord.length + writeRecord.length};
 };
 
 const cutTornTail = async (files: FileSystem, name: string, content: JournalContent): Promise<void> => {
--- a/packages/mastvalve-replication/src/membership-planner.ts
+++ b/packages/mastvalve-replication/src/membership-planner.ts
@@ -9,19 +9,37 @@
 	addLearner, nameOfReplica, promoteLearner, removeReplica, type Membership, type ReplicaId,
 } from './membership.js';
 
+/** Bounds of the planner. */
+export type MembershipBounds = {
+	/** Voters that are wanted; more are only taken in while there is no bound. */
+	maxVoters: number;
+	/** Whether a replica has not answered for so long that another one may take its place. */
+	isSilent: (id: ReplicaId) => boolean;
+};
+
+/** Every replica that joins becomes a voter, and none gives way but to its own next identity. */
+export const unbounded: MembershipBounds = {maxVoters: Number.POSITIVE_INFINITY, isSilent: () => false};
+
+const hasNewerIdentity = (ids: readonly ReplicaId[]) => (id: ReplicaId, index: number): boolean =>
+	ids.slice(index + 1).some(other => nameOfReplica(other) === nameOfReplica(id));
+
 /** The next membership, or undefined when nothing is to be done. */
 export const planNextMembership = (
 	membership: Membership,
 	joining: readonly ReplicaId[],
 	isCaughtUp: (id: ReplicaId) => boolean,
+	{maxVoters, isSilent}: MembershipBounds = unbounded,
 ): Membership | undefined => {
-	const known = new Set([...membership.voters, ...membership.learners]);
+	const {voters, learners} = membership;
+	const known = new Set([...voters, ...learners]);
 	const newcomer = joining.find(id => !known.has(id));
-	const outdatedLearner = membership.learners.find((id, index) =>
-		membership.learners.slice(index + 1).some(other => nameOfReplica(other) === nameOfReplica(id)));
-	const replaced = membership.voters.find((id, index) =>
-		membership.voters.slice(index + 1).some(other => nameOfReplica(other) === nameOfReplica(id)));
-	const ready = membership.learners.find(isCaughtUp);
+	const outdatedLearner = learners.find(hasNewerIdentity(learners)) ?? learners.find(id => isSilent(id) && !joining.includes(id));
+	const replaced = voters.find(hasNewerIdentity(voters));
+	const ready = learners.find(id => isCaughtUp(id) && !isSilent(id));
+	const isFull = voters.length >= maxVoters;
+	const takenNames = new Set(learners.map(nameOfReplica));
+	// A voter whose machine came back with an empty disk can never vote again; it gives way first.
+	const replaceable = voters.find(id => takenNames.has(nameOfReplica(id))) ?? voters.find(isSilent);
 	if (replaced) {
 		return removeReplica(membership, replaced);
 	}
@@ -30,9 +48,13 @@
 		return removeReplica(membership, outdatedLearner);
 	}
 
-	if (ready) {
+	if (ready && !isFull) {
 		return promoteLearner(membership, ready);
 	}
 
+	if (ready && replaceable) {
+		return removeReplica(membership, replaceable);
+	}
+
 	return newcomer ? addLearner(membership, newcomer) : undefined;
 };
--- a/packages/mastvalve-replication/src/replica.ts
+++ b/packages/mastvalve-replication/src/replica.ts
@@ -52,6 +52,8 @@
 	role = Role.Follower;
 	leader: ReplicaId | undefined;
 	commitIndex: number;
+	/** When this replica last became leader, in the clock given to it. */
+	ledSince = Number.NEGATIVE_INFINITY;
 
 	private readonly times: ReplicaTimes;
 	private readonly rules: ReplicaRules;
@@ -130,6 +132,20 @@
 			&& now - progress.acknowledgedAt < this.times.electionTimeoutMs;
 	}
 
+	/** When this replica last heard from the leader that it follows; undefined without one. */
+	leaderHeardAt(now: number): number | undefined {
+		if (this.role === Role.Leader) {
+			return this.isFresh(now) ? now : undefined;
+		}
+
+		return this.leader === undefined ? undefined : this.quietUntil - this.times.electionTimeoutMs;
+	}
+
+	/** When another replica last answered this leader; 0 or less when it never did. */
+	acknowledgedAt(id: ReplicaId): number {
+		return this.progress.get(id)?.acknowledgedAt ?? Number.NEGATIVE_INFINITY;
+	}
+
 	/** Time goes on. */
 	tick(now: number): void {
 		if (this.role === Role.Leader) {
@@ -357,6 +373,7 @@
 	private becomeLeader(now: number): void {
 		this.role = Role.Leader;
 		this.leader = this.id;
+		this.ledSince = now;
 		this.transferringUntil = undefined;
 		this.progress = new Map();
 		this.termStartIndex = this.lastIndex + 1;
