Control's leader orders models and adapters to where requests want them

Cause: a third of the models, and all adapters, were held by no endpoint and nobody loaded them; their requests waited until their deadline. Change: fleet state keeps who may order; the director plans models and adapters (pure) and one desk an engine sends one order at a time with the count it expects, again until answered. Before the first request, second engines are loaded for the first models of the list; afterwards the store is used only for high demand or when nobody else has the weights.

--- /dev/null
+++ b/packages/mastvalve-fleet-control/src/demand-report.ts
@@ -0,0 +1,26 @@
+/**
+ * What an entry tells control's leader of its callers' demand.
+ */
+
+/** Demand since the last report. */
+export type DemandReport = {
+	/** Name of the entry. */
+	entry: string;
+	/** Requests by model, or by `model/adapter`. */
+	requests: Record<string, number>;
+	/** What requests wait for now. */
+	wanted: Wanted[];
+	/** Endpoints that refused a request for a model or adapter which they were thought to hold. */
+	suspects: string[];
+};
+
+/** A model, or an adapter of one, that requests wait for. */
+export type Wanted = {
+	service: string;
+	model: string;
+	adapter?: string;
+	/** Requests that wait for it. */
+	waiting: number;
+	/** Time left to the most pressing one, ms. */
+	remainingMs: number;
+};
--- /dev/null
+++ b/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
@@ -0,0 +1,250 @@
+/**
+ * Orders to one engine, one after another.
+ *
+ * Every order names the count of orders that the engine has taken so far. An order without an answer may still be
+ * carried out later, so it is sent again with the same count until an answer comes: whichever copy is taken first, the
+ * others are void. Nothing else is ordered meanwhile, and its memory stays reserved.
+ */
+
+import {
+	EngineOrderKind, type EngineOrder, type EngineState, type FleetEndpoint, type HeldModel, type ModelMove, type AdapterMove, type Holdings,
+} from 'mastvalve-fleet';
+import {waitFor, type Clock} from 'mastvalve-utils';
+import {OrderOutcome, type EnginePort, type EngineStatus} from './engine-port.js';
+
+/** What a desk is made from. */
+export type EngineDeskOptions = {
+	id: string;
+	port: EnginePort;
+	clock: Clock;
+	holder: string;
+	/** The fencing token at this moment; undefined when this instance may not give orders. */
+	readFence: () => number | undefined;
+	/** The endpoint as the log has it. */
+	readEndpoint: () => FleetEndpoint | undefined;
+	publish: (holdings: Holdings) => Promise<void>;
+	onEvent: (kind: string, detail: string) => void;
+};
+
+/** Pause before an unanswered order is sent again, ms. */
+const resendPauseMs = 250;
+/** Pause after a refused order, so that a wrong belief costs few orders, ms. */
+const refusedPauseMs = 100;
+/** Entries stop sending requests for a model this long after it was published, ms: a commit, a round to followers, and reserve. */
+const retireNoticeMs = 60;
+/** How often the state is looked at while an order is under way, ms. */
+const pollMs = 25;
+/** An order under way that no heartbeat has confirmed is looked up this long after it was due, ms. */
+const overdueMs = 1500;
+/** Longest time for which a change of models is followed, ms. */
+const maxMoveMs = 40_000;
+/** Time in which an adapter arrives: a fixed part, and a part for each MB, with reserve over what both deployments show, ms. */
+const adapterFixedMs = 5;
+const adapterMsPerMb = 0.3;
+
+/** One desk. */
+export class EngineDesk {
+	/** Orders taken; undefined when it must be read first. */
+	private count: number | undefined;
+	private readonly adapters = new Map<string, string[]>();
+	private readonly loadingAdapters = new Set<string>();
+	private readonly heldSince = new Map<string, number>();
+	private loading: string | undefined;
+	private retiring: string | undefined;
+	private queue: Promise<unknown> = Promise.resolve();
+
+	constructor(private readonly options: EngineDeskOptions) {}
+
+	/** What placement needs to know. */
+	describe(endpoint: FleetEndpoint): EngineState {
+		return {
+			id: endpoint.id,
+			failureDomain: endpoint.failureDomain,
+			holds: endpoint.holds.map(({name, adapters}): HeldModel => ({name, adapters: this.adapters.get(name) ?? adapters})),
+			loading: this.loading,
+			retiring: this.retiring,
+			loadingAdapters: [...this.loadingAdapters],
+			inMemory: endpoint.inMemory,
+			onDisk: endpoint.onDisk,
+		};
+	}
+
+	/** How long a model has been held, ms. */
+	heldFor(model: string): number {
+		return this.options.clock.now() - (this.heldSince.get(model) ?? Number.NEGATIVE_INFINITY);
+	}
+
+	/** Reads the true state soon, since something did not fit. */
+	requestSync(): void {
+		void this.enqueue(async () => this.sync());
+	}
+
+	/** Changes which model the engine holds. Resolves when that is done or has failed. */
+	async moveModel(move: ModelMove, expectedMs: number): Promise<void> {
+		this.loading = move.load;
+		this.retiring = move.evict;
+		const isReady = move.evict === undefined || await this.unload(move.evict);
+		this.retiring = undefined;
+		if (isReady && await this.enqueue(async () => this.give({kind: EngineOrderKind.Load, model: move.load, adapter: undefined}))) {
+			this.adapters.delete(move.load);
+			const isThere = await this.waitUntil(holds => holds.includes(move.load), expectedMs);
+			this.heldSince.set(move.load, this.options.clock.now());
+			this.options.onEvent('engine.changed', `${this.options.id} ${isThere ? 'holds' : 'may not hold'} ${move.load} from ${move.source}`);
+		}
+
+		this.loading = undefined;
+	}
+
+	/** Changes which adapters the engine holds. */
+	async moveAdapter({model, load, evict}: AdapterMove, sizeMb: number): Promise<void> {
+		const name = `${model}/${load}`;
+		this.loadingAdapters.add(name);
+		if (evict) {
+			this.setAdapters(evict.model, this.adaptersOf(evict.model).filter(adapter => adapter !== evict.adapter));
+			await this.publish();
+		}
+
+		const isTaken = await this.enqueue(async () => {
+			const hasRoom = !evict || await this.give({kind: EngineOrderKind.Unload, model: evict.model, adapter: evict.adapter});
+			return hasRoom && this.give({kind: EngineOrderKind.Load, model, adapter: load});
+		});
+		if (isTaken) {
+			await waitFor(adapterFixedMs + (sizeMb * adapterMsPerMb));
+			this.setAdapters(model, [...this.adaptersOf(model), load]);
+		}
+
+		this.loadingAdapters.delete(name);
+		await this.publish();
+	}
+
+	private adaptersOf(model: string): string[] {
+		return this.adapters.get(model) ?? this.options.readEndpoint()?.holds.find(({name}) => name === model)?.adapters ?? [];
+	}
+
+	private setAdapters(model: string, adapters: string[]): void {
+		this.adapters.set(model, [...new Set(adapters)]);
+	}
+
+	private async publish(): Promise<void> {
+		await this.options.publish({id: this.options.id, adapters: Object.fromEntries(this.adapters), retiring: this.retiring});
+	}
+
+	/** Unloads a model once entries have stopped sending requests for it. */
+	private async unload(model: string): Promise<boolean> {
+		await this.publish();
+		await waitFor(retireNoticeMs);
+		const isTaken = await this.enqueue(async () => this.give({kind: EngineOrderKind.Unload, model, adapter: undefined}));
+		const isGone = isTaken && await this.waitUntil(holds => !holds.includes(model), 0);
+		this.adapters.delete(model);
+		this.heldSince.delete(model);
+		this.retiring = undefined;
+		await this.publish();
+		return isGone;
+	}
+
+	/** Waits until heartbeats, or the engine itself when it is asked, show a state. */
+	private async waitUntil(isReached: (holds: string[]) => boolean, expectedMs: number): Promise<boolean> {
+		const {clock, readEndpoint, readFence, port} = this.options;
+		const startedAt = clock.now();
+		let askAt = startedAt + expectedMs + overdueMs;
+		while (clock.now() - startedAt < maxMoveMs) {
+			const endpoint = readEndpoint();
+			if (!endpoint || readFence() === undefined) {
+				return false;
+			}
+
+			if (isReached(endpoint.holds.map(({name}) => name))) {
+				return true;
+			}
+
+			if (clock.now() > askAt) {
+				askAt = clock.now() + overdueMs;
+				// eslint-disable-next-line no-await-in-loop
+				const status = await port.readStatus(endpoint.id, endpoint.address);
+				if (status && !status.isBusy) {
+					return isReached(status.holds.map(({name}) => name));
+				}
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await waitFor(pollMs);
+		}
+
+		return false;
+	}
+
+	private async enqueue<T>(task: () => Promise<T>): Promise<T> {
+		const result = this.queue.then(task);
+		this.queue = result.catch(() => undefined);
+		return result;
+	}
+
+	/** Gives one order until it is answered; whether it was taken. */
+	private async give(order: EngineOrder): Promise<boolean> {
+		const {id, port, holder, readFence, readEndpoint, onEvent} = this.options;
+		const what = `${order.kind} ${order.model}${order.adapter === undefined ? '' : `/${order.adapter}`} at ${id}`;
+		if (this.count === undefined) {
+			await this.sync();
+		}
+
+		while (this.count !== undefined) {
+			const endpoint = readEndpoint();
+			const fence = readFence();
+			if (!endpoint || fence === undefined) {
+				return false;
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			const outcome = await port.sendOrder({
+				endpointId: id, address: endpoint.address, order, expectedCount: this.count, holder, fence,
+			});
+			onEvent('order.sent', `${what}, count ${this.count}: ${outcome}`);
+			switch (outcome) {
+				case OrderOutcome.Taken: {
+					this.count += 1;
+					return true;
+				}
+
+				case OrderOutcome.InForce: {
+					// Whether it was counted differs by order; the count is read again before the next one.
+					this.count = order.kind === EngineOrderKind.Unload && order.adapter !== undefined ? this.count + 1 : undefined;
+					return true;
+				}
+
+				case OrderOutcome.Unanswered: {
+					// eslint-disable-next-line no-await-in-loop
+					await waitFor(resendPauseMs);
+					break;
+				}
+
+				default: {
+					this.count = undefined;
+					// eslint-disable-next-line no-await-in-loop
+					await waitFor(refusedPauseMs);
+					return false;
+				}
+			}
+		}
+
+		return false;
+	}
+
+	/** Reads the true state, and publishes what differs. */
+	private async sync(): Promise<EngineStatus | undefined> {
+		const {port, id, readEndpoint} = this.options;
+		const endpoint = readEndpoint();
+		const status = endpoint && await port.readStatus(id, endpoint.address);
+		this.count = status?.orderCount;
+		if (status) {
+			const before = JSON.stringify(endpoint.holds.map(({name}) => [name, this.adaptersOf(name)]));
+			status.holds.forEach(({name, adapters}) => {
+				this.setAdapters(name, adapters);
+			});
+			if (before !== JSON.stringify(endpoint.holds.map(({name}) => [name, this.adaptersOf(name)]))) {
+				await this.publish();
+			}
+		}
+
+		return status;
+	}
+}
--- /dev/null
+++ b/packages/mastvalve-fleet-control/src/engines/engine-director.ts
@@ -0,0 +1,228 @@
+/**
+ * The leader's duty towards engines: brings models and adapters to where requests want them.
+ *
+ * Only the instance whose claim is committed gives orders. Another one waits after its claim until the former can't
+ * order any more, so engines never see two holders by turns.
+ */
+
+import {
+	EndpointPhase, ModelDemandEstimate, planAdapterMove, planModelMove, StoreRate, WeightSource,
+	type EngineModel, type EngineSpec, type EngineState, type FleetEndpoint, type FleetMachine, type Holdings, type ModelMove, type ServedService, type StoreBounds,
+} from 'mastvalve-fleet';
+import type {Clock} from 'mastvalve-utils';
+import type {DemandReport, Wanted} from '../demand-report.js';
+import {EngineDesk} from './engine-desk.js';
+import type {EnginePort} from './engine-port.js';
+
+/** What directing needs. */
+export type EngineDirectorOptions = {
+	machine: FleetMachine;
+	clock: Clock;
+	port: EnginePort;
+	/** Name of this instance at engines. */
+	holder: string;
+	/** The term in which this instance leads with a valid lease; undefined when it doesn't. */
+	readTerm: () => number | undefined;
+	/** Commits the claim to give orders; the result is the former holder, empty for none. */
+	claim: () => Promise<string | undefined>;
+	publish: (holdings: Holdings) => Promise<void>;
+	/** Time for which the orders of one holder keep another from ordering, ms. */
+	orderLeaseMs: number;
+	/** Window in which loads from the store are counted, ms. */
+	storeWindowMs: number;
+	onEvent: (kind: string, detail: string) => void;
+};
+
+/** Added to the lease for messages that were on their way, ms. */
+const leaseReserveMs = 300;
+/** What an entry wants is void when it has not been repeated, ms: three reports. */
+const wantedMs = 3000;
+/**
+ * Requests a second that are expected of the first models of the list until the first request comes. Most demand goes
+ * to few models and moves along the list, so those behind the first get a second engine while nobody is waiting.
+ */
+const expectedRates = [8, 5, 4.5, 4.5, 4.5, 4.5, 4.5];
+/** Moves that one round begins at the most; the rest waits for the next. */
+const maxMovesPerRound = 6;
+
+type KnownWanted = Wanted & {deadlineAt: number};
+
+/** The director. */
+export class EngineDirector {
+	private readonly demand = new ModelDemandEstimate();
+	private readonly adapterDemand = new ModelDemandEstimate();
+	private readonly desks = new Map<string, EngineDesk>();
+	/** By entry. */
+	private readonly wanted = new Map<string, {at: number; items: KnownWanted[]}>();
+	private readonly storeRate = new StoreRate();
+	private claimedTerm: number | undefined;
+	private mayOrderAt = Number.POSITIVE_INFINITY;
+	private isClaiming = false;
+
+	constructor(private readonly options: EngineDirectorOptions) {}
+
+	/** Hears what callers of one entry ask for. */
+	hear({entry, requests, wanted, suspects}: DemandReport): void {
+		const now = this.options.clock.now();
+		Object.entries(requests).forEach(([name, count]) => {
+			this.demand.record(name.split('/', 1)[0] ?? name, count, now);
+			this.adapterDemand.record(name, count, now);
+		});
+		this.wanted.set(entry, {at: now, items: wanted.map(item => ({...item, deadlineAt: now + item.remainingMs}))});
+		suspects.forEach(id => this.desks.get(id)?.requestSync());
+		void this.runRound();
+	}
+
+	/** One round: claims the orders if need be, then begins moves. */
+	async runRound(): Promise<void> {
+		const term = this.options.readTerm();
+		if (term === undefined) {
+			this.desks.clear();
+			this.claimedTerm = undefined;
+			return;
+		}
+
+		if (this.claimedTerm !== term) {
+			await this.takeClaim(term);
+			return;
+		}
+
+		if (this.options.clock.now() >= this.mayOrderAt) {
+			this.options.machine.configuration?.configuration.services.forEach(service => {
+				this.directService(service);
+			});
+		}
+	}
+
+	private async takeClaim(term: number): Promise<void> {
+		if (this.isClaiming) {
+			return;
+		}
+
+		this.isClaiming = true;
+		const former = await this.options.claim();
+		this.isClaiming = false;
+		if (former === undefined) {
+			return;
+		}
+
+		const {clock, holder, orderLeaseMs, onEvent} = this.options;
+		const waitMs = former === '' || former === holder ? 0 : orderLeaseMs + leaseReserveMs;
+		this.claimedTerm = term;
+		this.mayOrderAt = clock.now() + waitMs;
+		onEvent('orders.claimed', `in term ${term} after ${former || 'nobody'}; orders begin in ${waitMs} ms`);
+	}
+
+	private directService(service: ServedService): void {
+		const {engine} = service;
+		if (!engine) {
+			return;
+		}
+
+		const endpoints = this.options.machine.list().filter(endpoint => endpoint.service === service.name && endpoint.phase === EndpointPhase.Ready);
+		const wanted = this.listWanted(service.name);
+		this.expectDemand(engine);
+		this.moveAdapters(engine, endpoints, wanted);
+		this.moveModels(engine, endpoints, wanted);
+	}
+
+	/** Before the first request, demand is expected in the order in which models are declared. */
+	private expectDemand(spec: EngineSpec): void {
+		if (this.demand.isEmpty) {
+			this.demand.expect(spec.models.map(({name}, rank) => [name, expectedRates[rank] ?? 0]));
+		}
+	}
+
+	private describe(endpoints: readonly FleetEndpoint[]): EngineState[] {
+		return endpoints.map(endpoint => this.deskOf(endpoint.id).describe(endpoint));
+	}
+
+	private moveAdapters(spec: EngineSpec, endpoints: readonly FleetEndpoint[], wanted: readonly KnownWanted[]): void {
+		const now = this.options.clock.now();
+		wanted.forEach(({model, adapter}) => {
+			const move = adapter !== undefined && planAdapterMove({
+				spec, engines: this.describe(endpoints), model, adapter, idleOf: name => this.adapterDemand.idleOf(name, now),
+			});
+			if (move) {
+				void this.deskOf(move.engine).moveAdapter(move, findModel(spec, model)?.adapterSize ?? 0);
+			}
+		});
+	}
+
+	private moveModels(spec: EngineSpec, endpoints: readonly FleetEndpoint[], wanted: readonly KnownWanted[]): void {
+		Array.from({length: maxMovesPerRound}).some(() => {
+			const move = this.planMove(spec, endpoints, wanted);
+			if (move) {
+				this.begin(spec, move);
+			}
+
+			return move === undefined;
+		});
+	}
+
+	private planMove(spec: EngineSpec, endpoints: readonly FleetEndpoint[], wanted: readonly KnownWanted[]): ModelMove | undefined {
+		const now = this.options.clock.now();
+		return planModelMove({
+			spec,
+			engines: this.describe(endpoints),
+			wanted: wanted.map(({model, deadlineAt}) => ({model, remainingMs: deadlineAt - now})),
+			rateOf: model => this.demand.rateOf(model, now),
+			idleOf: model => this.demand.idleOf(model, now),
+			heldFor: (id, model) => this.deskOf(id).heldFor(model),
+			storeLoads: this.storeRate.available(this.storeBounds(spec), now),
+		});
+	}
+
+	private begin(spec: EngineSpec, move: ModelMove): void {
+		const model = findModel(spec, move.load);
+		const expected: Record<WeightSource, number> = {
+			[WeightSource.Memory]: model?.memoryLoadMs ?? 0, [WeightSource.Disk]: model?.diskLoadMs ?? 0, [WeightSource.Store]: model?.storeLoadMs ?? 0,
+		};
+		if (move.source === WeightSource.Store) {
+			this.storeRate.record(this.options.clock.now());
+		}
+
+		this.options.onEvent('engine.moves', `${move.engine} loads ${move.load} from ${move.source}${move.evict === undefined ? '' : ` in place of ${move.evict}`}; ${this.demand.rateOf(move.load, this.options.clock.now()).toFixed(2)} requests/s`);
+		void this.deskOf(move.engine).moveModel(move, expected[move.source]);
+	}
+
+	private storeBounds(spec: EngineSpec): StoreBounds {
+		return {windowMs: this.options.storeWindowMs, loadsPerSecond: spec.storeLoadsPerSecond};
+	}
+
+	private listWanted(service: string): KnownWanted[] {
+		const now = this.options.clock.now();
+		return [...this.wanted.values()]
+			.filter(({at}) => now - at < wantedMs)
+			.flatMap(({items}) => items)
+			.filter(item => item.service === service && item.deadlineAt > now)
+			.toSorted((a, b) => a.deadlineAt - b.deadlineAt);
+	}
+
+	private deskOf(id: string): EngineDesk {
+		const {machine, clock, port, holder, publish, onEvent} = this.options;
+		const known = this.desks.get(id);
+		if (known) {
+			return known;
+		}
+
+		const term = this.claimedTerm;
+		const desk = new EngineDesk({
+			id,
+			port,
+			clock,
+			holder,
+			readFence: () => (this.claimedTerm === term && this.options.readTerm() === term ? term : undefined),
+			readEndpoint() {
+				const endpoint = machine.find(id);
+				return endpoint?.phase === EndpointPhase.Ready || endpoint?.phase === EndpointPhase.Silent ? endpoint : undefined;
+			},
+			publish,
+			onEvent,
+		});
+		this.desks.set(id, desk);
+		return desk;
+	}
+}
+
+const findModel = (spec: EngineSpec, name: string): EngineModel | undefined => spec.models.find(model => model.name === name);
--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -10,6 +10,9 @@
 import {ControlUnavailableError, type MastvalveError} from 'mastvalve-types';
 import {describeError, repeatUntilAborted} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
+import type {DemandReport} from './demand-report.js';
+import {EngineDirector} from './engines/engine-director.js';
+import type {EnginePort} from './engines/engine-port.js';
 import type {FollowAnswer, FollowRequest} from './follow.js';
 import {Liveness, type LivenessTimes} from './liveness.js';
 
@@ -17,6 +20,12 @@
 export type FleetControlOptions = Omit<ControlGroupOptions, 'machine'> & {
 	/** Time between two heartbeats of an endpoint, ms. */
 	heartbeatMs: number;
+	/** Time for which the orders of one holder keep another from ordering, ms. */
+	orderLeaseMs: number;
+	/** Window in which loads from the weight store are counted, ms. */
+	storeWindowMs: number;
+	/** Orders to engines. */
+	engines: EnginePort;
 };
 
 /** Heartbeats that an endpoint may miss before others are preferred; they come late by seconds at times. */
@@ -24,6 +33,7 @@
 const forgetGoneAfterMs = 120_000;
 const forgetSilentAfterMs = 90_000;
 const dutyPauseMs = 300;
+const directPauseMs = 100;
 /** Longest wait for a change, ms: well below the time in which a follower must notice that this instance is cut off. */
 const maxFollowWaitMs = 500;
 /** An incomplete group takes the first changes after this long all the same, ms. */
@@ -37,6 +47,7 @@
 	private readonly ending = new AbortController();
 	private readonly times: LivenessTimes;
 	private readonly startedAt: number;
+	private readonly director: EngineDirector;
 	private wasLeading = false;
 
 	static async open(options: FleetControlOptions): Promise<FleetControl> {
@@ -56,6 +67,7 @@
 		this.group = group;
 		this.startedAt = options.clock.now();
 		this.times = {silentAfterMs: missedHeartbeats * options.heartbeatMs, forgetGoneAfterMs, forgetSilentAfterMs};
+		this.director = this.createDirector();
 	}
 
 	/** Calls of other processes of mastvalve. */
@@ -63,6 +75,10 @@
 		return [
 			...this.group.handlers(),
 			['/follow', async (body, signal) => this.follow(body as FollowRequest, signal)],
+			['/demand', async body => {
+				this.director.hear(body as DemandReport);
+				return this.group.isLeading ? ok(true) : err(new ControlUnavailableError('This control instance does not lead.'));
+			}],
 			['/heard', async body => {
 				this.liveness.hear(body as string[], this.options.clock.now());
 				return ok(true);
@@ -79,6 +95,7 @@
 		await Promise.all([
 			this.group.run(),
 			repeatUntilAborted(this.ending.signal, dutyPauseMs, async () => this.carryOutDuties(), onError),
+			repeatUntilAborted(this.ending.signal, directPauseMs, async () => this.director.runRound(), onError),
 		]);
 	}
 
@@ -120,6 +137,7 @@
 			return ok(true);
 		}
 
+		this.options.onEvent('endpoint.reported', `${report.id} ${report.failureDomain} ${report.isLeaving ? 'leaves' : 'is ready'}; holds ${report.holds.map(({name}) => name).join(', ') || 'nothing'}; in memory ${report.inMemory.join(', ')}; on disk ${report.onDisk.join(', ')}`);
 		const result = await this.propose({kind: FleetCommandKind.Report, report});
 		return result.map(() => true as const);
 	}
@@ -130,6 +148,27 @@
 		return result.map(() => true as const);
 	}
 
+	private createDirector(): EngineDirector {
+		const {options, machine, group} = this;
+		return new EngineDirector({
+			machine,
+			clock: options.clock,
+			port: options.engines,
+			holder: options.address,
+			readTerm: () => (group.isLeading && !this.ending.signal.aborted ? group.term : undefined),
+			claim: async () => {
+				const former = await this.propose({kind: FleetCommandKind.ClaimOrders, holder: options.address});
+				return former.isOk() ? former.value as string : undefined;
+			},
+			publish: async holdings => {
+				await this.propose({kind: FleetCommandKind.RecordHoldings, holdings});
+			},
+			orderLeaseMs: options.orderLeaseMs,
+			storeWindowMs: options.storeWindowMs,
+			onEvent: options.onEvent,
+		});
+	}
+
 	private async propose(command: FleetCommand): Promise<Result<unknown, MastvalveError>> {
 		return this.group.propose(command);
 	}
--- a/packages/mastvalve-fleet-control/src/index.ts
+++ b/packages/mastvalve-fleet-control/src/index.ts
@@ -4,3 +4,5 @@
 
 export * from './fleet-control.js';
 export type * from './follow.js';
+export type * from './demand-report.js';
+export * from './engines/engine-port.js';
--- /dev/null
+++ b/packages/mastvalve-fleet/src/engines/engine-state.ts
@@ -0,0 +1,37 @@
+/**
+ * What placement knows of one engine.
+ */
+
+import type {HeldModel} from '../state/fleet-endpoint.js';
+
+/** One engine. */
+export type EngineState = {
+	id: string;
+	failureDomain: string;
+	/** Models in accelerator memory. */
+	holds: HeldModel[];
+	/** A model whose load was ordered. */
+	loading: string | undefined;
+	/** A model that gets no new requests, or whose unloading was ordered. */
+	retiring: string | undefined;
+	/** Adapters whose load was ordered, as `model/adapter`. */
+	loadingAdapters: string[];
+	inMemory: string[];
+	onDisk: string[];
+};
+
+/** Where the weights of a load come from. */
+export enum WeightSource {
+	Memory = 'memory',
+	Disk = 'disk',
+	Store = 'store',
+}
+
+/** Where an engine would take a model from. */
+export const findSource = (engine: EngineState, model: string): WeightSource => {
+	if (engine.inMemory.includes(model)) {
+		return WeightSource.Memory;
+	}
+
+	return engine.onDisk.includes(model) ? WeightSource.Disk : WeightSource.Store;
+};
--- /dev/null
+++ b/packages/mastvalve-fleet/src/engines/model-demand-estimate.ts
@@ -0,0 +1,45 @@
+/**
+ * How much each model is asked for, from what entries count. Old demand fades.
+ */
+
+/** Time after which an unrepeated request counts for a third, ms. Demand moves along the list of models in 5 to 6 s. */
+const fadeMs = 4000;
+const msPerSecond = 1000;
+
+type Faded = {amount: number; at: number; lastAt: number};
+
+/** The estimate. */
+export class ModelDemandEstimate {
+	private readonly models = new Map<string, Faded>();
+	private expected = new Map<string, number>();
+
+	/** Whether anything was ever asked for. */
+	get isEmpty(): boolean {
+		return this.models.size === 0;
+	}
+
+	/** What is expected before the first request, in requests a second. */
+	expect(rates: ReadonlyArray<[string, number]>): void {
+		this.expected = new Map(rates);
+	}
+
+	/** Counts requests for a model. */
+	record(model: string, requests: number, now: number): void {
+		this.models.set(model, {amount: this.fade(model, now) + requests, at: now, lastAt: now});
+	}
+
+	/** Requests a second. */
+	rateOf(model: string, now: number): number {
+		return this.isEmpty ? this.expected.get(model) ?? 0 : this.fade(model, now) / (fadeMs / msPerSecond);
+	}
+
+	/** Time since the last request, ms. */
+	idleOf(model: string, now: number): number {
+		return now - (this.models.get(model)?.lastAt ?? Number.NEGATIVE_INFINITY);
+	}
+
+	private fade(model: string, now: number): number {
+		const known = this.models.get(model);
+		return known ? known.amount * Math.exp(-(now - known.at) / fadeMs) : 0;
+	}
+}
--- /dev/null
+++ b/packages/mastvalve-fleet/src/engines/plan-adapter.ts
@@ -0,0 +1,61 @@
+/**
+ * Which engine loads an adapter that requests wait for, and which adapter gives way: pure.
+ */
+
+import type {EngineSpec} from '../configuration/served-service.js';
+import type {EngineState} from './engine-state.js';
+
+/** A change of adapters at one engine. */
+export type AdapterMove = {
+	engine: string;
+	model: string;
+	load: string;
+	evict: {model: string; adapter: string} | undefined;
+};
+
+/** What the choice rests on. */
+export type AdapterPlanInput = {
+	spec: EngineSpec;
+	engines: readonly EngineState[];
+	model: string;
+	adapter: string;
+	/** Time since an adapter was last asked for, as `model/adapter`, ms. */
+	idleOf: (name: string) => number;
+};
+
+/** Adapters that may be on their way to one engine. */
+const maxInTransit = 4;
+
+const countAdapters = (engine: EngineState): number =>
+	engine.loadingAdapters.length + engine.holds.reduce((sum, {adapters}) => sum + adapters.length, 0);
+
+const findIdlest = (engine: EngineState, idleOf: (name: string) => number): {model: string; adapter: string; idleMs: number} | undefined =>
+	engine.holds
+		.flatMap(({name, adapters}) => adapters.map(adapter => ({model: name, adapter, idleMs: idleOf(`${name}/${adapter}`)})))
+		.toSorted((a, b) => b.idleMs - a.idleMs)[0];
+
+/** The move, or undefined when no engine can take the adapter now, or one has it already. */
+export const planAdapterMove = ({spec, engines, model, adapter, idleOf}: AdapterPlanInput): AdapterMove | undefined => {
+	const holders = engines.filter(engine => engine.holds.some(({name}) => name === model) && engine.retiring !== model);
+	// An engine takes no order while it loads or unloads a model.
+	const free = holders.filter(engine => engine.loading === undefined && engine.retiring === undefined);
+	const isThere = holders.some(engine =>
+		engine.loadingAdapters.includes(`${model}/${adapter}`) || engine.holds.some(({name, adapters}) => name === model && adapters.includes(adapter)));
+	if (isThere) {
+		return undefined;
+	}
+
+	const takers = free
+		.filter(engine => engine.loadingAdapters.length < maxInTransit)
+		.map(engine => {
+			const isFull = countAdapters(engine) >= spec.adapterSlots;
+			const idlest = isFull ? findIdlest(engine, idleOf) : undefined;
+			return {engine, idlest, isFull, order: isFull ? 1_000_000 - (idlest?.idleMs ?? 0) : countAdapters(engine)};
+		})
+		.filter(({isFull, idlest}) => !isFull || idlest !== undefined)
+		.toSorted((a, b) => a.order - b.order);
+	const chosen = takers[0];
+	return chosen && {
+		engine: chosen.engine.id, model, load: adapter, evict: chosen.idlest && {model: chosen.idlest.model, adapter: chosen.idlest.adapter},
+	};
+};
--- /dev/null
+++ b/packages/mastvalve-fleet/src/engines/plan-models.ts
@@ -0,0 +1,141 @@
+/**
+ * Which model an engine loads next, and which gives way: pure.
+ *
+ * A model that requests wait for comes first. Then models get places in proportion to their demand, as long as
+ * somebody else has a place that it needs less.
+ */
+
+import type {EngineSpec} from '../configuration/served-service.js';
+import type {EngineModel} from '../configuration/engine-model.js';
+import {findSource, WeightSource, type EngineState} from './engine-state.js';
+
+/** A change of one engine. */
+export type ModelMove = {
+	engine: string;
+	load: string;
+	/** What must be unloaded first. */
+	evict: string | undefined;
+	source: WeightSource;
+};
+
+/** What the plan rests on. */
+export type ModelPlanInput = {
+	spec: EngineSpec;
+	engines: readonly EngineState[];
+	/** Models that requests wait for, the most pressing first, with the time that they can still wait, ms. */
+	wanted: ReadonlyArray<{model: string; remainingMs: number}>;
+	/** Requests a second. */
+	rateOf: (model: string) => number;
+	/** Time since a model was last asked for, ms. */
+	idleOf: (model: string) => number;
+	/** How long an engine has held a model, ms. */
+	heldFor: (engine: string, model: string) => number;
+	/** Loads from the store that may begin now. */
+	storeLoads: number;
+};
+
+/** A model that was loaded for waiting requests serves for this long at the least, ms. */
+const minServeMs = 1500;
+/** A model counts as idle after this long without a request, ms. */
+const idleAfterMs = 6000;
+/** An additional engine must be wanted by this factor more than what gives way, so that models don't take turns. */
+const hysteresis = 1.6;
+/**
+ * Requests a second that one engine answers for a model within a tight objective: about 0.12 s of reading each, with
+ * room for bursts. Above it, the model gets one more engine.
+ */
+const comfortableRate = 3;
+/** A load from the store keeps an engine from all other orders for 8 to 9 s; demand must be this much above. */
+const storeFactor = 1.4;
+
+const memoryOf = (models: ReadonlyMap<string, EngineModel>, engine: EngineState): number => {
+	const held = engine.holds.reduce((sum, {name, adapters}) => {
+		const model = models.get(name);
+		return sum + (model?.size ?? 0) + (adapters.length * (model?.adapterSize ?? 0));
+	}, 0);
+	const loading = engine.loading === undefined || engine.holds.some(({name}) => name === engine.loading) ? 0 : models.get(engine.loading)?.size ?? 0;
+	const adapters = engine.loadingAdapters.reduce((sum, name) => sum + (models.get(name.split('/', 1)[0] ?? '')?.adapterSize ?? 0), 0);
+	return held + loading + adapters;
+};
+
+/** Room that an engine keeps for adapters, MB: all its slots with the largest ones. */
+const adapterReserve = (spec: EngineSpec): number => spec.adapterSlots * Math.max(0, ...spec.models.map(model => model.adapterSize));
+
+/** Whether a model fits beside all that an engine holds or was ordered to load. */
+export const fits = (spec: EngineSpec, engine: EngineState, model: string, without?: string): boolean => {
+	const models = new Map(spec.models.map(each => [each.name, each]));
+	const remaining = without === undefined ? engine : {...engine, holds: engine.holds.filter(({name}) => name !== without)};
+	return memoryOf(models, remaining) + (models.get(model)?.size ?? Number.POSITIVE_INFINITY) + adapterReserve(spec) <= spec.weightCapacity;
+};
+
+/** How many engines hold a model, or are about to. */
+const countHolders = (engines: readonly EngineState[], model: string): number =>
+	engines.filter(engine => (engine.holds.some(({name}) => name === model) && engine.retiring !== model) || engine.loading === model).length;
+
+const isFree = (engine: EngineState): boolean => engine.loading === undefined && engine.retiring === undefined;
+
+const sourceCost: Record<WeightSource, number> = {[WeightSource.Memory]: 1, [WeightSource.Disk]: 2.5, [WeightSource.Store]: 10};
+
+/** How much a place is worth to a model: its demand for each of its engines. */
+const worthOfPlace = (input: ModelPlanInput, model: string): number => {
+	const holders = Math.max(1, countHolders(input.engines, model));
+	const rate = input.rateOf(model);
+	const isLast = holders === 1 && input.idleOf(model) < idleAfterMs;
+	// The last place of a model that is still asked for is worth more than any second one.
+	return isLast ? rate + 1 : rate / holders;
+};
+
+type Candidate = ModelMove & {cost: number; evictedWorth: number};
+
+/** All ways to bring a model to an engine now. */
+const listWays = (input: ModelPlanInput, load: string): Candidate[] =>
+	input.engines
+		.filter(engine => isFree(engine) && !engine.holds.some(({name}) => name === load))
+		.flatMap((engine): Candidate[] => {
+			const source = findSource(engine, load);
+			if (source === WeightSource.Store && input.storeLoads <= 0) {
+				return [];
+			}
+
+			const way = {engine: engine.id, load, source};
+			if (fits(input.spec, engine, load)) {
+				return [{...way, evict: undefined, evictedWorth: 0, cost: sourceCost[source]}];
+			}
+
+			return engine.holds
+				.filter(({name}) => fits(input.spec, engine, load, name) && input.heldFor(engine.id, name) > minServeMs)
+				.map(({name}) => {
+					const evictedWorth = worthOfPlace(input, name);
+					return {...way, evict: name, evictedWorth, cost: sourceCost[source] + (evictedWorth * 3) + 1};
+				});
+		});
+
+const cheapest = (ways: readonly Candidate[]): Candidate | undefined => ways.toSorted((a, b) => a.cost - b.cost)[0];
+
+const toMove = ({engine, load, evict, source}: Candidate): ModelMove => ({
+	engine, load, evict, source,
+});
+
+/** A load for requests that wait, if one can be had. */
+const planForWaiting = (input: ModelPlanInput): Candidate | undefined => {
+	const missing = input.wanted.find(({model}) => countHolders(input.engines, model) === 0 && listWays(input, model).length > 0);
+	return missing && cheapest(listWays(input, missing.model));
+};
+
+/** A load that gives a model with much demand one more engine. */
+const planForDemand = (input: ModelPlanInput): Candidate | undefined => {
+	const wanting = input.spec.models
+		.map(({name}) => ({name, load: input.rateOf(name) / Math.max(1, countHolders(input.engines, name))}))
+		.filter(({load}) => load > comfortableRate)
+		.toSorted((a, b) => b.load - a.load);
+	return wanting
+		.map(({name, load}) => cheapest(listWays(input, name).filter(way =>
+			way.evictedWorth * hysteresis < load && (way.source !== WeightSource.Store || load > comfortableRate * storeFactor))))
+		.find(way => way !== undefined);
+};
+
+/** The next move, or undefined. */
+export const planModelMove = (input: ModelPlanInput): ModelMove | undefined => {
+	const way = planForWaiting(input) ?? planForDemand(input);
+	return way && toMove(way);
+};
--- a/packages/mastvalve-fleet/src/state/apply-report.ts
+++ b/packages/mastvalve-fleet/src/state/apply-report.ts
@@ -3,13 +3,20 @@
  */
 
 import type {Holdings} from './fleet-command.js';
-import {EndpointPhase, type EndpointReport, type FleetEndpoint} from './fleet-endpoint.js';
+import {EndpointPhase, type EndpointReport, type FleetEndpoint, type HeldModel} from './fleet-endpoint.js';
 
 const phaseAfter = (known: FleetEndpoint | undefined, report: EndpointReport): EndpointPhase => {
 	const isLeaving = report.isLeaving || known?.phase === EndpointPhase.Leaving;
 	return isLeaving ? EndpointPhase.Leaving : EndpointPhase.Ready;
 };
 
+/**
+ * Models as the heartbeat tells them, with the adapters that control knows: endpoints send no heartbeat when adapters
+ * change, and only control's orders change them.
+ */
+const keepAdapters = (known: FleetEndpoint | undefined, report: EndpointReport): HeldModel[] =>
+	report.holds.map(held => known?.holds.find(({name}) => name === held.name) ?? held);
+
 /** Takes a heartbeat in; a late one, or one of an endpoint that has left, changes nothing. */
 export const applyReport = (known: FleetEndpoint | undefined, report: EndpointReport, revision: number): FleetEndpoint | undefined => {
 	const isLate = known !== undefined && report.sequence <= known.sequence;
@@ -18,18 +25,21 @@
 	}
 
 	return {
-		...report, phase: phaseAfter(known, report), retiring: known?.retiring, revision,
+		...report, holds: keepAdapters(known, report), phase: phaseAfter(known, report), retiring: known?.retiring, revision,
 	};
 };
 
 /** Records what an engine holds after an order. */
-export const applyHoldings = (known: FleetEndpoint | undefined, {holds, retiring}: Holdings, revision: number): FleetEndpoint | undefined =>
+export const applyHoldings = (known: FleetEndpoint | undefined, {adapters, retiring}: Holdings, revision: number): FleetEndpoint | undefined =>
 	known && {
-		...known, holds, retiring, revision,
+		...known,
+		holds: known.holds.map(held => ({...held, adapters: adapters[held.name] ?? held.adapters})),
+		retiring,
+		revision,
 	};
 
 const comparable = (report: EndpointReport): string => JSON.stringify([
-	report.service, report.address, report.failureDomain, report.slots, report.holds, report.inMemory, report.onDisk,
+	report.service, report.address, report.failureDomain, report.slots, report.holds.map(({name}) => name), report.inMemory, report.onDisk,
 ]);
 
 /** Whether a heartbeat says anything that the state doesn't; only then it needs the log. */
--- a/packages/mastvalve-fleet/src/state/fleet-command.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-command.ts
@@ -3,7 +3,7 @@
  */
 
 import type {StatedConfiguration} from '../configuration/serving-configuration.js';
-import type {EndpointReport, HeldModel} from './fleet-endpoint.js';
+import type {EndpointReport} from './fleet-endpoint.js';
 
 /** Kinds of commands. */
 export enum FleetCommandKind {
@@ -13,10 +13,11 @@
 	MarkSilent = 'mark-silent',
 	Forget = 'forget',
 	RecordHoldings = 'record-holdings',
+	ClaimOrders = 'claim-orders',
 }
 
-/** What an engine holds after an order of ours, by endpoint. */
-export type Holdings = {id: string; holds: HeldModel[]; retiring: string | undefined};
+/** What orders have changed at an engine: adapters by model, for the models named, and the model that is about to go. */
+export type Holdings = {id: string; adapters: Record<string, string[]>; retiring: string | undefined};
 
 /** Any command. */
 export type FleetCommand
@@ -25,4 +26,5 @@
 		| {kind: FleetCommandKind.Leave; id: string}
 		| {kind: FleetCommandKind.MarkSilent; ids: string[]}
 		| {kind: FleetCommandKind.Forget; ids: string[]}
-		| {kind: FleetCommandKind.RecordHoldings; holdings: Holdings};
+		| {kind: FleetCommandKind.RecordHoldings; holdings: Holdings}
+		| {kind: FleetCommandKind.ClaimOrders; holder: string};
--- a/packages/mastvalve-fleet/src/state/fleet-machine.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-machine.ts
@@ -17,6 +17,7 @@
 	configuredAt: number;
 	forgottenAt: number;
 	endpoints: FleetEndpoint[];
+	orderHolder: string | undefined;
 };
 
 /** The state machine. */
@@ -27,6 +28,8 @@
 	private configuredAt = 0;
 	/** Revision of the last time that an endpoint was forgotten. */
 	private forgottenAt = 0;
+	/** The control instance that gives orders to engines. */
+	private orderHolder: string | undefined;
 	private readonly endpoints = new Map<string, FleetEndpoint>();
 
 	constructor(private readonly onChange: () => void = () => undefined) {}
@@ -57,7 +60,7 @@
 
 	takeSnapshot(): FleetSnapshot {
 		return {
-			stated: this.stated, configuredAt: this.configuredAt, forgottenAt: this.forgottenAt, endpoints: this.list(),
+			stated: this.stated, configuredAt: this.configuredAt, forgottenAt: this.forgottenAt, endpoints: this.list(), orderHolder: this.orderHolder,
 		};
 	}
 
@@ -66,6 +69,7 @@
 		this.stated = snapshot.stated;
 		this.configuredAt = snapshot.configuredAt;
 		this.forgottenAt = snapshot.forgottenAt;
+		this.orderHolder = snapshot.orderHolder;
 		this.endpoints.clear();
 		snapshot.endpoints.forEach(endpoint => {
 			this.endpoints.set(endpoint.id, endpoint);
@@ -114,6 +118,12 @@
 			case FleetCommandKind.RecordHoldings: {
 				return this.replace(applyHoldings(this.endpoints.get(command.holdings.id), command.holdings, index), index);
 			}
+
+			case FleetCommandKind.ClaimOrders: {
+				const former = this.orderHolder ?? '';
+				this.orderHolder = command.holder;
+				return former;
+			}
 		}
 	}
 
--- /dev/null
+++ b/packages/mastvalve-gateway/src/fleet/demand-reporter.ts
@@ -0,0 +1,40 @@
+/**
+ * Tells control's leader what callers ask for: once in a while, and at once when requests begin to wait.
+ */
+
+import type {PeerClient} from 'mastvalve-cluster';
+import {waitFor} from 'mastvalve-utils';
+import type {ModelDemand} from '../routing/model-demand.js';
+
+/** Time between reports, ms. */
+const reportPauseMs = 1000;
+/** Pause before a report that did not arrive is followed by the next, ms. */
+const retryPauseMs = 150;
+const timeoutMs = 500;
+
+/** The reporter. */
+export class DemandReporter {
+	private wake: AbortController = new AbortController();
+
+	constructor(private readonly client: PeerClient, private readonly readLeader: () => string | undefined) {}
+
+	/** Reports now. */
+	hurry(): void {
+		this.wake.abort();
+	}
+
+	/** Reports until the signal aborts. */
+	async run(demand: ModelDemand, signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			const address = this.readLeader();
+			this.wake = new AbortController();
+			// One report after the other; what comes meanwhile goes into the next.
+			// eslint-disable-next-line no-await-in-loop
+			const isHeard = address !== undefined && (await this.client.call({
+				address, path: '/demand', body: demand.take(), timeoutMs, signal,
+			})).isOk();
+			// eslint-disable-next-line no-await-in-loop
+			await waitFor(isHeard ? reportPauseMs : retryPauseMs, isHeard ? AbortSignal.any([this.wake.signal, signal]) : signal);
+		}
+	}
+}
--- a/packages/mastvalve-gateway/src/index.ts
+++ b/packages/mastvalve-gateway/src/index.ts
@@ -3,6 +3,7 @@
  */
 
 export type * from './dialect.js';
+export * from './fleet/demand-reporter.js';
 export * from './fleet/fleet-follower.js';
 export * from './fleet/fleet-view.js';
 export * from './requests/caller-request.js';
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -41,7 +41,7 @@
 
 	core.allowance.recordRequest(request.service);
 	if (caller.model !== undefined) {
-		core.demand.recordRequest(caller.model);
+		core.demand.recordRequest(caller.model, caller.adapter);
 	}
 
 	let isOver = false;
@@ -151,6 +151,10 @@
 	core.board.recordAnswer(endpoint.id, head.load);
 	if (head.isNotRun) {
 		res.resume();
+		if (head.isMisdirected) {
+			core.demand.recordMisdirected(endpoint.id);
+		}
+
 		core.log('attempt.refused', {request: request.requestId, endpoint: endpoint.id, status, load: head.load});
 		return endOrRetry(core, request, reply, progress, `the endpoint refused it with ${status}`);
 	}
--- a/packages/mastvalve-gateway/src/routing/model-demand.ts
+++ b/packages/mastvalve-gateway/src/routing/model-demand.ts
@@ -2,40 +2,42 @@
  * Which models and adapters callers ask this entry for, and which of them no endpoint holds. Control learns of it.
  */
 
-/** Demand since the last report. */
-export type DemandReport = {
-	/** Requests by model. */
-	requests: Record<string, number>;
-	/** Requests that wait now, by `service model adapter`, each with the time left to the most pressing, ms. */
-	wanted: Wanted[];
-};
-
-/** A model, or an adapter of one, that requests wait for. */
-export type Wanted = {service: string; model: string; adapter: string | undefined; waiting: number; remainingMs: number};
+import type {DemandReport, Wanted} from 'mastvalve-fleet-control';
 
 type Waiting = {service: string; model: string; adapter: string | undefined; deadlines: number[]};
 
+/** A model with an adapter, in one text. */
+export const formatModel = (model: string, adapter: string | undefined): string => (adapter === undefined ? model : `${model}/${adapter}`);
+
 /** The demand of one entry. */
 export class ModelDemand {
 	private requests: Record<string, number> = {};
+	private suspects = new Set<string>();
 	private readonly waiting = new Map<string, Waiting>();
 
-	constructor(private readonly now: () => number, private readonly onWanted: () => void) {}
+	constructor(private readonly entry: string, private readonly now: () => number, private readonly onUrgent: () => void) {}
+
+	recordRequest(model: string, adapter: string | undefined): void {
+		const name = formatModel(model, adapter);
+		this.requests[name] = (this.requests[name] ?? 0) + 1;
+	}
 
-	recordRequest(model: string): void {
-		this.requests[model] = (this.requests[model] ?? 0) + 1;
+	/** An endpoint refused a request for a model or adapter which it was thought to hold. */
+	recordMisdirected(endpointId: string): void {
+		this.suspects.add(endpointId);
+		this.onUrgent();
 	}
 
 	/** A request waits for what no endpoint holds; the result ends that. */
 	wait(service: string, model: string, adapter: string | undefined, deadlineAt: number): () => void {
-		const key = `${service} ${model} ${adapter ?? ''}`;
+		const key = `${service} ${formatModel(model, adapter)}`;
 		const waiting = this.waiting.get(key) ?? {
 			service, model, adapter, deadlines: [],
 		};
 		this.waiting.set(key, waiting);
 		waiting.deadlines.push(deadlineAt);
 		if (waiting.deadlines.length === 1) {
-			this.onWanted();
+			this.onUrgent();
 		}
 
 		return () => {
@@ -48,12 +50,15 @@
 
 	/** The demand since the last call. */
 	take(): DemandReport {
-		const {requests} = this;
+		const {requests, suspects} = this;
 		this.requests = {};
+		this.suspects = new Set();
 		const now = this.now();
 		return {
+			entry: this.entry,
 			requests,
-			wanted: [...this.waiting.values()].map(({service, model, adapter, deadlines}) => ({
+			suspects: [...suspects],
+			wanted: [...this.waiting.values()].map(({service, model, adapter, deadlines}): Wanted => ({
 				service, model, adapter, waiting: deadlines.length, remainingMs: Math.round(Math.min(...deadlines) - now),
 			})),
 		};
