A replaced endpoint is recognised at once, and the weight store is used only where no engine has a copy

And rare models were loaded from the store at 8 engines at once, each kept from adapters and swaps for 9 s.

--- a/packages/mastvalve-fleet/src/engines/plan-models.ts
+++ b/packages/mastvalve-fleet/src/engines/plan-models.ts
@@ -45,6 +45,8 @@
  * room for bursts. Above it, the model gets one more engine.
  */
 const comfortableRate = 3;
+/** Engines that load from the store for waiting requests at the same time, as a share of all; the others take orders. */
+const maxStoreShare = 0.35;
 /** A load from the store keeps an engine from all other orders for 8 to 9 s; demand must be this much above. */
 const storeFactor = 1.4;
 
@@ -116,12 +118,24 @@
 	engine, load, evict, source,
 });
 
-/** A load for requests that wait, if one can be had. */
-const planForWaiting = (input: ModelPlanInput): Candidate | undefined => {
-	const missing = input.wanted.find(({model}) => countHolders(input.engines, model) === 0 && listWays(input, model).length > 0);
-	return missing && cheapest(listWays(input, missing.model));
+/**
+ * Ways to bring a model for which requests wait. While some engine has a copy of the weights, that one is waited for:
+ * loads from the store would keep one engine after the other from all orders.
+ */
+const listWaysForWaiting = (input: ModelPlanInput, model: string): Candidate[] => {
+	const hasCopy = input.engines.some(engine => findSource(engine, model) !== WeightSource.Store);
+	const storeLoading = input.engines.filter(engine => engine.loading !== undefined && findSource(engine, engine.loading) === WeightSource.Store).length;
+	const mayUseStore = !hasCopy && storeLoading < Math.max(1, Math.floor(input.engines.length * maxStoreShare));
+	return listWays(input, model).filter(way => mayUseStore || way.source !== WeightSource.Store);
 };
 
+/** A load for requests that wait, if one can be had. */
+const planForWaiting = (input: ModelPlanInput): Candidate | undefined =>
+	input.wanted
+		.filter(({model}) => countHolders(input.engines, model) === 0)
+		.map(({model}) => cheapest(listWaysForWaiting(input, model)))
+		.find(way => way !== undefined);
+
 /** A load that gives a model with much demand one more engine. */
 const planForDemand = (input: ModelPlanInput): Candidate | undefined => {
 	const wanting = input.spec.models
--- a/packages/mastvalve-fleet/src/state/fleet-machine.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-machine.ts
@@ -8,7 +8,7 @@
 import type {StatedConfiguration} from '../configuration/serving-configuration.js';
 import {applyHoldings, applyReport} from './apply-report.js';
 import {FleetCommandKind, type FleetCommand} from './fleet-command.js';
-import {EndpointPhase, type FleetEndpoint} from './fleet-endpoint.js';
+import {EndpointPhase, type EndpointReport, type FleetEndpoint} from './fleet-endpoint.js';
 import type {FleetUpdate} from './fleet-update.js';
 
 /** The state as plain data. */
@@ -97,7 +97,7 @@
 			}
 
 			case FleetCommandKind.Report: {
-				return this.replace(applyReport(this.endpoints.get(command.report.id), command.report, index), index);
+				return this.report(command.report, index);
 			}
 
 			case FleetCommandKind.Leave: {
@@ -140,6 +140,17 @@
 		return version;
 	}
 
+	/** A new identity at an address tells that the former one has ended. */
+	private report(report: EndpointReport, index: number): boolean {
+		if (!this.endpoints.has(report.id)) {
+			this.list()
+				.filter(({address, phase}) => address === report.address && phase !== EndpointPhase.Gone)
+				.forEach(({id}) => this.setPhase(id, EndpointPhase.Gone, index));
+		}
+
+		return this.replace(applyReport(this.endpoints.get(report.id), report, index), index);
+	}
+
 	private setPhase(id: string, phase: EndpointPhase, index: number): boolean {
 		const known = this.endpoints.get(id);
 		return known ? this.replace({...known, phase, revision: index}, index) : false;
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -31,7 +31,7 @@
 		...(bodyLength === undefined ? [] : ['content-length', String(bodyLength)]),
 	],
 	readAnswer: (_status, headers) => ({
-		requestId: textOf(headers['x-id']), isNotRun: headers['x-not-run'] !== undefined, isMisdirected: false, load: undefined,
+		requestId: textOf(headers['x-id']), endpointId: textOf(headers['x-endpoint']), isNotRun: headers['x-not-run'] !== undefined, isMisdirected: headers['x-misdirected'] !== undefined, load: undefined,
 	}),
 };
 
--- a/packages/mastvalve-gateway/src/dialect.ts
+++ b/packages/mastvalve-gateway/src/dialect.ts
@@ -38,6 +38,8 @@
 /** What the head of an endpoint's answer says. */
 export type AnswerHeaders = {
 	requestId: string | undefined;
+	/** Identity of the endpoint that answered, if it tells. */
+	endpointId: string | undefined;
 	/** The endpoint states that the request was not run. */
 	isNotRun: boolean;
 	/** The endpoint at the address is another one, or it lacks the model. */
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -4,6 +4,8 @@
  */
 
 import type {FleetEndpoint} from 'mastvalve-fleet';
+import type {AnswerHeaders} from '../dialect.js';
+import {formatModel} from '../routing/model-demand.js';
 import type {GatewayCore} from '../server/gateway-core.js';
 import {exchange, ExchangeKind, type ExchangeOutcome} from '../upstream/exchange.js';
 import {isRepeatable, type CallerRequest} from './caller-request.js';
@@ -138,6 +140,21 @@
 	});
 };
 
+/** Remembers that an endpoint is another one, or lacks a model which it was thought to hold. */
+const recordMisdirection = (core: GatewayCore, {caller}: CallerRequest, endpoint: FleetEndpoint, head: AnswerHeaders): void => {
+	if (!head.isMisdirected) {
+		return;
+	}
+
+	if (head.endpointId !== undefined && head.endpointId !== endpoint.id) {
+		core.board.recordReplaced(endpoint.id);
+		return;
+	}
+
+	core.board.recordLack(endpoint.id, formatModel(caller.model ?? '', caller.adapter), endpoint.revision);
+	core.demand.recordMisdirected(endpoint.id);
+};
+
 /** Whether the caller announced a body, even an empty one. */
 const hasBody = ({headers}: CallerRequest): boolean => headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 
@@ -148,13 +165,10 @@
 	const {res, cancel, isBroken} = outcome;
 	const status = res.statusCode ?? 0;
 	const head = core.dialect.readAnswer(status, res.headers);
-	core.board.recordAnswer(endpoint.id, head.load);
+	core.board.recordLoad(endpoint.id, head.load);
 	if (head.isNotRun) {
 		res.resume();
-		if (head.isMisdirected) {
-			core.demand.recordMisdirected(endpoint.id);
-		}
-
+		recordMisdirection(core, request, endpoint, head);
 		core.log('attempt.refused', {request: request.requestId, endpoint: endpoint.id, status, load: head.load});
 		return endOrRetry(core, request, reply, progress, `the endpoint refused it with ${status}`);
 	}
@@ -177,6 +191,7 @@
 		core.board.recordSuccess(endpoint.id);
 	}
 
+	core.board.recordByte(endpoint.id);
 	progress.mayHaveRun = true;
 	const mayRetryFailure = status >= 500 && !reply.hasBegun && isRepeatable(request.route) && progress.sent < request.route.maxAttempts;
 	if (mayRetryFailure && core.clock.now() + minRemainingMs < request.deadlineAt) {
@@ -185,6 +200,9 @@
 	}
 
 	res.once('data', read);
+	res.on('data', () => {
+		core.board.recordByte(endpoint.id);
+	});
 	if (reply.hasBegun && status !== 200) {
 		cancel();
 		return endOrRetry(core, request, reply, progress, `the stream can't go on: status ${status}`);
--- a/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
+++ b/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
@@ -4,6 +4,7 @@
 
 import {EndpointPhase, type FleetEndpoint} from 'mastvalve-fleet';
 import type {EndpointKnowledge} from './endpoint-board.js';
+import {formatModel} from './model-demand.js';
 
 /** What the choice rests on. */
 export type EndpointChoiceInput = {
@@ -26,6 +27,11 @@
 /** Bytes between failure domains are dear: another domain must be faster by this, ms. */
 const otherDomainMs = 25;
 const waitingMs = 90;
+/**
+ * An endpoint with own requests that has sent no byte for this long is doubtful, ms. Streams send several events a
+ * second, and the longest reading of a prompt takes less.
+ */
+const silentMs = 1200;
 /** A told load means less and less; ms. */
 const loadDecayMs = 700;
 
@@ -48,17 +54,27 @@
 	return (unreadTokens * readMsPerToken) + ((inFlight + others) * runningMs) + (waiting * waitingMs);
 };
 
+/** Whether an endpoint said itself that it can't take a request for this model. */
+const hasDeclined = (endpoint: FleetEndpoint, {isReplaced, lacks}: EndpointKnowledge, name: string): boolean =>
+	isReplaced || lacks.get(name) === endpoint.revision;
+
+/** Whether others are to be preferred: it failed lately, sends nothing, or control hears nothing of it and neither does this entry. */
+const isDoubtful = (endpoint: FleetEndpoint, {suspectUntil, inFlight, heardAt, busySince}: EndpointKnowledge, now: number): boolean => {
+	const isMute = inFlight > 0 && now - Math.max(heardAt, busySince) > silentMs;
+	const isSilent = endpoint.phase === EndpointPhase.Silent && now - heardAt > silentMs;
+	return now < suspectUntil || isMute || isSilent;
+};
+
 /** Chooses; undefined when no endpoint may get the request. */
 export const chooseEndpoint = (input: EndpointChoiceInput): FleetEndpoint | undefined => {
 	const {endpoints, model, adapter, failureDomain, tried, now, knowledgeOf, random} = input;
 	const candidates = endpoints
-		.filter(endpoint => !tried.has(endpoint.id) && holdsModel(endpoint, model, adapter))
+		.filter(endpoint => !tried.has(endpoint.id) && holdsModel(endpoint, model, adapter) && !hasDeclined(endpoint, knowledgeOf(endpoint.id), formatModel(model ?? '', adapter)))
 		.map(endpoint => {
 			const knowledge = knowledgeOf(endpoint.id);
-			const isDoubtful = now < knowledge.suspectUntil || (endpoint.phase === EndpointPhase.Silent && now - knowledge.answeredAt > 2000);
 			const domainMs = endpoint.failureDomain === failureDomain ? 0 : otherDomainMs;
-			return {endpoint, isDoubtful, cost: estimateWait(knowledge, now) + domainMs + random()};
+			return {endpoint, isDoubted: isDoubtful(endpoint, knowledge, now), cost: estimateWait(knowledge, now) + domainMs + random()};
 		});
-	const sound = candidates.filter(candidate => !candidate.isDoubtful);
+	const sound = candidates.filter(candidate => !candidate.isDoubted);
 	return (sound.length > 0 ? sound : candidates).toSorted((a, b) => a.cost - b.cost)[0]?.endpoint;
 };
--- a/packages/mastvalve-gateway/src/routing/endpoint-board.ts
+++ b/packages/mastvalve-gateway/src/routing/endpoint-board.ts
@@ -16,8 +16,14 @@
 	/** Others are preferred until then, ms. */
 	suspectUntil: number;
 	failures: number;
-	/** When it last answered, ms. */
-	answeredAt: number;
+	/** When it last sent a byte of an answer that it has run, ms. */
+	heardAt: number;
+	/** Since when own requests are there without a pause, ms. */
+	busySince: number;
+	/** Models, with their adapters, that it said it does not hold, and the revision of it that had promised them. */
+	lacks: Map<string, number>;
+	/** Whether another endpoint was met at its address. */
+	isReplaced: boolean;
 };
 
 /** First time for which others are preferred after a failure, ms; doubles with each failure in a row. */
@@ -32,7 +38,7 @@
 
 	find(id: string): EndpointKnowledge {
 		const knowledge = this.known.get(id) ?? {
-			inFlight: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, answeredAt: Number.NEGATIVE_INFINITY,
+			inFlight: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, heardAt: Number.NEGATIVE_INFINITY, busySince: 0, lacks: new Map<string, number>(), isReplaced: false,
 		};
 		this.known.set(id, knowledge);
 		return knowledge;
@@ -43,6 +49,7 @@
 		const knowledge = this.find(id);
 		let unread = promptTokens;
 		let isOpen = true;
+		knowledge.busySince = knowledge.inFlight === 0 ? this.now() : knowledge.busySince;
 		knowledge.inFlight += 1;
 		knowledge.unreadTokens += promptTokens;
 		const read = (): void => {
@@ -60,9 +67,23 @@
 		};
 	}
 
-	recordAnswer(id: string, load: ReportedLoad | undefined): void {
+	/** A byte came. */
+	recordByte(id: string): void {
+		this.find(id).heardAt = this.now();
+	}
+
+	/** It said that it does not hold a model which that revision of it had promised. */
+	recordLack(id: string, model: string, revision: number): void {
+		this.find(id).lacks.set(model, revision);
+	}
+
+	/** Another endpoint is at its address. */
+	recordReplaced(id: string): void {
+		this.find(id).isReplaced = true;
+	}
+
+	recordLoad(id: string, load: ReportedLoad | undefined): void {
 		const knowledge = this.find(id);
-		knowledge.answeredAt = this.now();
 		if (load) {
 			knowledge.load = load;
 			knowledge.loadAt = this.now();
