Requests are held only for loads that end in time; busy absent models come first; demand is anticipated

Change: control publishes which load is under way and how long it takes; an entry holds a request only if it ends before the caller gives up, else refuses within a fifth of the objective and says when to come back. The planner serves the busiest waiting model first, lets it use the store, and counts models behind busy ones in the list as expected.

--- a/packages/mastvalve-fleet-control/__tests__/__fixtures__/stand-in-engine.ts
+++ b/packages/mastvalve-fleet-control/__tests__/__fixtures__/stand-in-engine.ts
@@ -41,7 +41,7 @@
 	get endpoint(): FleetEndpoint {
 		return {
 			id: 'e', sequence: 1, service: 'llm', address: '', failureDomain: 'a', release: '', slots: 1, isLeaving: false, remainingMs: undefined,
-			holds: this.holds, inMemory: [], onDisk: [], phase: EndpointPhase.Ready, retiring: undefined, revision: 1,
+			holds: this.holds, inMemory: [], onDisk: [], phase: EndpointPhase.Ready, retiring: undefined, loading: undefined, revision: 1,
 		};
 	}
 
--- a/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
@@ -7,7 +7,7 @@
  */
 
 import {
-	EngineOrderKind, type EngineOrder, type EngineState, type FleetEndpoint, type HeldModel, type ModelMove, type AdapterMove, type Holdings,
+	EngineOrderKind, type EngineOrder, type EngineState, type ExpectedLoad, type FleetEndpoint, type HeldModel, type ModelMove, type AdapterMove, type Holdings,
 } from 'mastvalve-fleet';
 import type {Clock} from 'mastvalve-utils';
 import {OrderOutcome, type EnginePort, type EngineStatus} from './engine-port.js';
@@ -36,6 +36,8 @@
 const unsettledPauseMs = 400;
 /** Entries stop sending requests for a model this long after it was published, ms: a commit, a round to followers, and reserve. */
 const retireNoticeMs = 60;
+/** What unloading adds to the time of a move when no run holds it up, ms. */
+const unloadMs = 200;
 /** How often the state is looked at while an order is under way, ms. */
 const pollMs = 25;
 /** An order under way that no heartbeat has confirmed is looked up this long after it was due, ms. */
@@ -53,7 +55,7 @@
 	private readonly adapters = new Map<string, string[]>();
 	private readonly loadingAdapters = new Set<string>();
 	private readonly heldSince = new Map<string, number>();
-	private loading: string | undefined;
+	private loading: ExpectedLoad | undefined;
 	private retiring: string | undefined;
 	private queue: Promise<unknown> = Promise.resolve();
 	private isSyncing = false;
@@ -79,7 +81,7 @@
 			failureDomain: endpoint.failureDomain,
 			isReady: this.isReady,
 			holds: endpoint.holds.map(({name, adapters}): HeldModel => ({name, adapters: this.adapters.get(name) ?? adapters})),
-			loading: this.loading,
+			loading: this.loading?.model,
 			retiring: this.retiring,
 			loadingAdapters: [...this.loadingAdapters],
 			inMemory: endpoint.inMemory,
@@ -100,8 +102,9 @@
 
 	/** Changes which model the engine holds. Resolves when that is done or has failed. */
 	async moveModel(move: ModelMove, expectedMs: number): Promise<void> {
-		this.loading = move.load;
+		this.loading = {model: move.load, expectedMs: expectedMs + (move.evict === undefined ? 0 : unloadMs)};
 		this.retiring = move.evict;
+		await this.publish();
 		const isReady = move.evict === undefined || await this.unload(move.evict);
 		this.retiring = undefined;
 		if (isReady && await this.enqueue(async () => this.give({kind: EngineOrderKind.Load, model: move.load, adapter: undefined}))) {
@@ -112,6 +115,7 @@
 		}
 
 		this.loading = undefined;
+		await this.publish();
 	}
 
 	/** Changes which adapters the engine holds. */
@@ -145,12 +149,11 @@
 	}
 
 	private async publish(): Promise<void> {
-		await this.options.publish({id: this.options.id, adapters: Object.fromEntries(this.adapters), retiring: this.retiring});
+		await this.options.publish({id: this.options.id, adapters: Object.fromEntries(this.adapters), retiring: this.retiring, loading: this.loading});
 	}
 
 	/** Unloads a model once entries have stopped sending requests for it. */
 	private async unload(model: string): Promise<boolean> {
-		await this.publish();
 		await this.options.wait(retireNoticeMs);
 		const isTaken = await this.enqueue(async () => this.give({kind: EngineOrderKind.Unload, model, adapter: undefined}));
 		const isGone = isTaken && await this.waitUntil(holds => !holds.includes(model), 0);
--- a/packages/mastvalve-fleet-control/src/engines/engine-director.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-director.ts
@@ -6,7 +6,7 @@
  */
 
 import {
-	EndpointPhase, ModelDemandEstimate, planAdapterMove, planModelMove, StoreRate, WeightSource,
+	anticipateRates, EndpointPhase, ModelDemandEstimate, planAdapterMove, planModelMove, StoreRate, WeightSource,
 	type EngineModel, type EngineSpec, type EngineState, type FleetEndpoint, type FleetMachine, type Holdings, type ModelMove, type ServedService, type StoreBounds,
 } from 'mastvalve-fleet';
 import type {Clock} from 'mastvalve-utils';
@@ -164,8 +164,10 @@
 
 	private planMove(spec: EngineSpec, endpoints: readonly FleetEndpoint[], wanted: readonly KnownWanted[]): ModelMove | undefined {
 		const now = this.options.clock.now();
+		const expected = anticipateRates(spec.models.map(({name}) => name), model => this.demand.rateOf(model, now));
 		return planModelMove({
 			spec,
+			expectedRateOf: model => expected.get(model) ?? 0,
 			engines: this.describe(endpoints),
 			wanted: wanted.map(({model, deadlineAt}) => ({model, remainingMs: deadlineAt - now})),
 			rateOf: model => this.demand.rateOf(model, now),
--- a/packages/mastvalve-fleet/src/configuration/route.ts
+++ b/packages/mastvalve-fleet/src/configuration/route.ts
@@ -26,6 +26,8 @@
 	timeoutMs: number;
 	/** Latency objective: the first byte (a stream's first event) in this time, ms. */
 	objectiveMs: number;
+	/** A caller of a stream gives up when no event comes for this long, ms; undefined when only its deadline counts. */
+	patienceMs: number | undefined;
 	/** 0 is the most urgent. */
 	priority: number;
 	targets: RouteTarget[];
--- a/packages/mastvalve-fleet/src/engines/plan-models.ts
+++ b/packages/mastvalve-fleet/src/engines/plan-models.ts
@@ -26,6 +26,8 @@
 	wanted: ReadonlyArray<{model: string; remainingMs: number}>;
 	/** Requests a second. */
 	rateOf: (model: string) => number;
+	/** Requests a second that may come soon: those of now, or a part of those of the models declared before it. */
+	expectedRateOf: (model: string) => number;
 	/** Time since a model was last asked for, ms. */
 	idleOf: (model: string) => number;
 	/** How long an engine has held a model, ms. */
@@ -47,6 +49,10 @@
 const comfortableRate = 3;
 /** Engines that load from the store for waiting requests at the same time, as a share of all; the others take orders. */
 const maxStoreShare = 0.35;
+/** A model with this many requests a second is worth a load from the store whatever else is under way. */
+const busyRate = 1;
+/** A model that nobody holds counts this many times as much as one that needs another engine. */
+const absentFactor = 3;
 /** A load from the store keeps an engine from all other orders for 8 to 9 s; demand must be this much above. */
 const storeFactor = 1.4;
 
@@ -82,9 +88,12 @@
 const worthOfPlace = (input: ModelPlanInput, model: string): number => {
 	const holders = Math.max(1, countHolders(input.engines, model));
 	const rate = input.rateOf(model);
-	const isLast = holders === 1 && input.idleOf(model) < idleAfterMs;
-	// The last place of a model that is still asked for is worth more than any second one.
-	return isLast ? rate + 1 : rate / holders;
+	if (holders > 1) {
+		return rate / holders;
+	}
+
+	// The last place of a model that is still asked for, or soon will be, is worth more than any second one.
+	return input.expectedRateOf(model) + (input.idleOf(model) < idleAfterMs ? 1 : 0);
 };
 
 type Candidate = ModelMove & {cost: number; evictedWorth: number};
@@ -125,7 +134,8 @@
 const listWaysForWaiting = (input: ModelPlanInput, model: string): Candidate[] => {
 	const hasCopy = input.engines.some(engine => findSource(engine, model) !== WeightSource.Store);
 	const storeLoading = input.engines.filter(engine => engine.loading !== undefined && findSource(engine, engine.loading) === WeightSource.Store).length;
-	const mayUseStore = !hasCopy && storeLoading < Math.max(1, Math.floor(input.engines.length * maxStoreShare));
+	const isBusy = input.rateOf(model) >= busyRate;
+	const mayUseStore = isBusy || (!hasCopy && storeLoading < Math.max(1, Math.floor(input.engines.length * maxStoreShare)));
 	return listWays(input, model).filter(way => mayUseStore || way.source !== WeightSource.Store);
 };
 
@@ -133,13 +143,17 @@
 const planForWaiting = (input: ModelPlanInput): Candidate | undefined =>
 	input.wanted
 		.filter(({model}) => countHolders(input.engines, model) === 0)
+		.toSorted((a, b) => input.rateOf(b.model) - input.rateOf(a.model))
 		.map(({model}) => cheapest(listWaysForWaiting(input, model)))
 		.find(way => way !== undefined);
 
 /** A load that gives a model with much demand one more engine. */
 const planForDemand = (input: ModelPlanInput): Candidate | undefined => {
 	const wanting = input.spec.models
-		.map(({name}) => ({name, load: input.rateOf(name) / Math.max(1, countHolders(input.engines, name))}))
+		.map(({name}) => {
+			const holders = countHolders(input.engines, name);
+			return {name, load: holders === 0 ? input.expectedRateOf(name) * absentFactor : input.rateOf(name) / holders};
+		})
 		.filter(({load}) => load > comfortableRate)
 		.toSorted((a, b) => b.load - a.load);
 	return wanting
--- a/packages/mastvalve-fleet/src/state/apply-report.ts
+++ b/packages/mastvalve-fleet/src/state/apply-report.ts
@@ -25,16 +25,17 @@
 	}
 
 	return {
-		...report, holds: keepAdapters(known, report), phase: phaseAfter(known, report), retiring: known?.retiring, revision,
+		...report, holds: keepAdapters(known, report), phase: phaseAfter(known, report), retiring: known?.retiring, loading: known?.loading, revision,
 	};
 };
 
 /** Records what an engine holds after an order. */
-export const applyHoldings = (known: FleetEndpoint | undefined, {adapters, retiring}: Holdings, revision: number): FleetEndpoint | undefined =>
+export const applyHoldings = (known: FleetEndpoint | undefined, {adapters, retiring, loading}: Holdings, revision: number): FleetEndpoint | undefined =>
 	known && {
 		...known,
 		holds: known.holds.map(held => ({...held, adapters: adapters[held.name] ?? held.adapters})),
 		retiring,
+		loading,
 		revision,
 	};
 
--- a/packages/mastvalve-fleet/src/state/fleet-command.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-command.ts
@@ -3,7 +3,7 @@
  */
 
 import type {StatedConfiguration} from '../configuration/serving-configuration.js';
-import type {EndpointReport} from './fleet-endpoint.js';
+import type {EndpointReport, ExpectedLoad} from './fleet-endpoint.js';
 
 /** Kinds of commands. */
 export enum FleetCommandKind {
@@ -16,8 +16,8 @@
 	ClaimOrders = 'claim-orders',
 }
 
-/** What orders have changed at an engine: adapters by model, for the models named, and the model that is about to go. */
-export type Holdings = {id: string; adapters: Record<string, string[]>; retiring: string | undefined};
+/** What orders have changed at an engine: adapters by model, for the models named, the model that goes, and the one that comes. */
+export type Holdings = {id: string; adapters: Record<string, string[]>; retiring: string | undefined; loading: ExpectedLoad | undefined};
 
 /** Any command. */
 export type FleetCommand
--- a/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
@@ -39,11 +39,16 @@
 	onDisk: string[];
 };
 
+/** A load that control has decided on; time in ms. */
+export type ExpectedLoad = {model: string; expectedMs: number};
+
 /** An endpoint with what control adds. */
 export type FleetEndpoint = EndpointReport & {
 	phase: EndpointPhase;
 	/** A model that is about to be unloaded and gets no new requests. */
 	retiring: string | undefined;
+	/** A model that is on its way, and how long that is expected to take from this revision on. */
+	loading: ExpectedLoad | undefined;
 	/** Log index of the last change. */
 	revision: number;
 };
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -48,7 +48,7 @@
 
 /** Routes of the tests: one of each kind, named by their paths. */
 const routes: Route[] = [RouteKind.Safe, RouteKind.Unsafe, RouteKind.Stream].map(kind => ({
-	name: kind, host: 'h', pathPrefix: `/${kind}/`, kind, timeoutMs: 2000, objectiveMs: 100, priority: 1, targets: [{service: 's', weight: 1}], maxAttempts: 2, isResumable: kind === RouteKind.Stream,
+	name: kind, host: 'h', pathPrefix: `/${kind}/`, kind, timeoutMs: 2000, objectiveMs: 100, patienceMs: undefined, priority: 1, targets: [{service: 's', weight: 1}], maxAttempts: 2, isResumable: kind === RouteKind.Stream,
 }));
 
 /** What a caller gets. */
@@ -56,7 +56,7 @@
 
 /** A gateway with its view. */
 export class RunningGateway {
-	readonly view = new FleetView();
+	readonly view = new FleetView(() => systemClock.now());
 	readonly logged: string[] = [];
 	readonly gateway: Gateway;
 	private readonly agent = new Agent({keepAlive: true});
@@ -100,7 +100,7 @@
 				},
 			},
 			endpoints: addresses.map((address, index): FleetEndpoint => ({
-				id: `e${index}`, sequence: 1, service: 's', address, failureDomain: index === 0 ? 'a' : 'b', release: '', slots: 4, isLeaving: false, remainingMs: undefined, holds: [{name: 'm', adapters: []}], inMemory: [], onDisk: [], phase: EndpointPhase.Ready, retiring: undefined, revision: this.view.revision + 1,
+				id: `e${index}`, sequence: 1, service: 's', address, failureDomain: index === 0 ? 'a' : 'b', release: '', slots: 4, isLeaving: false, remainingMs: undefined, holds: [{name: 'm', adapters: []}], inMemory: [], onDisk: [], phase: EndpointPhase.Ready, retiring: undefined, loading: undefined, revision: this.view.revision + 1,
 			})),
 		});
 	}
--- a/packages/mastvalve-gateway/src/fleet/fleet-view.ts
+++ b/packages/mastvalve-gateway/src/fleet/fleet-view.ts
@@ -20,8 +20,12 @@
 	isSynced = false;
 	private readonly endpoints = new Map<string, FleetEndpoint>();
 	private byService = new Map<string, FleetEndpoint[]>();
+	/** When loads are expected to end, by endpoint; monotonic ms. */
+	private readonly loadEnds = new Map<string, {model: string; at: number}>();
 	private readonly listeners = new Set<() => void>();
 
+	constructor(private readonly now: () => number) {}
+
 	/** Takes an update in; one that is older than the view changes nothing. */
 	apply(update: FleetUpdate): void {
 		if (update.revision < this.revision) {
@@ -30,10 +34,12 @@
 
 		if (update.isWhole) {
 			this.endpoints.clear();
+			this.loadEnds.clear();
 		}
 
 		update.endpoints.forEach(endpoint => {
 			this.endpoints.set(endpoint.id, endpoint);
+			this.noteLoad(endpoint);
 		});
 		const isNewer = update.configuration && update.configuration.version > (this.configuration?.version ?? -1);
 		this.configuration = isNewer ? update.configuration : this.configuration;
@@ -52,11 +58,28 @@
 		return this.byService.get(service) ?? [];
 	}
 
+	/** When a model is expected at some endpoint of a service; monotonic ms. Undefined when no load is under way. */
+	expectModel(service: string, model: string): number | undefined {
+		const ends = this.listEndpoints(service)
+			.flatMap(({id}) => this.loadEnds.get(id) ?? [])
+			.filter(load => load.model === model)
+			.map(({at}) => at);
+		return ends.length === 0 ? undefined : Math.min(...ends);
+	}
+
 	/** Endpoints that are not gone. */
 	knows(id: string): boolean {
 		return this.endpoints.has(id);
 	}
 
+	private noteLoad({id, loading}: FleetEndpoint): void {
+		if (!loading) {
+			this.loadEnds.delete(id);
+		} else if (this.loadEnds.get(id)?.model !== loading.model) {
+			this.loadEnds.set(id, {model: loading.model, at: this.now() + loading.expectedMs});
+		}
+	}
+
 	/** Calls back on news until the returned function is called. */
 	subscribe(listener: () => void): () => void {
 		this.listeners.add(listener);
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -19,7 +19,8 @@
 const connectMs = 400;
 /** What is left of the time must be worth an attempt, ms. */
 const minRemainingMs = 20;
-const retryAfterSeconds = 0.1;
+/** Pause of a caller after a refusal that says nothing else, ms. */
+const defaultRetryAfterMs = 100;
 
 /** What became of the tries so far. */
 type Progress = {
@@ -57,8 +58,8 @@
 /** One attempt; true when the request is over. */
 const tryOnce = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress): Promise<boolean> => {
 	const endpoint = await waitForEndpoint(core, request, progress.tried);
-	if (!endpoint) {
-		giveUp(core, request, reply, progress, 'no endpoint can take it');
+	if ('reason' in endpoint) {
+		giveUp(core, request, reply, progress, endpoint.reason, endpoint.retryAfterMs);
 		return true;
 	}
 
@@ -103,7 +104,7 @@
 	return true;
 };
 
-const giveUp = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, reason: string): void => {
+const giveUp = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, reason: string, retryAfterMs = defaultRetryAfterMs): void => {
 	if (request.signal.aborted) {
 		return;
 	}
@@ -117,7 +118,7 @@
 		reply.send({status: 502, code: 'outcome-unknown', message: `The endpoint gave no whole answer: ${reason}. The request may have run.`});
 	} else {
 		reply.send({
-			status: 503, code: 'overloaded', message: `Not run: ${reason}.`, retryAfterSeconds,
+			status: 503, code: 'overloaded', message: `Not run: ${reason}.`, retryAfterSeconds: Math.ceil(retryAfterMs) / 1000,
 		});
 	}
 };
--- a/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
@@ -1,6 +1,8 @@
 /**
  * Waits for an endpoint that may take a request: at once if there is one, else until a load of its model brings one.
- * An entry that is about to stop does not wait: another one may.
+ *
+ * A request is held only while a load is expected to end in time. Otherwise it is refused early, while the caller can
+ * still come back. An entry that is about to stop holds nothing: another one may.
  */
 
 import type {FleetEndpoint} from 'mastvalve-fleet';
@@ -8,36 +10,86 @@
 import type {CallerRequest} from './caller-request.js';
 import {chooseNow} from './choose-now.js';
 
-/** An endpoint, or undefined when none comes in time. */
-export const waitForEndpoint = async (core: GatewayCore, request: CallerRequest, tried: ReadonlySet<string>): Promise<FleetEndpoint | undefined> => {
+/** Control's plan for a new want is here in this part of the objective; a refusal is early within a quarter of it. */
+const decisionShare = 0.2;
+/** An expected load may take longer by this, since callers wait for the first event behind it, ms. */
+const expectationReserveMs = 300;
+
+/** Why a request can't be sent anywhere, and when to ask again. */
+export type NoEndpoint = {reason: string; retryAfterMs: number};
+
+/** When the caller gives up if nothing came; monotonic ms. */
+const patienceEnd = ({arrivedAt, deadlineAt, route}: CallerRequest): number => Math.min(deadlineAt, arrivedAt + (route.patienceMs ?? Number.POSITIVE_INFINITY));
+
+/** Pause of a caller whose model is not expected; it may not be longer than a third of the time that is left, ms. */
+const unknownRetryMs = 1200;
+
+/** Whether a load that is under way ends before the caller gives up; undefined when there is no load. */
+const isExpectedInTime = (core: GatewayCore, request: CallerRequest, model: string): boolean | undefined => {
+	const at = core.view.expectModel(request.service, model);
+	return at === undefined ? undefined : at + expectationReserveMs < patienceEnd(request);
+};
+
+const describeAbsence = (core: GatewayCore, request: CallerRequest, model: string): NoEndpoint => {
+	const now = core.clock.now();
+	const expectedMs = (core.view.expectModel(request.service, model) ?? now + unknownRetryMs) - now;
+	const third = (request.callerDeadlineAt - now) / 3;
+	return {reason: `no endpoint holds ${model} in time`, retryAfterMs: Math.max(50, Math.min(expectedMs, third))};
+};
+
+/** An endpoint, or why there is none. */
+export const waitForEndpoint = async (core: GatewayCore, request: CallerRequest, tried: ReadonlySet<string>): Promise<FleetEndpoint | NoEndpoint> => {
 	const now = chooseNow(core, request, tried);
 	const {model, adapter} = request.caller;
-	if (now || model === undefined || tried.size > 0 || core.isDraining()) {
+	if (now) {
 		return now;
 	}
 
+	if (model === undefined || tried.size > 0 || core.isDraining()) {
+		return {reason: 'no endpoint can take it', retryAfterMs: 100};
+	}
+
 	return new Promise(resolve => {
-		const done = (endpoint: FleetEndpoint | undefined): void => {
+		const startedAt = core.clock.now();
+		const done = (outcome: FleetEndpoint | NoEndpoint): void => {
 			endWaiting();
 			unsubscribe();
-			core.onDrain.delete(onAbort);
-			request.signal.removeEventListener('abort', onAbort);
-			resolve(endpoint);
+			clearTimeout(timer);
+			core.onDrain.delete(giveUp);
+			request.signal.removeEventListener('abort', giveUp);
+			core.log('request.waited', {
+				request: request.requestId, model, adapter, waitedMs: Math.round(core.clock.now() - startedAt), outcome: 'id' in outcome ? outcome.id : outcome.reason, revision: core.view.revision,
+			});
+			resolve(outcome);
 		};
 
-		const onAbort = (): void => {
-			done(undefined);
+		const giveUp = (): void => {
+			done(describeAbsence(core, request, model));
+		};
+
+		const decide = (): void => {
+			// The model may be here, and only its adapter on its way; that takes ms, or the end of a load.
+			const isModelHere = core.view.listEndpoints(request.service).some(({holds}) => holds.some(({name}) => name === model));
+			if (!isModelHere && isExpectedInTime(core, request, model) !== true) {
+				giveUp();
+				return;
+			}
+
+			timer = setTimeout(giveUp, Math.max(1, patienceEnd(request) - core.clock.now() - expectationReserveMs));
 		};
 
-		core.onDrain.add(onAbort);
 		const unsubscribe = core.view.subscribe(() => {
 			const endpoint = chooseNow(core, request, tried);
 			if (endpoint) {
 				done(endpoint);
 			}
 		});
-		request.signal.addEventListener('abort', onAbort, {once: true});
-		const endWaiting = core.demand.wait(request.service, model, adapter, request.deadlineAt);
-		core.log('request.waits', {request: request.requestId, model, adapter, revision: core.view.revision});
+		core.onDrain.add(giveUp);
+		request.signal.addEventListener('abort', giveUp, {once: true});
+		const endWaiting = core.demand.wait(request.service, model, adapter, patienceEnd(request));
+		let timer = setTimeout(decide, request.route.objectiveMs * decisionShare);
+		core.log('request.waits', {
+			request: request.requestId, model, adapter, revision: core.view.revision,
+		});
 	});
 };
