--- /dev/null
+++ b/packages/mastvalve-cluster/__tests__/control-group.steps.ts
@@ -0,0 +1,147 @@
+/**
+ * Steps of a group of control instances, in one process over loopback connections.
+ */
+
+import {strict as assert} from 'node:assert';
+import {mkdtemp, rm} from 'node:fs/promises';
+import type {Server} from 'node:http';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {
+	After, Given, Then, When, type World,
+} from '@cucumber/cucumber';
+import {systemClock} from 'mastvalve-utils';
+import {findFreePorts} from '../../../features/support/free-ports.js';
+import {waitUntil} from '../../../features/support/conditions.js';
+import {
+	ControlGroup, decideFormation, PeerClient, startPeerServer, type Identity,
+} from '../src/index.js';
+
+/** A member with all that it runs on. */
+type Member = {address: string; folder: string; group: ControlGroup; applied: unknown[]; server: Server; client: PeerClient};
+
+type GroupWorld = World & {members: Member[]; folders: string[]; seeds: string[]; proposed: string[]};
+
+const startMember = async (world: GroupWorld, address: string, isFirstStart: boolean): Promise<Member> => {
+	const folder = await mkdtemp(join(tmpdir(), 'mastvalve-group-'));
+	world.folders.push(folder);
+	const applied: unknown[] = [];
+	const client = new PeerClient();
+	const group = await ControlGroup.open({
+		address,
+		dataFolder: folder,
+		isFirstStart,
+		readSeeds: () => world.seeds,
+		voters: 5,
+		client,
+		clock: systemClock,
+		machine: {
+			apply(command) {
+				applied.push(command);
+				return applied.length;
+			},
+			takeSnapshot: () => [...applied],
+			restoreSnapshot(data) {
+				applied.splice(0, applied.length, ...data as unknown[]);
+			},
+		},
+		onEvent: () => undefined,
+		onError: () => undefined,
+	});
+	const server = (await startPeerServer(address, new Map(group.handlers()), () => undefined))._unsafeUnwrap();
+	void group.run();
+	return {
+		address, folder, group, applied, server, client,
+	};
+};
+
+const stopMember = async ({group, server, client}: Member): Promise<void> => {
+	await group.stop();
+	server.close();
+	server.closeAllConnections();
+	client.close();
+};
+
+/** Proposes at a member until a leader takes it. */
+const propose = async (world: GroupWorld, member: Member, command: string): Promise<void> => {
+	await waitUntil(`${command} is taken`, async () => (await member.group.propose(command)).isOk());
+	world.proposed.push(command);
+};
+
+const hasAll = (world: GroupWorld, member: Member): boolean => world.proposed.every(command => member.applied.includes(command));
+
+After(async function (this: GroupWorld) {
+	// eslint-disable-next-line @typescript-eslint/no-unnecessary-condition
+	await Promise.all((this.members ?? []).map(async member => stopMember(member)));
+	// eslint-disable-next-line @typescript-eslint/no-unnecessary-condition
+	await Promise.all((this.folders ?? []).map(async folder => rm(folder, {recursive: true, force: true})));
+});
+
+Given('{int} control instances that know the first {int}', async function (this: GroupWorld, count: number, known: number) {
+	this.folders = [];
+	this.proposed = [];
+	const addresses = (await findFreePorts(count + 1)).map(port => `127.0.0.1:${port}`);
+	this.seeds = addresses.slice(0, known);
+	this.members = await Promise.all(addresses.slice(0, count).map(async address => startMember(this, address, true)));
+});
+
+Then('all of them become voters of one log', {timeout: 30_000}, async function (this: GroupWorld) {
+	await waitUntil('all are voters', async () => this.members.every(({group}) => group.isComplete && group.isCurrent));
+});
+
+Then('a change that is proposed at any of them is applied at all of them', async function (this: GroupWorld) {
+	await Promise.all(this.members.map(async (member, index) => propose(this, member, `change-${index}`)));
+	await waitUntil('all have all changes', async () => this.members.every(member => hasAll(this, member)));
+});
+
+When('the last one comes back with an empty disk', async function (this: GroupWorld) {
+	const last = this.members.at(-1)!;
+	await stopMember(last);
+	this.members = [...this.members.slice(0, -1), await startMember(this, last.address, false)];
+});
+
+Then('it is a voter again under a new identity, and has all changes', {timeout: 30_000}, async function (this: GroupWorld) {
+	const last = this.members.at(-1)!;
+	await waitUntil('the new identity votes', async () => this.members.every(({group}) => group.voters.includes(last.group.ownId) && group.isComplete));
+	await waitUntil('it has all changes', async () => hasAll(this, last));
+});
+
+When('the first one is stopped for good and another one starts at another address', async function (this: GroupWorld) {
+	const [first, ...others] = this.members;
+	await stopMember(first!);
+	const [port] = await findFreePorts(1);
+	this.members = [...others, await startMember(this, `127.0.0.1:${port}`, false)];
+});
+
+Then('the newcomer takes its place and has all changes', {timeout: 30_000}, async function (this: GroupWorld) {
+	const newcomer = this.members.at(-1)!;
+	await waitUntil('the newcomer votes', async () => this.members.every(({group}) => group.voters.includes(newcomer.group.ownId) && group.isComplete));
+	await propose(this, newcomer, 'last-change');
+	await waitUntil('all have all changes', async () => this.members.every(member => hasAll(this, member)));
+});
+
+const identity = (replicaId: string, more: Partial<Identity> = {}): Identity => ({
+	replicaId, clusterId: undefined, initialVoters: [], mayBegin: true, members: [], ...more,
+});
+
+const three = ['a:1', 'b:1', 'c:1'];
+
+Then('a beginner that hears of a log joins it, whatever else it hears', () => {
+	const formed = identity('d:1#4', {clusterId: 'old', initialVoters: ['x:1#1']});
+	const formation = decideFormation(identity('a:1#1'), three, [identity('b:1#2'), identity('c:1#3'), formed]);
+	assert.deepEqual(formation, {clusterId: 'old', initialVoters: ['x:1#1']});
+});
+
+Then('the seeds begin the same log once all of them know each other, and wait before', () => {
+	const [a, b, c] = [identity('a:1#1'), identity('b:1#2'), identity('c:1#3')] as const;
+	assert.equal(decideFormation(a, three, [b]), undefined);
+	const begun = decideFormation(a, three, [b, c]);
+	assert.deepEqual(begun?.initialVoters, ['a:1#1', 'b:1#2', 'c:1#3']);
+	assert.deepEqual(decideFormation(b, three, [c, a]), begun);
+});
+
+Then('an instance that is no seed, or whose disk is younger than the system, begins nothing', () => {
+	const others = [identity('b:1#2'), identity('c:1#3')];
+	assert.equal(decideFormation(identity('d:1#4'), three, [identity('a:1#1'), ...others]), undefined);
+	assert.equal(decideFormation(identity('a:1#1', {mayBegin: false}), three, others), undefined);
+});
--- a/packages/mastvalve-cluster/src/membership/control-group.ts
+++ b/packages/mastvalve-cluster/src/membership/control-group.ts
@@ -101,6 +101,11 @@
 		return membership ? [...new Set([...membership.voters, ...membership.learners].map(nameOfReplica))] : [];
 	}
 
+	/** Identities that make up quorums. */
+	get voters(): ReplicaId[] {
+		return this.node?.replica.currentMembership.voters ?? [];
+	}
+
 	/** Whether this one leads with a valid lease, and all that is committed is applied. */
 	get isLeading(): boolean {
 		return this.node?.isFresh() ?? false;
@@ -112,7 +117,7 @@
 
 	/** Whether as many voters hold the log as are wanted. */
 	get isComplete(): boolean {
-		return (this.node?.replica.currentMembership.voters.length ?? 0) >= this.options.voters;
+		return this.voters.length >= this.options.voters;
 	}
 
 	/** Whether what is applied here is at most `staleAfterMs` old. */
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -3,10 +3,10 @@
  */
 
 import {Agent, request} from 'node:http';
-import {createServer, type AddressInfo} from 'node:net';
 import {
 	EndpointPhase, RouteKind, type FleetEndpoint, type Route,
 } from 'mastvalve-fleet';
+import {findFreePorts} from '../../../../features/support/free-ports.js';
 import {createRandom, systemClock} from 'mastvalve-utils';
 import {
 	dropConnectionHeaders, EndpointBoard, FleetView, Gateway, ModelDemand, RetryAllowance, UpstreamAgent, type Dialect,
@@ -35,17 +35,6 @@
 	}),
 };
 
-const freePort = async (): Promise<number> =>
-	new Promise(resolve => {
-		const server = createServer();
-		server.listen(0, '127.0.0.1', () => {
-			const {port} = server.address() as AddressInfo;
-			server.close(() => {
-				resolve(port);
-			});
-		});
-	});
-
 /** Routes of the tests: one of each kind, named by their paths. */
 const routes: Route[] = [RouteKind.Safe, RouteKind.Unsafe, RouteKind.Stream].map(kind => ({
 	name: kind, host: 'h', pathPrefix: `/${kind}/`, kind, timeoutMs: 2000, objectiveMs: 100, patienceMs: undefined, priority: 1, targets: [{service: 's', weight: 1}], maxAttempts: 2, isResumable: kind === RouteKind.Stream,
@@ -83,7 +72,7 @@
 	}
 
 	async start(addresses: readonly string[]): Promise<void> {
-		this.address = `127.0.0.1:${await freePort()}`;
+		this.address = `127.0.0.1:${(await findFreePorts(1))[0]}`;
 		(await this.gateway.start(this.address))._unsafeUnwrap();
 		this.setEndpoints(addresses);
 	}
