--- a/packages/mastvalve-fleet-control/src/engines/engine-director.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-director.ts
@@ -6,7 +6,7 @@
  */
 
 import {
-	anticipateRates, EndpointPhase, ModelDemandEstimate, planAdapterMove, planModelMove, StoreRate, WeightSource,
+	anticipateRates, EndpointPhase, ModelDemandEstimate, planAdapterMove, planAdapterPrefetch, planModelMove, StoreRate, WeightSource,
 	type EngineModel, type EngineSpec, type EngineState, type FleetEndpoint, type FleetMachine, type Holdings, type ModelMove, type ServedService, type StoreBounds,
 } from 'mastvalve-fleet';
 import type {Clock} from 'mastvalve-utils';
@@ -46,6 +46,8 @@
 const expectedRates = [8, 5, 4.5, 4.5, 4.5, 4.5, 4.5];
 /** Moves that one round begins at the most; the rest waits for the next. */
 const maxMovesPerRound = 6;
+/** Adapters that one round begins to load ahead of need. */
+const maxPrefetchesPerRound = 8;
 
 type KnownWanted = Wanted & {deadlineAt: number};
 
@@ -125,6 +127,7 @@
 		const wanted = this.listWanted(service.name);
 		this.expectDemand(engine);
 		this.moveAdapters(engine, endpoints, wanted);
+		this.prefetchAdapters(engine, endpoints);
 		this.moveModels(engine, endpoints, wanted);
 	}
 
@@ -151,6 +154,25 @@
 		});
 	}
 
+	/** Loads adapters into free slots before anybody waits for them. */
+	private prefetchAdapters(spec: EngineSpec, endpoints: readonly FleetEndpoint[]): void {
+		const expected = this.anticipate(spec);
+		Array.from({length: maxPrefetchesPerRound}).some(() => {
+			const move = planAdapterPrefetch({spec, engines: this.describe(endpoints), expectedRateOf: model => expected.get(model) ?? 0});
+			if (move) {
+				void this.deskOf(move.engine).moveAdapter(move, findModel(spec, move.model)?.adapterSize ?? 0);
+			}
+
+			return move === undefined;
+		});
+	}
+
+	/** Demand that may come soon, by model. */
+	private anticipate(spec: EngineSpec): Map<string, number> {
+		const now = this.options.clock.now();
+		return anticipateRates(spec.models.map(({name}) => name), model => this.demand.rateOf(model, now));
+	}
+
 	private moveModels(spec: EngineSpec, endpoints: readonly FleetEndpoint[], wanted: readonly KnownWanted[]): void {
 		Array.from({length: maxMovesPerRound}).some(() => {
 			const move = this.planMove(spec, endpoints, wanted);
@@ -164,7 +186,7 @@
 
 	private planMove(spec: EngineSpec, endpoints: readonly FleetEndpoint[], wanted: readonly KnownWanted[]): ModelMove | undefined {
 		const now = this.options.clock.now();
-		const expected = anticipateRates(spec.models.map(({name}) => name), model => this.demand.rateOf(model, now));
+		const expected = this.anticipate(spec);
 		return planModelMove({
 			spec,
 			expectedRateOf: model => expected.get(model) ?? 0,
--- a/packages/mastvalve-fleet/src/engines/plan-adapter.ts
+++ b/packages/mastvalve-fleet/src/engines/plan-adapter.ts
@@ -23,6 +23,14 @@
 	idleOf: (name: string) => number;
 };
 
+/** What prefetching rests on. */
+export type AdapterPrefetchInput = {
+	spec: EngineSpec;
+	engines: readonly EngineState[];
+	/** Requests a second that may come soon. */
+	expectedRateOf: (model: string) => number;
+};
+
 /** Adapters that may be on their way to one engine. */
 const maxInTransit = 4;
 
@@ -61,3 +69,27 @@
 		engine: chosen.engine.id, model, load: adapter, evict: chosen.idlest && {model: chosen.idlest.model, adapter: chosen.idlest.adapter},
 	};
 };
+
+/** Names of a model's adapters; they are numbered from 1. */
+const listAdapters = (count: number): string[] => Array.from({length: count}, (_, index) => `a${index + 1}`);
+
+const holdsAdapter = (engine: EngineState, model: string, adapter: string): boolean =>
+	engine.loadingAdapters.includes(`${model}/${adapter}`) || engine.holds.some(({name, adapters}) => name === model && adapters.includes(adapter));
+
+/** An adapter to load into a free slot before anybody waits for it: of the most expected model first. Nothing gives way. */
+export const planAdapterPrefetch = ({spec, engines, expectedRateOf}: AdapterPrefetchInput): AdapterMove | undefined => {
+	const takers = engines.filter(engine =>
+		engine.isReady && engine.loading === undefined && engine.retiring === undefined && engine.loadingAdapters.length < maxInTransit && countAdapters(engine) < spec.adapterSlots);
+	const models = spec.models
+		.filter(({name, adapterCount}) => adapterCount > 0 && expectedRateOf(name) > 0)
+		.toSorted((a, b) => expectedRateOf(b.name) - expectedRateOf(a.name));
+	return models
+		.flatMap(({name, adapterCount}) => {
+			const holders = takers.filter(engine => engine.holds.some(held => held.name === name)).toSorted((a, b) => countAdapters(a) - countAdapters(b));
+			const missing = holders.length === 0 ? undefined : listAdapters(adapterCount).find(adapter => !engines.some(engine => holdsAdapter(engine, name, adapter)));
+			return holders[0] && missing !== undefined ? [{
+				engine: holders[0].id, model: name, load: missing, evict: undefined,
+			}] : [];
+		})
+		.at(0);
+};
--- a/packages/mastvalve-fleet/src/engines/plan-models.ts
+++ b/packages/mastvalve-fleet/src/engines/plan-models.ts
@@ -96,6 +96,15 @@
 	return input.expectedRateOf(model) + (input.idleOf(model) < idleAfterMs ? 1 : 0);
 };
 
+/** Cost of each request a second for adapters of an engine that takes no orders for the time of a load from the store. */
+const blockedAdapterCost = 2;
+
+/** Requests a second that an engine gets for models with adapters. */
+const adapterDemand = (input: ModelPlanInput, engine: EngineState): number =>
+	engine.holds
+		.filter(({name}) => input.spec.models.some(model => model.name === name && model.adapterCount > 0))
+		.reduce((sum, {name}) => sum + (input.rateOf(name) / Math.max(1, countHolders(input.engines, name))), 0);
+
 type Candidate = ModelMove & {cost: number; evictedWorth: number};
 
 /** All ways to bring a model to an engine now. */
@@ -109,9 +118,10 @@
 			}
 
 			const way = {engine: engine.id, load, source};
+			const loadCost = sourceCost[source] + (source === WeightSource.Store ? adapterDemand(input, engine) * blockedAdapterCost : 0);
 			if (fits(input.spec, engine, load)) {
 				return [{
-					...way, evict: undefined, evictedWorth: 0, cost: sourceCost[source],
+					...way, evict: undefined, evictedWorth: 0, cost: loadCost,
 				}];
 			}
 
@@ -120,7 +130,7 @@
 				.map(({name}) => {
 					const evictedWorth = worthOfPlace(input, name);
 					return {
-						...way, evict: name, evictedWorth, cost: sourceCost[source] + (evictedWorth * 3) + 1,
+						...way, evict: name, evictedWorth, cost: loadCost + (evictedWorth * 3) + 1,
 					};
 				});
 		});
--- a/packages/mastvalve-gateway/src/upstream/exchange.ts
+++ b/packages/mastvalve-gateway/src/upstream/exchange.ts
@@ -2,8 +2,9 @@
  * One attempt at one endpoint: hands a request over and says truthfully what became of it.
  */
 
-import {request, type Agent, type IncomingMessage} from 'node:http';
+import {request, type IncomingMessage} from 'node:http';
 import {describeError} from 'mastvalve-utils';
+import type {UpstreamAgent} from './upstream-agent.js';
 
 /** How an attempt went. */
 export enum ExchangeKind {
@@ -22,7 +23,7 @@
 
 /** What an attempt needs. */
 export type ExchangeOptions = {
-	agent: Agent;
+	agent: UpstreamAgent;
 	/** `ip:port`. */
 	address: string;
 	method: string;
@@ -93,6 +94,7 @@
 		});
 		req.once('response', res => {
 			clearTimeout(timer);
+			agent.noteAnswer(res);
 			if (!req.writableFinished) {
 				// An answer that came before the whole request was read: the rest may not be taken for the next request.
 				res.once('end', cancel);
