--- a/packages/mastvalve-gateway/src/index.ts
+++ b/packages/mastvalve-gateway/src/index.ts
@@ -14,4 +14,5 @@
 export * from './routing/retry-allowance.js';
 export * from './server/gateway.js';
 export type * from './server/gateway-core.js';
+export * from './server/gateway-observer.js';
 export * from './upstream/upstream-agent.js';
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -71,6 +71,7 @@
 	progress.tried.add(endpoint.id);
 	const use = core.board.begin(endpoint.id, request.caller.promptTokens);
 	const outcome = await sendTo(core, request, endpoint, progress);
+	core.observer.recordAttempt(outcome.kind);
 	if (outcome.kind === ExchangeKind.Answered) {
 		progress.sent += 1;
 		const isOver = await takeAnswer(core, request, reply, progress, {endpoint, outcome, read: use.read});
--- a/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
@@ -60,6 +60,7 @@
 			core.log('request.waited', {
 				request: request.requestId, model, adapter, waitedMs: Math.round(core.clock.now() - startedAt), outcome: 'id' in outcome ? outcome.id : outcome.reason, revision: core.view.revision,
 			});
+			core.observer.recordWait('id' in outcome, core.clock.now() - startedAt);
 			resolve(outcome);
 		};
 
--- a/packages/mastvalve-gateway/src/server/gateway-core.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-core.ts
@@ -9,6 +9,7 @@
 import type {RetryAllowance} from '../routing/retry-allowance.js';
 import type {ModelDemand} from '../routing/model-demand.js';
 import type {UpstreamAgent} from '../upstream/upstream-agent.js';
+import type {GatewayObserver} from './gateway-observer.js';
 
 /** Writes one line for a decision; the fields say what decided it. */
 export type LogDecision = (kind: string, fields: Record<string, unknown>) => void;
@@ -25,6 +26,7 @@
 	allowance: RetryAllowance;
 	demand: ModelDemand;
 	log: LogDecision;
+	observer: GatewayObserver;
 	/** Whether this entry is about to stop. */
 	isDraining: () => boolean;
 	/** Called when it begins to stop. */
--- /dev/null
+++ b/packages/mastvalve-gateway/src/server/gateway-metrics.ts
@@ -0,0 +1,44 @@
+/**
+ * Counters and latency histograms of an entry.
+ */
+
+import {
+	Counter, Gauge, Histogram, type Registry,
+} from 'prom-client';
+import type {GatewayObserver} from './gateway-observer.js';
+
+/** Bounds of the latency histograms, s: from a plain call to the longest route. */
+const buckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6];
+const msPerSecond = 1000;
+
+/** Registers the metrics; the result feeds them. */
+export const createGatewayMetrics = (registry: Registry, readInFlight: () => number): GatewayObserver => {
+	const requests = new Histogram({
+		name: 'mastvalve_request_seconds', help: 'Time from the first byte of a request to the end of its answer', labelNames: ['kind', 'status'], buckets, registers: [registry],
+	});
+	const attempts = new Counter({
+		name: 'mastvalve_attempts_total', help: 'Attempts at endpoints by outcome', labelNames: ['outcome'], registers: [registry],
+	});
+	const waits = new Histogram({
+		name: 'mastvalve_model_wait_seconds', help: 'Time that requests waited for a model or adapter', labelNames: ['outcome'], buckets, registers: [registry],
+	});
+	const inFlight = new Gauge({
+		name: 'mastvalve_in_flight',
+		help: 'Requests of callers in progress',
+		registers: [registry],
+		collect() {
+			inFlight.set(readInFlight());
+		},
+	});
+	return {
+		recordRequest(kind, status, durationMs) {
+			requests.observe({kind, status: String(status)}, durationMs / msPerSecond);
+		},
+		recordAttempt(outcome) {
+			attempts.inc({outcome});
+		},
+		recordWait(isServed, durationMs) {
+			waits.observe({outcome: isServed ? 'served' : 'refused'}, durationMs / msPerSecond);
+		},
+	};
+};
--- /dev/null
+++ b/packages/mastvalve-gateway/src/server/gateway-observer.ts
@@ -0,0 +1,20 @@
+/**
+ * What a gateway tells of its work, for metrics. Durations in ms.
+ */
+
+/** The observer. */
+export type GatewayObserver = {
+	/** A request is over; status 0 when its answer was broken off or its caller left first. */
+	recordRequest: (kind: string, status: number, durationMs: number) => void;
+	/** An attempt at an endpoint is over. */
+	recordAttempt: (outcome: string) => void;
+	/** A request has stopped waiting for a model or adapter. */
+	recordWait: (isServed: boolean, durationMs: number) => void;
+};
+
+/** Takes note of nothing. */
+export const silentObserver: GatewayObserver = {
+	recordRequest: () => undefined,
+	recordAttempt: () => undefined,
+	recordWait: () => undefined,
+};
--- a/packages/mastvalve-gateway/src/server/gateway.ts
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -15,6 +15,7 @@
 import {Reply} from '../requests/reply.js';
 import {serveRequest} from '../requests/serve-request.js';
 import type {GatewayCore} from './gateway-core.js';
+import {silentObserver, type GatewayObserver} from './gateway-observer.js';
 import {readBody} from './read-request.js';
 
 /** Bounds until a configuration tells others; the values that both deployments use. */
@@ -28,7 +29,7 @@
 const drainPollMs = 50;
 
 /** What a gateway is made from. */
-export type GatewayParts = Omit<GatewayCore, 'isDraining' | 'onDrain'>;
+export type GatewayParts = Omit<GatewayCore, 'isDraining' | 'onDrain' | 'observer'>;
 
 /** The server for callers. */
 export class Gateway {
@@ -39,7 +40,12 @@
 	private readonly core: GatewayCore;
 
 	constructor(parts: GatewayParts) {
-		this.core = {...parts, isDraining: () => this.isDraining, onDrain: new Set()};
+		this.core = {...parts, isDraining: () => this.isDraining, onDrain: new Set(), observer: silentObserver};
+	}
+
+	/** Tells an observer of all requests from now on. */
+	observe(observer: GatewayObserver): void {
+		this.core.observer = observer;
 	}
 
 	/** Listens on `ip:port`. */
@@ -152,6 +158,7 @@
 		res.once('close', () => {
 			clearTimeout(timer);
 			ending.abort();
+			core.observer.recordRequest(route.kind, res.writableFinished ? res.statusCode : 0, core.clock.now() - read.arrivedAt);
 		});
 		await serveRequest(core, request, reply);
 	}
