An adapter that is still used keeps its slot; demand two places on is expected

Ruled out: a late order (the count makes it void before its memory is looked at). Change: after such an answer the desk reads the engine's state again before anything is loaded. Second: models two and four places behind the first get more engines before traffic, and anticipated demand counts for second engines. Test that failed first: engine-desk.feature, the adapter that requests still use.

--- a/packages/mastvalve-fleet-control/__tests__/__fixtures__/stand-in-engine.ts
+++ b/packages/mastvalve-fleet-control/__tests__/__fixtures__/stand-in-engine.ts
@@ -28,12 +28,14 @@
 	readonly excessive: string[] = [];
 	readonly taken: string[] = [];
 	count = 0;
+	/** Adapters that requests use, as `model/adapter`; they are unloaded when the requests end. */
+	inUse: string[] = [];
 	holds: HeldModel[];
 	/** What the next orders meet, in turn. */
 	answering: Answering[] = [];
 	private busyWith: string | undefined;
 
-	constructor(private readonly time: VirtualTime, private readonly places: number, models: readonly string[]) {
+	constructor(private readonly time: VirtualTime, private readonly places: number, models: readonly string[], private readonly adapterSlots = 2) {
 		this.holds = models.map(name => ({name, adapters: []}));
 	}
 
@@ -64,6 +66,10 @@
 			return OrderOutcome.Conflict;
 		}
 
+		if (order.adapter !== undefined) {
+			return this.executeAdapter(order.kind, order.model, order.adapter);
+		}
+
 		const isLoad = order.kind === EngineOrderKind.Load && order.adapter === undefined;
 		const used = this.holds.length + (this.busyWith === undefined ? 0 : 1);
 		if (isLoad && used >= this.places) {
@@ -85,6 +91,31 @@
 		return OrderOutcome.Taken;
 	}
 
+	private executeAdapter(kind: EngineOrderKind, model: string, adapter: string): OrderOutcome {
+		const name = `${model}/${adapter}`;
+		this.count += 1;
+		this.taken.push(`${kind} ${name}`);
+		if (kind === EngineOrderKind.Unload) {
+			const isUsed = this.inUse.includes(name);
+			if (!isUsed) {
+				this.setAdapters(model, adapters => adapters.filter(held => held !== adapter));
+			}
+
+			return isUsed ? OrderOutcome.Taken : OrderOutcome.InForce;
+		}
+
+		if (this.holds.flatMap(({adapters}) => adapters).length >= this.adapterSlots) {
+			this.excessive.push(name);
+		}
+
+		this.setAdapters(model, adapters => [...adapters, adapter]);
+		return OrderOutcome.Taken;
+	}
+
+	private setAdapters(model: string, change: (adapters: string[]) => string[]): void {
+		this.holds = this.holds.map(held => (held.name === model ? {...held, adapters: change(held.adapters)} : held));
+	}
+
 	private load(model: string): void {
 		this.busyWith = model;
 		void this.time.wait(loadMs).then(() => {
--- a/packages/mastvalve-fleet-control/__tests__/engine-desk.feature
+++ b/packages/mastvalve-fleet-control/__tests__/engine-desk.feature
@@ -14,3 +14,11 @@
 
   Scenario: Whatever orders are lost or late, and however often the holder changes, no order needs more places than there are
     Then 60 random series of moves, lost orders, late orders and new holders overcommit no engine
+
+  Scenario: An adapter that requests still use keeps its slot until they end
+    Given an engine with 3 places that holds 2 models
+    And two adapters fill its slots, both in use
+    When another adapter is to take the place of one of them
+    Then the engine gets no order that needs more slots than there are
+    When the requests end and the adapter is wanted again
+    Then the engine holds it
--- a/packages/mastvalve-fleet-control/__tests__/engine-desk.steps.ts
+++ b/packages/mastvalve-fleet-control/__tests__/engine-desk.steps.ts
@@ -87,6 +87,43 @@
 	assert.deepEqual(this.engine.holds.map(({name}) => name), ['m1', 'm2', 'm3']);
 });
 
+Given('two adapters fill its slots, both in use', async function (this: DeskWorld) {
+	this.engine.holds = [{name: 'm1', adapters: ['a1', 'a2']}, {name: 'm2', adapters: []}];
+	this.engine.inUse = ['m1/a1', 'm1/a2'];
+	this.desk = createDesk(this.time, this.engine, 'one');
+	this.desk.requestSync();
+	await this.time.advance(100);
+});
+
+/** Loads a3 in the place of a1. */
+const moveAdapter = async (world: DeskWorld): Promise<void> => {
+	void world.desk.moveAdapter({
+		engine: 'e', model: 'm1', load: 'a3', evict: {model: 'm1', adapter: 'a1'},
+	}, 10);
+	await world.time.advance(2000);
+};
+
+When('another adapter is to take the place of one of them', async function (this: DeskWorld) {
+	await moveAdapter(this);
+});
+
+Then('the engine gets no order that needs more slots than there are', function (this: DeskWorld) {
+	assert.deepEqual(this.engine.excessive, []);
+	assert.deepEqual(this.engine.taken, ['unload m1/a1']);
+});
+
+When('the requests end and the adapter is wanted again', async function (this: DeskWorld) {
+	this.engine.inUse = [];
+	this.desk.describe(this.engine.endpoint);
+	await this.time.advance(500);
+	await moveAdapter(this);
+});
+
+Then('the engine holds it', function (this: DeskWorld) {
+	assert.deepEqual(this.engine.excessive, []);
+	assert.deepEqual(this.engine.holds[0]?.adapters, ['a2', 'a3']);
+});
+
 type Step = {answering: Answering; model: number; pauseMs: number; isNewHolder: boolean};
 
 const steps = fc.array(fc.record<Step>({
--- a/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
@@ -48,6 +48,16 @@
 const adapterFixedMs = 5;
 const adapterMsPerMb = 0.3;
 
+/** What came of an order. */
+enum OrderEffect {
+	/** It was refused, or given up. */
+	None = 'none',
+	/** It was taken and takes time. */
+	UnderWay = 'under-way',
+	/** It is in force. */
+	Done = 'done',
+}
+
 /** One desk. */
 export class EngineDesk {
 	/** Orders taken; undefined when it must be read first. */
@@ -107,7 +117,7 @@
 		await this.publish();
 		const isReady = move.evict === undefined || await this.unload(move.evict);
 		this.retiring = undefined;
-		if (isReady && await this.enqueue(async () => this.give({kind: EngineOrderKind.Load, model: move.load, adapter: undefined}))) {
+		if (isReady && await this.order({kind: EngineOrderKind.Load, model: move.load, adapter: undefined}) !== OrderEffect.None) {
 			this.adapters.delete(move.load);
 			const isThere = await this.waitUntil(holds => holds.includes(move.load), expectedMs);
 			this.heldSince.set(move.load, this.options.clock.now());
@@ -128,8 +138,8 @@
 		}
 
 		const isTaken = await this.enqueue(async () => {
-			const hasRoom = !evict || await this.give({kind: EngineOrderKind.Unload, model: evict.model, adapter: evict.adapter});
-			return hasRoom && this.give({kind: EngineOrderKind.Load, model, adapter: load});
+			const hasRoom = !evict || await this.freeSlot(evict);
+			return hasRoom && await this.give({kind: EngineOrderKind.Load, model, adapter: load}) !== OrderEffect.None;
 		});
 		if (isTaken) {
 			await this.options.wait(adapterFixedMs + (sizeMb * adapterMsPerMb));
@@ -140,6 +150,20 @@
 		await this.publish();
 	}
 
+	/** Unloads an adapter; false while requests still use it, so that its slot is not free yet. */
+	private async freeSlot({model, adapter}: {model: string; adapter: string}): Promise<boolean> {
+		const effect = await this.give({kind: EngineOrderKind.Unload, model, adapter});
+		if (effect === OrderEffect.UnderWay) {
+			this.count = undefined;
+		}
+
+		return effect === OrderEffect.Done;
+	}
+
+	private async order(order: EngineOrder): Promise<OrderEffect> {
+		return this.enqueue(async () => this.give(order));
+	}
+
 	private adaptersOf(model: string): string[] {
 		return this.adapters.get(model) ?? this.options.readEndpoint()?.holds.find(({name}) => name === model)?.adapters ?? [];
 	}
@@ -157,8 +181,8 @@
 	/** Unloads a model once entries have stopped sending requests for it. */
 	private async unload(model: string): Promise<boolean> {
 		await this.options.wait(retireNoticeMs);
-		const isTaken = await this.enqueue(async () => this.give({kind: EngineOrderKind.Unload, model, adapter: undefined}));
-		const isGone = isTaken && await this.waitUntil(holds => !holds.includes(model), 0);
+		const effect = await this.order({kind: EngineOrderKind.Unload, model, adapter: undefined});
+		const isGone = effect !== OrderEffect.None && await this.waitUntil(holds => !holds.includes(model), 0);
 		this.adapters.delete(model);
 		this.heldSince.delete(model);
 		this.retiring = undefined;
@@ -203,15 +227,15 @@
 		return result;
 	}
 
-	/** Gives one order until it is answered; whether it was taken. */
-	private async give(order: EngineOrder): Promise<boolean> {
+	/** Gives one order until it is answered. */
+	private async give(order: EngineOrder): Promise<OrderEffect> {
 		const {id, port, holder, readFence, readEndpoint, onEvent} = this.options;
 		const what = `${order.kind} ${order.model}${order.adapter === undefined ? '' : `/${order.adapter}`} at ${id}`;
 		while (this.count !== undefined) {
 			const endpoint = readEndpoint();
 			const fence = readFence();
 			if (!endpoint || fence === undefined) {
-				return false;
+				return OrderEffect.None;
 			}
 
 			// eslint-disable-next-line no-await-in-loop
@@ -222,7 +246,7 @@
 			switch (outcome) {
 				case OrderOutcome.Taken: {
 					this.count += 1;
-					return true;
+					return OrderEffect.UnderWay;
 				}
 
 				case OrderOutcome.InForce: {
@@ -233,7 +257,7 @@
 						this.count = undefined;
 					}
 
-					return true;
+					return OrderEffect.Done;
 				}
 
 				case OrderOutcome.Unanswered: {
@@ -249,12 +273,12 @@
 					this.count = undefined;
 					// eslint-disable-next-line no-await-in-loop
 					await this.options.wait(refusedPauseMs);
-					return false;
+					return OrderEffect.None;
 				}
 			}
 		}
 
-		return false;
+		return OrderEffect.None;
 	}
 
 	/**
--- a/packages/mastvalve-fleet-control/src/engines/engine-director.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-director.ts
@@ -41,9 +41,10 @@
 const wantedMs = 3000;
 /**
  * Requests a second that are expected of the first models of the list until the first request comes. Most demand goes
- * to few models and moves along the list, so those behind the first get a second engine while nobody is waiting.
+ * to few models and moves along the list, by two places at a time on both deployments; so those behind the first get
+ * more engines while nobody is waiting.
  */
-const expectedRates = [8, 5, 4.5, 4.5, 4.5, 4.5, 4.5];
+const expectedRates = [8, 5, 10, 5, 9, 5, 7, 4.5];
 /** Moves that one round begins at the most; the rest waits for the next. */
 const maxMovesPerRound = 6;
 /** Adapters that one round begins to load ahead of need. */
--- a/packages/mastvalve-fleet/src/engines/anticipate-rate.ts
+++ b/packages/mastvalve-fleet/src/engines/anticipate-rate.ts
@@ -4,9 +4,9 @@
  */
 
 /** How many places demand moves on at once, as far as both deployments have shown. */
-const reach = 3;
+const reach = 4;
 /** What counts of the demand of a model that many places before. */
-const share = 0.3;
+const share = 0.35;
 
 /** The rate of each model now, or a share of those declared shortly before it, whichever is higher. */
 export const anticipateRates = (models: readonly string[], rateOf: (model: string) => number): Map<string, number> => {
--- a/packages/mastvalve-fleet/src/engines/plan-models.ts
+++ b/packages/mastvalve-fleet/src/engines/plan-models.ts
@@ -166,7 +166,7 @@
 	const wanting = input.spec.models
 		.map(({name}) => {
 			const holders = countHolders(input.engines, name);
-			return {name, load: holders === 0 ? input.expectedRateOf(name) * absentFactor : input.rateOf(name) / holders};
+			return {name, load: holders === 0 ? input.expectedRateOf(name) * absentFactor : input.expectedRateOf(name) / holders};
 		})
 		.filter(({load}) => load > comfortableRate)
 		.toSorted((a, b) => b.load - a.load);
