One line for each whole answer

Cause: a late answer left no line of its own in the logs, so its cause could not be looked up from its id. Ruled out: a line for each attempt (twice the volume, and the end tells the same). Change: request.answered with the times to head and end, the endpoint, its load as last told, and the fleet's revision.

--- a/packages/mastvalve-fleet/src/engines/plan-adapter.ts
+++ b/packages/mastvalve-fleet/src/engines/plan-adapter.ts
@@ -87,9 +87,11 @@
 		.flatMap(({name, adapterCount}) => {
 			const holders = takers.filter(engine => engine.holds.some(held => held.name === name)).toSorted((a, b) => countAdapters(a) - countAdapters(b));
 			const missing = holders.length === 0 ? undefined : listAdapters(adapterCount).find(adapter => !engines.some(engine => holdsAdapter(engine, name, adapter)));
-			return holders[0] && missing !== undefined ? [{
-				engine: holders[0].id, model: name, load: missing, evict: undefined,
-			}] : [];
+			return holders[0] && missing !== undefined
+				? [{
+					engine: holders[0].id, model: name, load: missing, evict: undefined,
+				}]
+				: [];
 		})
 		.at(0);
 };
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -144,6 +144,21 @@
 	});
 };
 
+/** One line for a whole answer: when it began and ended, where it came from, and on which state the choice rested. */
+const logAnswer = (core: GatewayCore, request: CallerRequest, progress: Progress, {endpoint, status, headAt}: {endpoint: string; status: number; headAt: number}): void => {
+	core.log('request.answered', {
+		request: request.requestId,
+		route: request.route.name,
+		endpoint,
+		status,
+		headMs: Math.round(headAt - request.arrivedAt),
+		totalMs: Math.round(core.clock.now() - request.arrivedAt),
+		sent: progress.sent,
+		load: core.board.find(endpoint).load,
+		revision: core.view.revision,
+	});
+};
+
 /** Remembers that an endpoint is another one, or lacks a model which it was thought to hold. */
 const recordMisdirection = (core: GatewayCore, {caller}: CallerRequest, endpoint: FleetEndpoint, head: AnswerHeaders): void => {
 	if (!head.isMisdirected) {
@@ -218,8 +233,12 @@
 		reply.begin(status, res.statusMessage ?? '', res.rawHeaders);
 	}
 
+	const headAt = core.clock.now();
 	const isWhole = await relayBody(res, reply, progress.position, isBroken);
 	if (isWhole) {
+		logAnswer(core, request, progress, {
+			endpoint: endpoint.id, status, headAt,
+		});
 		reply.end();
 		return true;
 	}
--- a/packages/mastvalve-gateway/src/server/gateway.ts
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -44,7 +44,9 @@
 	private readonly core: GatewayCore;
 
 	constructor(parts: GatewayParts) {
-		this.core = {...parts, isDraining: () => this.isDraining, onDrain: new Set(), observer: silentObserver};
+		this.core = {
+			...parts, isDraining: () => this.isDraining, onDrain: new Set(), observer: silentObserver,
+		};
 	}
 
 	/** Tells an observer of all requests from now on. */
