Callers with time for a load from the store wait for it

Ruled out: holding all requests (those with 3.2 s of patience would leave before the load ends). Change: a request waits while even a load from the store, with 1.3 times its time, ends before its caller gives up.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -37,9 +37,14 @@
 };
 
 /** Routes of the tests: one of each kind, named by their paths. */
-const routes: Route[] = [RouteKind.Safe, RouteKind.Unsafe, RouteKind.Stream].map(kind => ({
-	name: kind, host: 'h', pathPrefix: `/${kind}/`, kind, timeoutMs: 2000, objectiveMs: 100, patienceMs: undefined, priority: 1, targets: [{service: 's', weight: 1}], maxAttempts: 2, isResumable: kind === RouteKind.Stream,
-}));
+const createRoute = (name: string, kind: RouteKind, timeoutMs: number): Route => ({
+	name, host: 'h', pathPrefix: `/${name}/`, kind, timeoutMs, objectiveMs: 100, patienceMs: undefined, priority: 1, targets: [{service: 's', weight: 1}], maxAttempts: 2, isResumable: kind === RouteKind.Stream,
+});
+
+const routes: Route[] = [
+	...[RouteKind.Safe, RouteKind.Unsafe, RouteKind.Stream].map(kind => createRoute(kind, kind, 2000)),
+	createRoute('patient', RouteKind.Safe, 60_000),
+];
 
 /** What a caller gets. */
 export type Received = {status: number; body: string; isWhole: boolean; headers: Record<string, string | string[] | undefined>};
@@ -86,18 +91,24 @@
 	}
 
 	/** Puts endpoints in place, all holding the model `m`. */
-	setEndpoints(addresses: readonly string[]): void {
+	setEndpoints(addresses: readonly string[], models: readonly string[] = ['m']): void {
 		this.view.isSynced = true;
 		this.view.apply({
 			revision: this.view.revision + 1,
 			isWhole: true,
 			configuration: {
-				version: this.view.revision + 2, routes, services: [{name: 's', healthPath: '/', maxConnections: 10}], limits: {
+				version: this.view.revision + 2, routes, services: [{
+					name: 's', healthPath: '/', maxConnections: 10, engine: {
+						slots: 4, tokenCapacity: 1000, weightCapacity: 100, adapterSlots: 1, storeLoadsPerSecond: 1, models: [{
+							name: 'rare', size: 1, storeLoadMs: 9000, diskLoadMs: 2000, memoryLoadMs: 800, adapterCount: 0, adapterSize: 0,
+						}],
+					},
+				}], limits: {
 					maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 				},
 			},
 			endpoints: addresses.map((address, index): FleetEndpoint => ({
-				id: `e${index}`, sequence: 1, service: 's', address, failureDomain: index === 0 ? 'a' : 'b', release: '', slots: 4, isLeaving: false, remainingMs: undefined, holds: [{name: 'm', adapters: []}], inMemory: [], onDisk: [], phase: EndpointPhase.Ready, retiring: undefined, loading: undefined, revision: this.view.revision + 1,
+				id: `e${index}`, sequence: 1, service: 's', address, failureDomain: index === 0 ? 'a' : 'b', release: '', slots: 4, isLeaving: false, remainingMs: undefined, holds: models.map(name => ({name, adapters: []})), inMemory: [], onDisk: [], phase: EndpointPhase.Ready, retiring: undefined, loading: undefined, revision: this.view.revision + 1,
 			})),
 		});
 	}
--- a/packages/mastvalve-gateway/__tests__/gateway.feature
+++ b/packages/mastvalve-gateway/__tests__/gateway.feature
@@ -63,6 +63,17 @@
     Then it gets status 503 with the word "overloaded"
     And the endpoint got 0 requests
 
+  Scenario: A request is refused early when its model is not expected before the caller gives up
+    Given an endpoint that answers "whole"
+    When a caller with 2000 ms left asks for a model that takes 9000 ms to load
+    Then it gets status 503 with the word "overloaded"
+    And the endpoint got 0 requests
+
+  Scenario: A caller with time for a load from the store waits for it
+    Given an endpoint that answers "whole"
+    When a caller with 60000 ms left asks for a model that takes 9000 ms to load, and it is loaded after the time of decision
+    Then it gets status 200 with the body "whole" whole
+
   Scenario: A request that comes before the entry knows the newest configuration waits for it
     Given an endpoint that answers "whole"
     When a caller sends an "unsafe" request before the entry knows the newest configuration
--- a/packages/mastvalve-gateway/__tests__/gateway.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/gateway.steps.ts
@@ -128,6 +128,19 @@
 	this.received.push(await call);
 });
 
+When('a caller with {int} ms left asks for a model that takes {int} ms to load', async function (this: GatewayWorld, leftMs: number, _loadMs: number) {
+	await start(this);
+	this.received.push(await this.gatewayRun.call('/unsafe/x', {body: 'body', headers: {'x-model': 'rare', 'x-left': String(leftMs)}}));
+});
+
+When('a caller with {int} ms left asks for a model that takes {int} ms to load, and it is loaded after the time of decision', async function (this: GatewayWorld, leftMs: number, _loadMs: number) {
+	await start(this);
+	const call = this.gatewayRun.call('/patient/x', {body: 'body', headers: {'x-model': 'rare', 'x-left': String(leftMs)}});
+	await waitUntil('the request was decided on', async () => this.gatewayRun.logged.includes('request.held'));
+	this.gatewayRun.setEndpoints(this.scripted.map(({address}) => address), ['m', 'rare']);
+	this.received.push(await call);
+});
+
 When('a caller\'s request waits for a model that nobody holds and the entry begins to stop', async function (this: GatewayWorld) {
 	await start(this);
 	const call = this.gatewayRun.call('/unsafe/x', {body: 'body', headers: {'x-model': 'absent'}});
--- a/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
@@ -15,6 +15,9 @@
 /** An expected load may take longer by this, since callers wait for the first event behind it, ms. */
 const expectationReserveMs = 300;
 
+/** A load from the store may have to wait for another order of its engine first; it takes up to this many times as long. */
+const storeReserve = 1.3;
+
 /** Why a request can't be sent anywhere, and when to ask again. */
 export type NoEndpoint = {reason: string; retryAfterMs: number};
 
@@ -30,6 +33,13 @@
 	return at === undefined ? undefined : at + expectationReserveMs < patienceEnd(request);
 };
 
+/** Whether even a load from the store, planned a little later, ends before the caller gives up. */
+const hasTimeForStore = (core: GatewayCore, request: CallerRequest, model: string): boolean => {
+	const service = core.view.configuration?.services.find(({name}) => name === request.service);
+	const storeLoadMs = service?.engine?.models.find(({name}) => name === model)?.storeLoadMs;
+	return storeLoadMs !== undefined && core.clock.now() + (storeLoadMs * storeReserve) < patienceEnd(request);
+};
+
 const describeAbsence = (core: GatewayCore, request: CallerRequest, model: string): NoEndpoint => {
 	const now = core.clock.now();
 	const expectedMs = (core.view.expectModel(request.service, model) ?? now + unknownRetryMs) - now;
@@ -71,11 +81,14 @@
 		const decide = (): void => {
 			// The model may be here, and only its adapter on its way; that takes ms, or the end of a load.
 			const isModelHere = core.view.listEndpoints(request.service).some(({holds}) => holds.some(({name}) => name === model));
-			if (!isModelHere && isExpectedInTime(core, request, model) !== true) {
+			if (!isModelHere && isExpectedInTime(core, request, model) !== true && !hasTimeForStore(core, request, model)) {
 				giveUp();
 				return;
 			}
 
+			core.log('request.held', {
+				request: request.requestId, model, adapter, expectedAt: core.view.expectModel(request.service, model),
+			});
 			timer = setTimeout(giveUp, Math.max(1, patienceEnd(request) - core.clock.now() - expectationReserveMs));
 		};
 
