A load whose end was not seen keeps its room

Ruled out: adapters (the earlier finding: no adapter was in use before traffic); late orders; weights and slots added up wrongly (218,430 of 220,000 MB). Change: only the loss of the endpoint ends the following; a load or unload whose end was not seen makes the desk read the engine's state before it plans again; the right to order no longer depends on what is applied. Test that failed first: engine-desk.feature, a load whose end was not seen.

--- a/packages/mastvalve-cluster/src/membership/control-group.ts
+++ b/packages/mastvalve-cluster/src/membership/control-group.ts
@@ -111,6 +111,12 @@
 		return this.node?.isFresh() ?? false;
 	}
 
+	/** The term in which this one leads with a valid lease, whether or not it has applied all; undefined when it doesn't. */
+	get leadingTerm(): number | undefined {
+		const replica = this.node?.replica;
+		return replica?.isFresh(this.options.clock.now()) ? replica.term : undefined;
+	}
+
 	get term(): number {
 		return this.node?.replica.term ?? 0;
 	}
--- a/packages/mastvalve-fleet-control/__tests__/engine-desk.feature
+++ b/packages/mastvalve-fleet-control/__tests__/engine-desk.feature
@@ -7,6 +7,12 @@
     Then the engine gets no order that needs more places than there are
     And the new holder knows the load as soon as it has ended
 
+  Scenario: A load whose end was not seen keeps its room, also when the holder may not order for a moment
+    Given an engine with 3 places that holds 2 models
+    When a load is under way and the holder may not order for a moment
+    And another model is wanted meanwhile
+    Then the engine gets no order that needs more places than there are
+
   Scenario: An unanswered order is sent again with the same count, and only one copy is carried out
     Given an engine with 3 places that holds 2 models
     When an order gets no answer and is carried out late
--- a/packages/mastvalve-fleet-control/__tests__/engine-desk.steps.ts
+++ b/packages/mastvalve-fleet-control/__tests__/engine-desk.steps.ts
@@ -73,6 +73,26 @@
 	assert.deepEqual(state.holds.map(({name}) => name), ['m1', 'm2', 'm3']);
 });
 
+When('a load is under way and the holder may not order for a moment', async function (this: DeskWorld) {
+	let mayOrder = true;
+	this.desk = createDesk(this.time, this.engine, 'one', () => mayOrder);
+	this.desk.requestSync();
+	await this.time.advance(100);
+	tryMove(this.desk, this.engine, 3, 'm3');
+	await this.time.advance(100);
+	mayOrder = false;
+	await this.time.advance(200);
+	mayOrder = true;
+});
+
+When('another model is wanted meanwhile', async function (this: DeskWorld) {
+	await Array.from({length: 10}).reduce<Promise<void>>(async before => {
+		await before;
+		tryMove(this.desk, this.engine, 3, 'm4');
+		await this.time.advance(100);
+	}, Promise.resolve());
+});
+
 When('an order gets no answer and is carried out late', async function (this: DeskWorld) {
 	this.desk = createDesk(this.time, this.engine, 'one');
 	this.desk.requestSync();
--- a/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
@@ -120,6 +120,7 @@
 		if (isReady && await this.order({kind: EngineOrderKind.Load, model: move.load, adapter: undefined}) !== OrderEffect.None) {
 			this.adapters.delete(move.load);
 			const isThere = await this.waitUntil(holds => holds.includes(move.load), expectedMs);
+			this.requireSync(isThere);
 			this.heldSince.set(move.load, this.options.clock.now());
 			this.options.onEvent('engine.changed', `${this.options.id} ${isThere ? 'holds' : 'may not hold'} ${move.load} from ${move.source}`);
 		}
@@ -164,6 +165,13 @@
 		return this.enqueue(async () => this.give(order));
 	}
 
+	/** An order whose end was not seen may still be under way: its memory is not free until the true state was read. */
+	private requireSync(isConfirmed: boolean): void {
+		if (!isConfirmed) {
+			this.count = undefined;
+		}
+	}
+
 	private adaptersOf(model: string): string[] {
 		return this.adapters.get(model) ?? this.options.readEndpoint()?.holds.find(({name}) => name === model)?.adapters ?? [];
 	}
@@ -183,6 +191,7 @@
 		await this.options.wait(retireNoticeMs);
 		const effect = await this.order({kind: EngineOrderKind.Unload, model, adapter: undefined});
 		const isGone = effect !== OrderEffect.None && await this.waitUntil(holds => !holds.includes(model), 0);
+		this.requireSync(isGone);
 		this.adapters.delete(model);
 		this.heldSince.delete(model);
 		this.retiring = undefined;
@@ -192,12 +201,12 @@
 
 	/** Waits until heartbeats, or the engine itself when it is asked, show a state. */
 	private async waitUntil(isReached: (holds: string[]) => boolean, expectedMs: number): Promise<boolean> {
-		const {clock, readEndpoint, readFence, port} = this.options;
+		const {clock, readEndpoint, port} = this.options;
 		const startedAt = clock.now();
 		let askAt = startedAt + expectedMs + overdueMs;
 		while (clock.now() - startedAt < maxMoveMs) {
 			const endpoint = readEndpoint();
-			if (!endpoint || readFence() === undefined) {
+			if (!endpoint) {
 				return false;
 			}
 
--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -158,7 +158,7 @@
 			wait: waitFor,
 			port: options.engines,
 			holder: options.address,
-			readTerm: () => (group.isLeading && !this.ending.signal.aborted ? group.term : undefined),
+			readTerm: () => (this.ending.signal.aborted ? undefined : group.leadingTerm),
 			claim: async () => {
 				const former = await this.propose({kind: FleetCommandKind.ClaimOrders, holder: options.address});
 				return former.isOk() ? assumeType<string>(former.value) : undefined;
