A stopping entry that takes no more says so on open connections

Change: when that time is over, what still comes gets 503 'stopping' with its connection closed; nothing was run.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -4,6 +4,7 @@
 
 import {Buffer} from 'node:buffer';
 import {Agent, request} from 'node:http';
+import {connect} from 'node:net';
 import {
 	EndpointPhase, RouteKind, type FleetEndpoint, type Route,
 } from 'mastvalve-fleet';
@@ -113,6 +114,24 @@
 		});
 	}
 
+	/** A connection on which requests may follow each other before their answers are over. */
+	connect(): {send: (path: string) => void; text: () => string} {
+		const [host, port] = this.address.split(':');
+		const socket = connect(Number(port), host);
+		let received = '';
+		socket.on('data', chunk => {
+			received += Buffer.from(chunk).toString();
+		});
+		socket.on('error', () => undefined);
+		return {
+			send: path => {
+				this.requests += 1;
+				socket.write(`POST ${path} HTTP/1.1\r\nhost: h\r\nx-id: r${this.requests}\r\ncontent-length: 0\r\n\r\n`);
+			},
+			text: () => received,
+		};
+	}
+
 	/** Sends a request and waits for the end of its answer. */
 	async call(path: string, options: {method?: string; body?: string; headers?: Record<string, string>} = {}): Promise<Received> {
 		this.requests += 1;
--- a/packages/mastvalve-gateway/__tests__/gateway.feature
+++ b/packages/mastvalve-gateway/__tests__/gateway.feature
@@ -63,6 +63,12 @@
     Then it gets status 503 with the word "overloaded"
     And the endpoint got 0 requests
 
+  Scenario: A stopping entry that takes no more refuses what comes behind an answer on an open connection
+    Given an endpoint that answers "its head, then the rest when asked for"
+    When a request comes behind an answer in progress after the entry has stopped taking requests
+    Then it gets status 503 with the word "stopping"
+    And the endpoint got 1 request
+
   Scenario: A request is refused early when its model is not expected before the caller gives up
     Given an endpoint that answers "whole"
     When a caller with 2000 ms left asks for a model that takes 9000 ms to load
--- a/packages/mastvalve-gateway/__tests__/gateway.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/gateway.steps.ts
@@ -23,6 +23,9 @@
 	});
 };
 
+/** What scripted endpoints hold back until a test asks for it. */
+const releases: Array<() => void> = [];
+
 const event = (id: number): string => `id: ${id}\ndata: e${id}\n\n`;
 
 const scripts: Record<string, Script> = {
@@ -58,6 +61,12 @@
 		reset(socket);
 	},
 	nothing: () => undefined,
+	'its head, then the rest when asked for'(socket, text) {
+		socket.write(`HTTP/1.1 200 OK\r\nx-id: ${idOf(text)}\r\ncontent-length: 4\r\n\r\nha`);
+		releases.push(() => {
+			socket.write('lf');
+		});
+	},
 	'two events and a piece, then resets'(socket, text) {
 		const events = `${event(1)}${event(2)}id: 3\nda`;
 		socket.write(`HTTP/1.1 200 OK\r\nx-id: ${idOf(text)}\r\ntransfer-encoding: chunked\r\n\r\n${events.length.toString(16)}\r\n${events}\r\n`, () => {
@@ -149,6 +158,26 @@
 	this.received.push(await call);
 });
 
+When('a request comes behind an answer in progress after the entry has stopped taking requests', async function (this: GatewayWorld) {
+	await start(this);
+	const {gateway} = this.gatewayRun;
+	const caller = this.gatewayRun.connect();
+	caller.send('/unsafe/first');
+	await waitUntil('the first answer has begun', async () => caller.text().includes('ha'));
+	const drained = gateway.drain(0);
+	await waitUntil('the entry takes no more', async () => !gateway.isTaking);
+	caller.send('/unsafe/second');
+	await waitUntil('the second request is there', async () => gateway.inFlight === 2);
+	releases.splice(0).forEach(release => {
+		release();
+	});
+	await drained;
+	const [, second = ''] = caller.text().split(/(?<=half)/v);
+	this.received.push({
+		status: Number(second.slice('HTTP/1.1 '.length).slice(0, 3)), body: second, isWhole: true, headers: {},
+	});
+});
+
 Then('it gets status {int} with the body {string} whole', function (this: GatewayWorld, status: number, body: string) {
 	assert.deepEqual(this.received.map(received => [received.status, received.body, received.isWhole]), [[status, body, true]]);
 });
--- a/packages/mastvalve-gateway/src/server/gateway.ts
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -26,6 +26,8 @@
 const maxDeadlineMs = 120_000;
 /** Callers go elsewhere at once when this entry knows nothing yet. */
 const unsyncedRetrySeconds = 0.5;
+/** The connection closes with the refusal, so the caller's next one leads to another entry, s. */
+const stoppingRetrySeconds = 0.05;
 /** Control elects a leader within 1.5 s after all of it was killed; a request waits that long at most, ms. */
 const maxSyncWaitMs = 1800;
 /** Part of a caller's time that may go by in waiting, so that the rest suffices for the request. */
@@ -39,6 +41,8 @@
 export class Gateway {
 	inFlight = 0;
 	isDraining = false;
+	/** Whether requests are still served; the last ones must end before the process is killed. */
+	isTaking = true;
 	private server: Server | undefined;
 
 	private readonly core: GatewayCore;
@@ -90,6 +94,7 @@
 			stopWaiting();
 		});
 		await waitFor(keepTakingMs);
+		this.isTaking = false;
 		this.server?.close();
 		this.server?.closeIdleConnections();
 		while (this.inFlight > 0) {
@@ -121,6 +126,13 @@
 			return;
 		}
 
+		if (!this.isTaking) {
+			reply.send({
+				status: 503, code: 'stopping', message: 'This entry is about to end. Nothing was run.', retryAfterSeconds: stoppingRetrySeconds,
+			});
+			return;
+		}
+
 		await this.waitForSync(req, res);
 		const {configuration, isSynced} = this.core.view;
 		if (!configuration || !isSynced) {
