--- a/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
@@ -1,44 +1,22 @@
 /**
- * Orders to one engine, one after another.
- *
- * Every order names the count of orders that the engine has taken so far. An order without an answer may still be
- * carried out later, so it is sent again with the same count until an answer comes: whichever copy is taken first, the
- * others are void. Nothing else is ordered meanwhile, and its memory stays reserved.
+ * Changes of one engine: which models and adapters it holds, as series of orders with the records before and behind them.
+ * What was ordered keeps its memory until the engine's own state shows what came of it.
  */
 
 import {
 	EngineOrderKind, type EngineOrder, type EngineState, type ExpectedLoad, type FleetEndpoint, type HeldModel, type ModelMove, type AdapterMove, type Holdings,
 } from 'mastvalve-fleet';
-import type {Clock} from 'mastvalve-utils';
-import {OrderOutcome, type EnginePort, type EngineStatus} from './engine-port.js';
+import type {EngineStatus} from './engine-port.js';
+import {OrderEffect, OrderSequence, type OrderSequenceOptions} from './order-sequence.js';
 
 /** What a desk is made from. */
-export type EngineDeskOptions = {
-	id: string;
-	port: EnginePort;
-	clock: Clock;
-	/** Waits so many ms. */
-	wait: (ms: number) => Promise<void>;
-	holder: string;
-	/** Since when nobody else can have sent an order, monotonic ms. */
-	aloneSince: number;
-	/** The fencing token at this moment; undefined when this instance may not give orders. */
-	readFence: () => number | undefined;
-	/** The endpoint as the log has it. */
-	readEndpoint: () => FleetEndpoint | undefined;
+export type EngineDeskOptions = OrderSequenceOptions & {
 	/** Records what orders change; whether that was committed. Every order is preceded by a record. */
 	publish: (holdings: Holdings) => Promise<boolean>;
-	onEvent: (kind: string, detail: string) => void;
 };
 
-/** Pause before an unanswered order is sent again, ms. */
-const resendPauseMs = 250;
-/** Pause after a refused order, so that a wrong belief costs few orders, ms. */
-const refusedPauseMs = 100;
 /** Pause before a state that is not settled is read again, ms. */
 const unsettledPauseMs = 400;
-/** What an engine says of itself is up to some hundred ms old (0.1 to 0.2 s on both deployments), ms. */
-const statusAgeMs = 500;
 /** Entries stop sending requests for a model this long after it was published, ms: a commit, a round to followers, and reserve. */
 const retireNoticeMs = 60;
 /** What unloading adds to the time of a move when no run holds it up, ms. */
@@ -53,23 +31,9 @@
 const adapterFixedMs = 5;
 const adapterMsPerMb = 0.3;
 
-/** An unanswered order that was not carried out in this time never will be, ms: late ones came 2 to 12 s late. */
-const lateOrderMs = 13_000;
-
-/** What came of an order. */
-enum OrderEffect {
-	/** It was refused, or given up. */
-	None = 'none',
-	/** It was taken and takes time. */
-	UnderWay = 'under-way',
-	/** It is in force. */
-	Done = 'done',
-}
-
 /** One desk. */
 export class EngineDesk {
-	/** Orders taken; undefined when it must be read first. */
-	private count: number | undefined;
+	private readonly orders: OrderSequence;
 	private readonly adapters = new Map<string, string[]>();
 	private readonly loadingAdapters = new Set<string>();
 	private readonly heldSince = new Map<string, number>();
@@ -81,14 +45,9 @@
 	private hasRecorded = false;
 	/** Moves that were begun and have not ended. */
 	private moves = 0;
-	/** Until when an order that nobody follows may still be carried out, ms; not any more once another one was taken. */
-	private lateOrderUntil = Number.NEGATIVE_INFINITY;
-
-	/** When the last order was sent that this desk knows of, ms. */
-	private lastOrderAt: number;
 
 	constructor(private readonly options: EngineDeskOptions) {
-		this.lastOrderAt = options.aloneSince;
+		this.orders = new OrderSequence(options);
 	}
 
 	/**
@@ -96,21 +55,21 @@
 	 * same. Otherwise it is read again soon.
 	 */
 	get isReady(): boolean {
-		if (this.count === undefined && !this.isSyncing) {
+		if (!this.orders.isKnown && !this.isSyncing) {
 			this.requestSync();
 		}
 
-		return this.count !== undefined;
+		return this.orders.isKnown;
 	}
 
 	/** What placement needs to know. Until the true state was read, what a former holder has recorded counts as well. */
 	describe(endpoint: FleetEndpoint): EngineState {
-		const recorded = this.count === undefined ? endpoint : undefined;
+		const recorded = this.orders.isKnown ? undefined : endpoint;
 		return {
 			id: endpoint.id,
 			failureDomain: endpoint.failureDomain,
 			isReady: this.isReady,
-			hasLateOrder: this.options.clock.now() < this.lateOrderUntil,
+			hasLateOrder: this.orders.hasLateOrder,
 			holds: endpoint.holds.map(({name, adapters}): HeldModel => ({name, adapters: this.adapters.get(name) ?? adapters})),
 			loading: (this.loading ?? recorded?.loading)?.model,
 			retiring: this.retiring ?? recorded?.retiring,
@@ -166,7 +125,7 @@
 		const isRecorded = await this.publish();
 		const isTaken = isRecorded && await this.enqueue(async () => {
 			const hasRoom = !evict || await this.freeSlot(evict);
-			return hasRoom && await this.give({kind: EngineOrderKind.Load, model, adapter: load}) !== OrderEffect.None;
+			return hasRoom && await this.orders.give({kind: EngineOrderKind.Load, model, adapter: load}) !== OrderEffect.None;
 		});
 		if (isTaken) {
 			await this.options.wait(adapterFixedMs + (sizeMb * adapterMsPerMb));
@@ -180,22 +139,22 @@
 
 	/** Unloads an adapter; false while requests still use it, so that its slot is not free yet. */
 	private async freeSlot({model, adapter}: {model: string; adapter: string}): Promise<boolean> {
-		const effect = await this.give({kind: EngineOrderKind.Unload, model, adapter});
+		const effect = await this.orders.give({kind: EngineOrderKind.Unload, model, adapter});
 		if (effect === OrderEffect.UnderWay) {
-			this.count = undefined;
+			this.orders.forget();
 		}
 
 		return effect === OrderEffect.Done;
 	}
 
 	private async order(order: EngineOrder): Promise<OrderEffect> {
-		return this.enqueue(async () => this.give(order));
+		return this.enqueue(async () => this.orders.give(order));
 	}
 
 	/** An order whose end was not seen may still be under way: its memory is not free until the true state was read. */
 	private requireSync(isConfirmed: boolean): void {
 		if (!isConfirmed) {
-			this.count = undefined;
+			this.orders.forget();
 		}
 	}
 
@@ -210,7 +169,7 @@
 	private async publish(): Promise<boolean> {
 		this.hasRecorded = true;
 		return this.options.publish({
-			id: this.options.id, adapters: Object.fromEntries(this.adapters), retiring: this.retiring, loading: this.loading, isOrdering: this.moves > 0 || this.options.clock.now() < this.lateOrderUntil,
+			id: this.options.id, adapters: Object.fromEntries(this.adapters), retiring: this.retiring, loading: this.loading, isOrdering: this.moves > 0 || this.orders.hasLateOrder,
 		});
 	}
 
@@ -264,93 +223,19 @@
 		return result;
 	}
 
-	/** Gives one order until it is answered. When it is given up before that, a copy of it may still be carried out. */
-	private async give(order: EngineOrder): Promise<OrderEffect> {
-		const {effect, isAnswered} = await this.sendUntilAnswered(order);
-		if (!isAnswered) {
-			this.lateOrderUntil = this.options.clock.now() + lateOrderMs;
-		}
-
-		return effect;
-	}
-
-	private async sendUntilAnswered(order: EngineOrder): Promise<{effect: OrderEffect; isAnswered: boolean}> {
-		const {id, port, holder, readFence, readEndpoint, onEvent} = this.options;
-		const what = `${order.kind} ${order.model}${order.adapter === undefined ? '' : `/${order.adapter}`} at ${id}`;
-		let isAnswered = true;
-		while (this.count !== undefined) {
-			const endpoint = readEndpoint();
-			const fence = readFence();
-			if (!endpoint || fence === undefined) {
-				return {effect: OrderEffect.None, isAnswered};
-			}
-
-			// eslint-disable-next-line no-await-in-loop
-			const outcome = await port.sendOrder({
-				endpointId: id, address: endpoint.address, order, expectedCount: this.count, holder, fence,
-			});
-			this.lastOrderAt = this.options.clock.now();
-			onEvent('order.sent', `${what}, count ${this.count}: ${outcome}`);
-			switch (outcome) {
-				case OrderOutcome.Taken: {
-					this.count += 1;
-					this.lateOrderUntil = Number.NEGATIVE_INFINITY;
-					return {effect: OrderEffect.UnderWay, isAnswered: true};
-				}
-
-				case OrderOutcome.InForce: {
-					// Whether it was counted differs by order; the count is read again before the next one.
-					if (order.kind === EngineOrderKind.Unload && order.adapter !== undefined) {
-						this.count += 1;
-					} else {
-						this.count = undefined;
-					}
-
-					return {effect: OrderEffect.Done, isAnswered: true};
-				}
-
-				case OrderOutcome.Unanswered: {
-					isAnswered = false;
-					// eslint-disable-next-line no-await-in-loop
-					await this.options.wait(resendPauseMs);
-					break;
-				}
-
-				case OrderOutcome.Conflict:
-				case OrderOutcome.Fenced:
-				case OrderOutcome.Absent:
-				case OrderOutcome.Invalid: {
-					this.count = undefined;
-					// eslint-disable-next-line no-await-in-loop
-					await this.options.wait(refusedPauseMs);
-					return {effect: OrderEffect.None, isAnswered};
-				}
-			}
-		}
-
-		return {effect: OrderEffect.None, isAnswered};
-	}
-
 	/**
-	 * Reads the true state, and publishes what differs; what the engine says must not be older than the last order. The count stays unknown while an order of a former holder is under
-	 * way, or while the endpoint's heartbeats have not told of its end: its memory is not free.
+	 * Reads the true state, and publishes what differs. The count of orders stays unknown while an order of a former holder
+	 * is under way, or while the endpoint's heartbeats have not told of its end: its memory is not free.
 	 */
 	private async sync(): Promise<void> {
-		const {port, id, clock, readEndpoint} = this.options;
-		const isOldUntil = this.lastOrderAt + statusAgeMs;
-		if (clock.now() < isOldUntil) {
-			await this.options.wait(isOldUntil - clock.now());
-		}
-
-		const endpoint = readEndpoint();
-		const status = endpoint && await port.readStatus(id, endpoint.address);
-		const isSettled = endpoint !== undefined && status !== undefined && !status.isBusy && status.loadingAdapters.length === 0 && isSameSet(status.holds.map(({name}) => name), readEndpoint()?.holds.map(({name}) => name) ?? []);
-		if (isSettled) {
+		const status = await this.orders.readStatus();
+		const endpoint = this.options.readEndpoint();
+		if (endpoint && status && isSettled(status, endpoint)) {
 			this.takeOver(endpoint);
-			this.count = status.orderCount;
+			this.orders.resume(status.orderCount);
 			await this.publishDifference(endpoint, status);
 		} else {
-			this.count = undefined;
+			this.orders.forget();
 			await this.options.wait(unsettledPauseMs);
 		}
 
@@ -360,7 +245,7 @@
 	/** What a former holder has begun may still be carried out. */
 	private takeOver({isOrdering}: FleetEndpoint): void {
 		if (isOrdering && !this.hasRecorded) {
-			this.lateOrderUntil = this.options.clock.now() + lateOrderMs;
+			this.orders.expectLateOrder();
 		}
 	}
 
@@ -377,4 +262,8 @@
 	}
 }
 
+/** Whether no order is under way, and the log says the same as the engine. */
+const isSettled = ({isBusy, loadingAdapters, holds}: EngineStatus, endpoint: FleetEndpoint): boolean =>
+	!isBusy && loadingAdapters.length === 0 && isSameSet(holds.map(({name}) => name), endpoint.holds.map(({name}) => name));
+
 const isSameSet = (a: readonly string[], b: readonly string[]): boolean => a.length === b.length && a.every(item => b.includes(item));
