--- a/packages/mastvalve-fleet/__tests__/placement.feature
+++ b/packages/mastvalve-fleet/__tests__/placement.feature
@@ -36,7 +36,13 @@
     Given 2 full engines that hold the models "abc" and "def"
     When the models are asked for at "14 1 0 0.5 0.5 0.2" requests a second, "c" only by callers with time
     Then "c" is expected to be asked for at 0 requests a second
-    And "d" is expected to be asked for at 8.4 requests a second
+    And "d" is expected to be asked for at 10.5 requests a second
+
+  Scenario: A model with too few engines goes before a rare one that somebody waits for
+    Given 2 full engines that hold the models "abc" and "bcd"
+    When the models are asked for at "20 0.1 0.1 0.1 0 0.2" requests a second, "f" only by callers with time
+    And the model "f" is waited for
+    Then "a" is loaded first
 
   Scenario: A model whose callers have time gives way before one whose callers have none
     Given 2 full engines that hold the models "abc" and "dea"
--- a/packages/mastvalve-fleet/__tests__/placement.steps.ts
+++ b/packages/mastvalve-fleet/__tests__/placement.steps.ts
@@ -105,6 +105,10 @@
 	assert.equal(this.plan.expectedRateOf(model), rate);
 });
 
+Then('{string} is loaded first', function (this: PlacementWorld, model: string) {
+	assert.equal(planModelMove(this.plan)?.load, model);
+});
+
 Then('{string} gives way', function (this: PlacementWorld, model: string) {
 	assert.equal(planModelMove(this.plan)?.evict, model);
 });
--- a/packages/mastvalve-fleet/src/engines/anticipate-rate.ts
+++ b/packages/mastvalve-fleet/src/engines/anticipate-rate.ts
@@ -6,7 +6,7 @@
 /** By how many places demand moves on until that was seen: what both deployments have shown. */
 const usualSteps = [2, 3];
 /** What counts of the demand of a model that many places before, while the step is only supposed. */
-const supposedShare = 0.6;
+const supposedShare = 0.75;
 /** The same once the step was seen; below 1, since present demand goes before expected demand. */
 const seenShare = 0.9;
 /**
