Moves end with the right to order; desks are opened anew with each claim

The leader was in the failure domain whose links lost packets, so its lease may lapse for a moment. Reading the code for that: when the right to order came back in the same term, moves of before went on beside those of newly opened desks, two plans for one engine. And when the term changed between two rounds, the former desks stayed, and could never order again. Change: desks are closed when the right to order ends and with each claim; orders of closed desks are not sent. Test: new feature of the director; before the change, two orders of the former desk were sent between the second claim and the next plan.

--- /dev/null
+++ b/packages/mastvalve-fleet-control/__tests__/engine-director.feature
@@ -0,0 +1,10 @@
+Feature: Directing engines
+
+  Scenario: Moves of a holder that lost its right to order do not go on when it has it again in the same term
+    Given a fleet of one engine with 3 places that holds 2 models, and a holder of the orders
+    When a load is ordered and gets no answer
+    And the holder may not order for a moment, then claims the orders again in the same term
+    And another model is wanted as well
+    Then the engine got no order that needed more places than there are
+    And nothing was ordered between the second claim and the next plan
+    And only one load was taken at a time
--- /dev/null
+++ b/packages/mastvalve-fleet-control/__tests__/engine-director.steps.ts
@@ -0,0 +1,134 @@
+/**
+ * Steps of directing engines.
+ */
+
+import {strict as assert} from 'node:assert';
+import {
+	Given, Then, When, type World,
+} from '@cucumber/cucumber';
+import {
+	FleetCommandKind, FleetMachine, type EngineModel, type FleetCommand,
+} from 'mastvalve-fleet';
+import {EngineDirector} from '../src/engines/engine-director.js';
+import {Answering, StandInEngine} from './__fixtures__/stand-in-engine.js';
+import {VirtualTime} from './__fixtures__/virtual-time.js';
+
+type DirectorWorld = World & {time: VirtualTime; engine: StandInEngine; machine: FleetMachine; director: EngineDirector; term: number | undefined; index: number; events: string[]};
+
+const roundMs = 100;
+
+const createModel = (name: string): EngineModel => ({
+	name, size: 100, storeLoadMs: 9000, diskLoadMs: 2000, memoryLoadMs: 800, adapterCount: 0, adapterSize: 0,
+});
+
+const apply = (world: DirectorWorld, command: FleetCommand): unknown => {
+	world.index += 1;
+	return world.machine.apply(command, world.index);
+};
+
+const report = (world: DirectorWorld): void => {
+	const {phase: _phase, retiring: _retiring, loading: _loading, isOrdering: _isOrdering, orderedAt: _orderedAt, revision: _revision, ...own} = world.engine.endpoint;
+	apply(world, {kind: FleetCommandKind.Report, report: {...own, sequence: world.index, onDisk: ['m3', 'm4']}});
+};
+
+/** Lets rounds go by, with a heartbeat in each. */
+const play = async (world: DirectorWorld, ms: number): Promise<void> => {
+	await Array.from({length: ms / roundMs}).reduce<Promise<void>>(async before => {
+		await before;
+		report(world);
+		void world.director.runRound();
+		await world.time.advance(roundMs);
+	}, Promise.resolve());
+};
+
+const want = (world: DirectorWorld, ...models: string[]): void => {
+	world.director.hear({
+		entry: 'entry', requests: {}, urgent: {}, suspects: [], wanted: models.map(model => ({
+			service: 'llm', model, waiting: 1, remainingMs: 20_000,
+		})),
+	});
+};
+
+Given('a fleet of one engine with 3 places that holds 2 models, and a holder of the orders', async function (this: DirectorWorld) {
+	this.time = new VirtualTime();
+	this.engine = new StandInEngine(this.time, 3, ['m1', 'm2']);
+	this.machine = new FleetMachine();
+	this.index = 0;
+	this.events = [];
+	this.term = 1;
+	// With a former holder, no demand is expected before the first request.
+	let holder = 'other';
+	apply(this, {
+		kind: FleetCommandKind.Configure, stated: {
+			source: '', configuration: {
+				version: 1, routes: [], limits: {
+					maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+				}, services: [{
+					name: 'llm', healthPath: '/', maxConnections: 10, engine: {
+						slots: 4, tokenCapacity: 1000, weightCapacity: 300, adapterSlots: 0, storeLoadsPerSecond: 1, models: ['m1', 'm2', 'm3', 'm4'].map(name => createModel(name)),
+					},
+				}],
+			},
+		},
+	});
+	this.director = new EngineDirector({
+		machine: this.machine,
+		clock: this.time.clock,
+		wait: this.time.wait,
+		port: this.engine.port,
+		holder: 'me',
+		readTerm: () => this.term,
+		async claim() {
+			const former = holder;
+			holder = 'me';
+			return former;
+		},
+		publish: async holdings => {
+			apply(this, {kind: FleetCommandKind.RecordHoldings, holdings});
+			return true;
+		},
+		orderLeaseMs: 3000,
+		storeWindowMs: 5000,
+		onEvent: (kind, detail) => {
+			this.events.push(`${kind} ${detail}`);
+		},
+	});
+	await play(this, 5000);
+});
+
+When('a load is ordered and gets no answer', async function (this: DirectorWorld) {
+	this.engine.answering = [Answering.Lost, Answering.Lost, Answering.Lost];
+	want(this, 'm3');
+	await play(this, 300);
+});
+
+When('the holder may not order for a moment, then claims the orders again in the same term', async function (this: DirectorWorld) {
+	this.term = undefined;
+	await play(this, 100);
+	this.term = 1;
+	await play(this, 200);
+});
+
+When('another model is wanted as well', async function (this: DirectorWorld) {
+	await Array.from({length: 4}).reduce<Promise<void>>(async before => {
+		await before;
+		want(this, 'm4', 'm3');
+		await play(this, 2000);
+	}, Promise.resolve());
+});
+
+Then('the engine got no order that needed more places than there are', function (this: DirectorWorld) {
+	assert.deepEqual(this.engine.excessive, []);
+});
+
+Then('nothing was ordered between the second claim and the next plan', function (this: DirectorWorld) {
+	const claimed = this.events.findLastIndex(event => event.startsWith('orders.claimed'));
+	const planned = this.events.findIndex((event, index) => index > claimed && event.startsWith('engine.moves'));
+	assert.ok(planned > claimed);
+	assert.deepEqual(this.events.slice(claimed + 1, planned), []);
+});
+
+Then('only one load was taken at a time', function (this: DirectorWorld) {
+	assert.ok(this.engine.holds.length <= 3);
+	assert.ok(this.engine.taken.some(order => order.startsWith('load')));
+});
--- a/packages/mastvalve-fleet-control/src/engines/engine-director.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-director.ts
@@ -56,6 +56,8 @@
 	private readonly storeLoads = new ForeignStoreLoads(this.storeRate);
 	private claimedTerm: number | undefined;
 	private readonly turns: OrderTurns;
+	/** Rises whenever all desks are closed. */
+	private generation = 0;
 	private isClaiming = false;
 	/** When this instance became the holder of the orders, ms. */
 	private aloneSince = Number.NEGATIVE_INFINITY;
@@ -81,7 +83,7 @@
 		const term = this.options.readTerm();
 		if (term === undefined) {
 			this.storeLoads.observe(machine.list(), clock.now());
-			this.desks.clear();
+			this.closeDesks();
 			this.claimedTerm = undefined;
 			return;
 		}
@@ -96,6 +98,12 @@
 		});
 	}
 
+	/** Moves in progress give no more orders, also when this instance may order again in the same term. */
+	private closeDesks(): void {
+		this.desks.clear();
+		this.generation += 1;
+	}
+
 	private async takeClaim(term: number): Promise<void> {
 		if (this.isClaiming) {
 			return;
@@ -111,6 +119,7 @@
 		const {machine, clock, holder, onEvent} = this.options;
 		this.storeLoads.observe(machine.list(), clock.now());
 		this.isFirstHolder ||= former === '';
+		this.closeDesks();
 		this.claimedTerm = term;
 		this.aloneSince = former === '' ? Number.NEGATIVE_INFINITY : clock.now();
 		this.turns.begin(clock.now(), classifyFormer(former, holder));
@@ -217,7 +226,7 @@
 			return known;
 		}
 
-		const term = this.claimedTerm;
+		const {claimedTerm: term, generation} = this;
 		const desk = new EngineDesk({
 			id,
 			port,
@@ -225,7 +234,7 @@
 			wait,
 			holder,
 			aloneSince: this.aloneSince,
-			readFence: () => (this.claimedTerm === term && this.options.readTerm() === term ? term : undefined),
+			readFence: () => (this.generation === generation && this.options.readTerm() === term ? term : undefined),
 			readEndpoint() {
 				const endpoint = machine.find(id);
 				return endpoint?.phase === EndpointPhase.Ready || endpoint?.phase === EndpointPhase.Silent ? endpoint : undefined;
