An endpoint at whose address nobody listens is planned without at once

Control learns of a crash from three missed heartbeats, 3.6 s later, and an entry did not hold a request that had been tried. Ruled out: retries (nothing was sent); doubt of the entry (there was no other engine with the model). Change: an entry tells control's leader of refused connections with its next report, at once; the leader plans without such an engine for 4 s. A request that was handed to nobody waits for its model as if no endpoint held it. Test: gateway, a request whose only endpoint is gone; it fails with the former condition.

--- a/packages/mastvalve-fleet-control/src/demand-report.ts
+++ b/packages/mastvalve-fleet-control/src/demand-report.ts
@@ -14,6 +14,8 @@
 	wanted: Wanted[];
 	/** Endpoints that refused a request for a model or adapter which they were thought to hold. */
 	suspects: string[];
+	/** Endpoints at whose addresses nobody listened. */
+	absent: string[];
 };
 
 /** A model, or an adapter of one, that requests wait for. */
--- a/packages/mastvalve-fleet-control/src/engines/engine-director.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-director.ts
@@ -43,6 +43,11 @@
 
 /** Added to the lease for messages that were on their way, ms. */
 const leaseReserveMs = 300;
+/**
+ * An engine at whose address nobody listened is planned without for this long after the last such report, ms: about the time
+ * in which its missing heartbeats show.
+ */
+const absentMs = 4000;
 /** Moves that one round begins at the most; the rest waits for the next. */
 const maxMovesPerRound = 6;
 /** Adapters that one round begins to load ahead of need. */
@@ -51,6 +56,8 @@
 /** The director. */
 export class EngineDirector {
 	private readonly demand: EngineDemand;
+	/** Until when an engine at whose address nobody listened is planned without, ms. */
+	private readonly absentUntil = new Map<string, number>();
 	private readonly desks = new Map<string, EngineDesk>();
 	private readonly storeRate = new StoreRate();
 	private readonly storeLoads = new ForeignStoreLoads(this.storeRate);
@@ -72,6 +79,10 @@
 	/** Hears what callers of one entry ask for. */
 	hear(report: DemandReport): void {
 		this.demand.hear(report);
+		const now = this.options.clock.now();
+		report.absent.forEach(id => {
+			this.absentUntil.set(id, now + absentMs);
+		});
 		report.suspects.forEach(id => this.desks.get(id)?.requestSync());
 		void this.runRound();
 	}
@@ -132,7 +143,8 @@
 			return;
 		}
 
-		const endpoints = this.options.machine.list().filter(endpoint => endpoint.service === service.name && endpoint.phase === EndpointPhase.Ready);
+		const endpoints = this.options.machine.list().filter(endpoint =>
+			endpoint.service === service.name && endpoint.phase === EndpointPhase.Ready && !this.isAbsent(endpoint.id));
 		const wanted = this.demand.listWanted(service.name);
 		if (this.isFirstHolder) {
 			this.demand.expectFirst(engine, endpoints.length);
@@ -143,6 +155,15 @@
 		this.moveModels(engine, endpoints, wanted);
 	}
 
+	private isAbsent(id: string): boolean {
+		const isAbsent = this.options.clock.now() < (this.absentUntil.get(id) ?? Number.NEGATIVE_INFINITY);
+		if (!isAbsent) {
+			this.absentUntil.delete(id);
+		}
+
+		return isAbsent;
+	}
+
 	private describe(endpoints: readonly FleetEndpoint[]): EngineState[] {
 		const now = this.options.clock.now();
 		return endpoints.map(endpoint => {
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -57,6 +57,7 @@
 	/** The longest time that a call took, ms. */
 	longestMs = 0;
 	readonly gateway: Gateway;
+	readonly demand = new ModelDemand('entry', () => systemClock.now(), () => undefined);
 	private readonly agent = new Agent({keepAlive: true});
 	private readonly upstream = new UpstreamAgent();
 	private address = '';
@@ -73,7 +74,7 @@
 			board: new EndpointBoard(now),
 			agent: this.upstream,
 			allowance: new RetryAllowance({ratio: 1, slack: 5, windowMs: 10_000}, now),
-			demand: new ModelDemand('entry', now, () => undefined),
+			demand: this.demand,
 			log: kind => {
 				this.logged.push(kind);
 			},
@@ -93,8 +94,13 @@
 		started._unsafeUnwrap();
 	}
 
-	/** Puts endpoints in place, all holding the model `m`. */
+	/** Puts endpoints in place, all holding the same models. */
 	setEndpoints(addresses: readonly string[], models: readonly string[] = ['m'], loading?: ExpectedLoad): void {
+		this.setHoldings(addresses, addresses.map(() => models), loading);
+	}
+
+	/** Puts endpoints in place, each with its models. */
+	setHoldings(addresses: readonly string[], holdings: ReadonlyArray<readonly string[]>, loading?: ExpectedLoad): void {
 		this.view.isSynced = true;
 		this.view.apply({
 			revision: this.view.revision + 1,
@@ -111,7 +117,7 @@
 				},
 			},
 			endpoints: addresses.map((address, index): FleetEndpoint => ({
-				id: `e${index}`, sequence: 1, service: 's', address, failureDomain: index === 0 ? 'a' : 'b', release: '', slots: 4, isLeaving: false, remainingMs: undefined, holds: models.map(name => ({name, adapters: []})), inMemory: [], onDisk: [], phase: EndpointPhase.Ready, retiring: undefined, loading, isOrdering: false, orderedAt: 0, revision: this.view.revision + 1,
+				id: `e${index}`, sequence: 1, service: 's', address, failureDomain: index === 0 ? 'a' : 'b', release: '', slots: 4, isLeaving: false, remainingMs: undefined, holds: (holdings[index] ?? []).map(name => ({name, adapters: []})), inMemory: [], onDisk: [], phase: EndpointPhase.Ready, retiring: undefined, loading, isOrdering: false, orderedAt: 0, revision: this.view.revision + 1,
 			})),
 		});
 	}
--- a/packages/mastvalve-gateway/__tests__/gateway.feature
+++ b/packages/mastvalve-gateway/__tests__/gateway.feature
@@ -82,6 +82,13 @@
     And it was refused before half of its time was over
     And the endpoint got 0 requests
 
+  Scenario: A request whose only endpoint is gone waits for its model elsewhere
+    Given an endpoint that answers "whole"
+    And an endpoint where nobody listens any more
+    When a caller asks for a model that only the endpoint without listener holds, and it is loaded elsewhere
+    Then it gets status 200 with the body "whole" whole
+    And control was told which endpoint is absent
+
   Scenario: A caller with time for a load from the store waits for it
     Given an endpoint that answers "whole"
     When a caller with 60000 ms left asks for a model that takes 9000 ms to load, and it is loaded after the time of decision
--- a/packages/mastvalve-gateway/__tests__/gateway.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/gateway.steps.ts
@@ -179,6 +179,28 @@
 	});
 });
 
+Given('an endpoint where nobody listens any more', async function (this: GatewayWorld) {
+	const endpoint = await startScriptedEndpoint(() => undefined);
+	endpoint.close();
+	this.scripted.push(endpoint);
+});
+
+When('a caller asks for a model that only the endpoint without listener holds, and it is loaded elsewhere', async function (this: GatewayWorld) {
+	await start(this);
+	const addresses = this.scripted.map(({address}) => address);
+	this.gatewayRun.setEndpoints(addresses, ['m']);
+	const held = addresses.map((_, index) => (index === 1 ? ['rare'] : ['m']));
+	this.gatewayRun.setHoldings(addresses, held);
+	const call = this.gatewayRun.call('/patient/x', {body: 'body', headers: {'x-model': 'rare', 'x-left': '60000'}});
+	await waitUntil('the request waits', async () => this.gatewayRun.logged.includes('request.waits'));
+	this.gatewayRun.setHoldings(addresses, [['m', 'rare'], ['rare']]);
+	this.received.push(await call);
+});
+
+Then('control was told which endpoint is absent', function (this: GatewayWorld) {
+	assert.deepEqual(this.gatewayRun.demand.take().absent, ['e1']);
+});
+
 When('a caller\'s request is held for a load that is then given up', async function (this: GatewayWorld) {
 	await start(this);
 	const addresses = this.scripted.map(({address}) => address);
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -57,7 +57,7 @@
 
 /** One attempt; true when the request is over. */
 const tryOnce = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress): Promise<boolean> => {
-	const endpoint = await waitForEndpoint(core, request, progress.tried);
+	const endpoint = await waitForEndpoint(core, request, progress);
 	if ('reason' in endpoint) {
 		giveUp(core, request, reply, progress, endpoint.reason, endpoint.retryAfterMs);
 		return true;
@@ -88,6 +88,10 @@
 	}
 
 	core.board.recordFailure(endpoint.id);
+	if (outcome.isRefused) {
+		core.demand.recordAbsent(endpoint.id);
+	}
+
 	core.log('attempt.failed', {
 		request: request.requestId, endpoint: endpoint.id, outcome: outcome.kind, reason: outcome.reason,
 	});
--- a/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
@@ -68,15 +68,18 @@
 	return {reason: `no endpoint holds ${model} in time`, retryAfterMs: Math.max(50, Math.min(expectedMs, third))};
 };
 
-/** An endpoint, or why there is none. */
-export const waitForEndpoint = async (core: GatewayCore, request: CallerRequest, tried: ReadonlySet<string>): Promise<FleetEndpoint | NoEndpoint> => {
+/** Endpoints that were tried, and how many of them were handed the request. */
+export type Tried = {tried: ReadonlySet<string>; sent: number};
+
+/** An endpoint, or why there is none. A request that was handed to nobody yet may wait, also when endpoints were out of reach. */
+export const waitForEndpoint = async (core: GatewayCore, request: CallerRequest, {tried, sent}: Tried): Promise<FleetEndpoint | NoEndpoint> => {
 	const now = chooseNow(core, request, tried);
 	const {model, adapter} = request.caller;
 	if (now) {
 		return now;
 	}
 
-	if (model === undefined || tried.size > 0 || core.isDraining()) {
+	if (model === undefined || sent > 0 || core.isDraining()) {
 		return {reason: 'no endpoint can take it', retryAfterMs: 100};
 	}
 
@@ -102,7 +105,7 @@
 
 		const decide = (): void => {
 			// The model may be here, and only its adapter on its way; that takes ms, or the end of a load.
-			const isModelHere = core.view.listEndpoints(request.service).some(({holds}) => holds.some(({name}) => name === model));
+			const isModelHere = core.view.listEndpoints(request.service).some(({id, holds}) => !tried.has(id) && holds.some(({name}) => name === model));
 			if (!isModelHere && isExpectedInTime(core, request, model) !== true && !hasTimeForLoad(core, request, model)) {
 				giveUp();
 				return;
--- a/packages/mastvalve-gateway/src/routing/model-demand.ts
+++ b/packages/mastvalve-gateway/src/routing/model-demand.ts
@@ -17,6 +17,7 @@
 	private requests: Record<string, number> = {};
 	private urgent: Record<string, number> = {};
 	private suspects = new Set<string>();
+	private absent = new Set<string>();
 	private readonly waiting = new Map<string, Waiting>();
 
 	constructor(private readonly entry: string, private readonly now: () => number, private readonly onUrgent: () => void) {}
@@ -35,6 +36,14 @@
 		this.onUrgent();
 	}
 
+	/** Nobody listens at the address of an endpoint. */
+	recordAbsent(endpointId: string): void {
+		if (!this.absent.has(endpointId)) {
+			this.absent.add(endpointId);
+			this.onUrgent();
+		}
+	}
+
 	/** A request waits for what no endpoint holds; the result ends that. */
 	wait(service: string, model: string, adapter: string | undefined, deadlineAt: number): () => void {
 		const key = `${service} ${formatModel(model, adapter)}`;
@@ -57,16 +66,18 @@
 
 	/** The demand since the last call. */
 	take(): DemandReport {
-		const {requests, urgent, suspects} = this;
+		const {requests, urgent, suspects, absent} = this;
 		this.requests = {};
 		this.urgent = {};
 		this.suspects = new Set();
+		this.absent = new Set();
 		const now = this.now();
 		return {
 			entry: this.entry,
 			requests,
 			urgent,
 			suspects: [...suspects],
+			absent: [...absent],
 			wanted: [...this.waiting.values()].map(({service, model, adapter, deadlines}): Wanted => ({
 				service, model, adapter, waiting: deadlines.length, remainingMs: Math.round(Math.min(...deadlines) - now),
 			})),
--- a/packages/mastvalve-gateway/src/upstream/exchange.ts
+++ b/packages/mastvalve-gateway/src/upstream/exchange.ts
@@ -3,7 +3,7 @@
  */
 
 import {request, type IncomingMessage} from 'node:http';
-import {describeError} from 'mastvalve-utils';
+import {assumeType, describeError} from 'mastvalve-utils';
 import type {UpstreamAgent} from './upstream-agent.js';
 
 /** How an attempt went. */
@@ -19,7 +19,7 @@
 /** The outcome of an attempt. */
 export type ExchangeOutcome
 	= | {kind: ExchangeKind.Answered; res: IncomingMessage; cancel: () => void; isBroken: () => boolean}
-		| {kind: ExchangeKind.NotSent | ExchangeKind.Lost; reason: string};
+		| {kind: ExchangeKind.NotSent | ExchangeKind.Lost; reason: string; isRefused: boolean};
 
 /** What an attempt needs. */
 export type ExchangeOptions = {
@@ -48,6 +48,7 @@
 		let isSent = false;
 		let hasFailed = false;
 		let reason = '';
+		let isRefused = false;
 		const cancel = (): void => {
 			req.destroy();
 		};
@@ -85,12 +86,13 @@
 		});
 		req.on('error', error => {
 			hasFailed = true;
+			isRefused = assumeType<NodeJS.ErrnoException>(error).code === 'ECONNREFUSED';
 			reason ||= describeError(error);
 		});
 		req.once('close', () => {
 			clearTimeout(timer);
 			signal.removeEventListener('abort', onAbort);
-			resolve({kind: isSent ? ExchangeKind.Lost : ExchangeKind.NotSent, reason: reason || 'the connection closed'});
+			resolve({kind: isSent ? ExchangeKind.Lost : ExchangeKind.NotSent, reason: reason || 'the connection closed', isRefused});
 		});
 		req.once('response', res => {
 			clearTimeout(timer);
