Control where there is no core: instances without a counted disk pass calls on

Seeds may be instances without a disk. Ruled out: a second process for control on every front machine (a second start, a second port for metrics and the memory of an idle process on each machine without a disk); one role with a count for each failure domain (leaves out spare and replaced machines, and disks that are not on the first machine of a domain). Change: one process an instance serves whom its settings give it an address for. It keeps the log where it has a disk whose loss is counted; otherwise it passes calls of operators and endpoints on, acknowledges nothing by itself, and names the log's keepers to others. Seeds that keep the log begin it together; when none does, the first seed names one founder, once in its life and never after a restart.

--- a/packages/mastvalve-cluster/__tests__/control-group.feature
+++ b/packages/mastvalve-cluster/__tests__/control-group.feature
@@ -7,6 +7,31 @@
     Then the seeds begin the same log once all of them know each other, and wait before
     And an instance that is no seed, or whose disk is younger than the system, begins nothing
 
+  Scenario: Seeds that keep no log are no voters, and a seed that may not begin is waited for
+    Then the seeds that keep the log begin it without those that keep none
+    And a seed with an empty disk that is younger than the system keeps the others from beginning
+
+  Scenario: When no seed keeps the log, the one that the first seed names begins it
+    Then the named instance begins the log alone, and nobody else does
+
+  Scenario: Five instances form a group of five voters though none of the seeds keeps the log
+    Given 5 control instances that know 3 instances without a log
+    Then all of them become voters of one log
+    And a change that is proposed at any of them is applied at all of them
+    And the instances without a log know where it is kept
+    When the last one comes back with an empty disk
+    Then it is a voter again under a new identity, and has all changes
+
+  Scenario: Instances form a group though only one of the seeds keeps the log
+    Given 5 control instances that know the first of them and 2 instances without a log
+    Then all of them become voters of one log
+
+  Scenario: An instance without a log names one founder in its life, and none after a restart
+    Given an instance without a log at its first start
+    When two instances announce themselves to it
+    Then it names the first of them as founder
+    And after a restart it names nobody
+
   Scenario: A read at the leader waits for a change that is being written
     Given a control instance that is a group of its own
     Then reads succeed at every moment of 50 changes
--- a/packages/mastvalve-cluster/__tests__/control-group.steps.ts
+++ b/packages/mastvalve-cluster/__tests__/control-group.steps.ts
@@ -14,13 +14,36 @@
 import {findFreePorts} from '../../../features/support/free-ports.js';
 import {waitUntil} from '../../../features/support/conditions.js';
 import {
-	ControlGroup, decideFormation, PeerClient, startPeerServer, type Identity,
+	ControlDirectory, ControlGroup, decideFormation, PeerClient, startPeerServer, type Identity,
 } from '../src/index.js';
 
 /** A member with all that it runs on. */
 type Member = {address: string; folder: string; group: ControlGroup; applied: unknown[]; server: Server; client: PeerClient};
 
-type GroupWorld = World & {members: Member[]; folders: string[]; seeds: string[]; proposed: string[]};
+/** An instance without a log. */
+type Guide = {directory: ControlDirectory; server: Server; client: PeerClient; ending: AbortController};
+
+type GroupWorld = World & {members: Member[]; folders: string[]; seeds: string[]; proposed: string[]; guides: Guide[]; guideAddress: string};
+
+const startGuide = async (world: GroupWorld, address: string, isFirstStart: boolean): Promise<Guide> => {
+	const client = new PeerClient();
+	const ending = new AbortController();
+	const directory = new ControlDirectory({
+		address, isFirstStart, readSeeds: () => world.seeds, client, clock: systemClock, listKnown: () => [], onError: () => undefined,
+	});
+	const listening = await startPeerServer(address, new Map(directory.handlers()), () => undefined);
+	void directory.run(ending.signal);
+	return {
+		directory, server: listening._unsafeUnwrap(), client, ending,
+	};
+};
+
+const stopGuide = ({server, client, ending}: Guide): void => {
+	ending.abort();
+	server.close();
+	server.closeAllConnections();
+	client.close();
+};
 
 const startMember = async (world: GroupWorld, address: string, isFirstStart: boolean, voters = 5): Promise<Member> => {
 	const folder = await mkdtemp(join(tmpdir(), 'mastvalve-group-'));
@@ -76,6 +99,9 @@
 
 After(async function (this: GroupWorld) {
 	await Promise.all((this.members ?? []).map(async member => stopMember(member)));
+	(this.guides ?? []).forEach(guide => {
+		stopGuide(guide);
+	});
 
 	await Promise.all((this.folders ?? []).map(async folder => rm(folder, {recursive: true, force: true})));
 });
@@ -113,6 +139,74 @@
 	this.members = await Promise.all(addresses.slice(0, count).map(async address => startMember(this, address, true)));
 });
 
+Given('{int} control instances that know {int} instances without a log', async function (this: GroupWorld, count: number, known: number) {
+	await startBeside(this, count, known, 0);
+});
+
+Given('{int} control instances that know the first of them and {int} instances without a log', async function (this: GroupWorld, count: number, known: number) {
+	await startBeside(this, count, known, 1);
+});
+
+/** Starts members and instances without a log; the latter and some of the members are the seeds. */
+const startBeside = async (world: GroupWorld, count: number, guides: number, seedMembers: number): Promise<void> => {
+	world.folders = [];
+	world.proposed = [];
+	const ports = await findFreePorts(count + guides);
+	const addresses = ports.map(port => `127.0.0.1:${port}`);
+	world.seeds = [...addresses.slice(count), ...addresses.slice(0, seedMembers)];
+	world.guides = await Promise.all(addresses.slice(count).map(async address => startGuide(world, address, true)));
+	world.members = await Promise.all(addresses.slice(0, count).map(async address => startMember(world, address, true)));
+};
+
+Then('the instances without a log know where it is kept', async function (this: GroupWorld) {
+	const addresses = this.members.map(({address}) => address).toSorted();
+	await waitUntil('all are known', async () => this.guides.every(({directory}) => JSON.stringify(directory.listKeepers().toSorted()) === JSON.stringify(addresses)));
+});
+
+Given('an instance without a log at its first start', async function (this: GroupWorld) {
+	const [port] = await findFreePorts(1);
+	this.seeds = [];
+	this.guideAddress = `127.0.0.1:${port}`;
+	this.guides = [await startGuide(this, this.guideAddress, true)];
+});
+
+const announceTo = async (address: string, ids: readonly string[]): Promise<void> => {
+	const client = new PeerClient();
+	await ids.reduce<Promise<void>>(async (before, id) => {
+		await before;
+		await client.call({
+			address, path: '/announce', body: {id, mayBegin: true}, timeoutMs: 1000,
+		});
+	}, Promise.resolve());
+	client.close();
+};
+
+const readFounder = async (address: string): Promise<string | undefined> => {
+	const client = new PeerClient();
+	const answer = await client.call<Identity>({
+		address, path: '/identify', body: {}, timeoutMs: 1000,
+	});
+	client.close();
+	return answer._unsafeUnwrap().founder;
+};
+
+When('two instances announce themselves to it', async function (this: GroupWorld) {
+	await announceTo(this.guideAddress, ['x:1#1', 'a:1#2']);
+});
+
+Then('it names the first of them as founder', async function (this: GroupWorld) {
+	assert.equal(await readFounder(this.guideAddress), 'x:1#1');
+});
+
+Then('after a restart it names nobody', async function (this: GroupWorld) {
+	this.guides.forEach(guide => {
+		stopGuide(guide);
+	});
+	this.guides = [await startGuide(this, this.guideAddress, false)];
+	await announceTo(this.guideAddress, ['a:1#2']);
+	assert.equal(await readFounder(this.guideAddress), undefined);
+});
+
 Then('all of them become voters of one log', {timeout: 30_000}, async function (this: GroupWorld) {
 	await waitUntil('all are voters', async () => this.members.every(({group}) => group.isComplete && group.isCurrent));
 });
@@ -149,9 +243,12 @@
 });
 
 const identity = (replicaId: string, more: Partial<Identity> = {}): Identity => ({
-	replicaId, clusterId: undefined, initialVoters: [], mayBegin: true, members: [], ...more,
+	address: replicaId.split('#')[0] ?? '', replicaId, clusterId: undefined, initialVoters: [], mayBegin: true, peers: [], founder: undefined, ...more,
 });
 
+/** An instance without a log. */
+const guide = (address: string, founder?: string): Identity => identity(address, {replicaId: undefined, mayBegin: false, founder});
+
 const three = ['a:1', 'b:1', 'c:1'];
 
 Then('a beginner that hears of a log joins it, whatever else it hears', () => {
@@ -173,3 +270,23 @@
 	assert.equal(decideFormation(identity('d:1#4'), three, [identity('a:1#1'), ...others]), undefined);
 	assert.equal(decideFormation(identity('a:1#1', {mayBegin: false}), three, others), undefined);
 });
+
+Then('the seeds that keep the log begin it without those that keep none', () => {
+	const [b, c] = [identity('b:1#2'), identity('c:1#3')] as const;
+	assert.equal(decideFormation(b, three, [c]), undefined);
+	const begun = decideFormation(b, three, [guide('a:1', 'x:1#9'), c]);
+	assert.deepEqual(begun?.initialVoters, ['b:1#2', 'c:1#3']);
+	assert.deepEqual(decideFormation(c, three.toReversed(), [b, guide('a:1')]), begun);
+});
+
+Then('a seed with an empty disk that is younger than the system keeps the others from beginning', () => {
+	assert.equal(decideFormation(identity('b:1#2'), three, [guide('a:1'), identity('c:1#3', {mayBegin: false})]), undefined);
+});
+
+Then('the named instance begins the log alone, and nobody else does', () => {
+	const seeds = [guide('c:1', 'd:1#5'), guide('b:1'), guide('a:1', 'd:1#4')];
+	assert.deepEqual(decideFormation(identity('d:1#4'), three.toReversed(), seeds)?.initialVoters, ['d:1#4']);
+	assert.equal(decideFormation(identity('d:1#5'), three, seeds), undefined);
+	assert.equal(decideFormation(identity('d:1#4', {mayBegin: false}), three, seeds), undefined);
+	assert.equal(decideFormation(identity('d:1#4'), three, seeds.slice(0, 2)), undefined);
+});
--- a/packages/mastvalve-cluster/src/membership/control-group.ts
+++ b/packages/mastvalve-cluster/src/membership/control-group.ts
@@ -16,7 +16,10 @@
 import {LogTransport} from '../peer/log-transport.js';
 import type {PeerClient} from '../peer/peer-client.js';
 import type {PeerHandler} from '../peer/peer-server.js';
-import {decideFormation, type Identity} from './formation.js';
+import {Announcements, type Announcement} from './announcements.js';
+import {decideFormation} from './formation.js';
+import type {Identity} from './identity.js';
+import {PeerSearch} from './peer-search.js';
 
 /** What a member of the group is made from. */
 export type ControlGroupOptions = {
@@ -49,8 +52,6 @@
 const announcePauseMs = 150;
 const membershipPauseMs = 80;
 const callTimeoutMs = 700;
-/** Whoever asked to join this long ago still wants to, ms: several rounds of announcing. */
-const joiningMs = 2000;
 /** A voter that has been silent for this long gives way to one that is caught up, ms: the shortest time after which machines count as lost. */
 const silentMs = 2500;
 /** An instance that heard no leader for this long can't tell whether what it holds is the newest, ms. Half of the shortest bound for configurations. */
@@ -77,13 +78,16 @@
 	}
 
 	private readonly transport: LogTransport;
-	private readonly joining = new Map<ReplicaId, number>();
-	private readonly known = new Set<string>();
+	private readonly announcements: Announcements;
+	private readonly search: PeerSearch;
 	private readonly ending = new AbortController();
 	private node: LogNode | undefined;
 
 	private constructor(private readonly options: ControlGroupOptions, private readonly journal: Journal) {
+		const now = (): number => options.clock.now();
 		this.transport = new LogTransport(options.client);
+		this.announcements = new Announcements(now);
+		this.search = new PeerSearch({...options, now});
 	}
 
 	get ownId(): ReplicaId {
@@ -144,7 +148,7 @@
 				return ok(true);
 			}],
 			['/announce', async body => {
-				this.joining.set(assumeType<{id: ReplicaId}>(body).id, this.options.clock.now());
+				this.announcements.hear(assumeType<Announcement>(body));
 				return ok(true);
 			}],
 			['/propose', async body => this.proposeHere(body)],
@@ -228,16 +232,21 @@
 
 	private identify(): Identity {
 		const {header} = this.journal;
-		const membership = this.node?.replica.currentMembership;
 		return {
+			address: this.options.address,
 			replicaId: this.ownId,
 			clusterId: header.clusterId,
 			initialVoters: header.initialVoters,
-			mayBegin: header.mayBegin ?? false,
-			members: membership ? [...membership.voters, ...membership.learners] : [],
+			mayBegin: this.mayBegin,
+			peers: [...new Set([...this.members, ...this.announcements.listAddresses()])],
+			founder: undefined,
 		};
 	}
 
+	private get mayBegin(): boolean {
+		return this.journal.header.mayBegin ?? false;
+	}
+
 	private async proposeHere(command: unknown): Promise<Result<unknown, MastvalveError>> {
 		if (!this.node) {
 			return err(new ControlUnavailableError('This control instance is not part of a group yet.'));
@@ -251,16 +260,10 @@
 		return this.leadingTerm === undefined ? err(new NotLeaderError(this.leaderAddress)) : ok(this.node?.replica.commitIndex ?? 0);
 	}
 
-	/** Everyone who may know the group: seeds, members, and those whom others named. */
-	private listOthers(): string[] {
-		return [...new Set([...this.options.readSeeds(), ...this.members, ...this.known])].filter(address => address !== this.options.address);
-	}
-
+	/** Asks everyone who may know the group. */
 	private async askOthers(): Promise<Identity[]> {
-		const answers = await Promise.all(this.listOthers().map(async address => this.options.client.call<Identity>({
-			address, path: '/identify', body: {}, timeoutMs: callTimeoutMs,
-		})));
-		return answers.flatMap(answer => (answer.isOk() ? [answer.value] : []));
+		this.search.learn([...this.members, ...this.announcements.listAddresses()]);
+		return this.search.ask();
 	}
 
 	/** Waits until the instance belongs to a replicated log. */
@@ -277,7 +280,7 @@
 				this.options.onEvent('log.formed', `cluster ${formation.clusterId} as ${this.ownId}, beginning with ${formation.initialVoters.join(', ')}`);
 			} else {
 				// eslint-disable-next-line no-await-in-loop
-				await waitFor(formationPauseMs, signal);
+				await Promise.all([this.search.announce({id: this.ownId, mayBegin: this.mayBegin}), waitFor(formationPauseMs, signal)]);
 			}
 		}
 	}
@@ -347,13 +350,8 @@
 			return;
 		}
 
-		const answers = await this.askOthers();
-		answers.flatMap(answer => answer.members).forEach(id => {
-			this.known.add(nameOfReplica(id));
-		});
-		await Promise.all(this.listOthers().map(async address => this.options.client.call({
-			address, path: '/announce', body: {id: this.ownId}, timeoutMs: callTimeoutMs,
-		})));
+		await this.askOthers();
+		await this.search.announce({id: this.ownId, mayBegin: false});
 	}
 
 	/** The leader's duty: one membership change at a time. */
@@ -364,8 +362,7 @@
 			return;
 		}
 
-		const joining = [...this.joining].filter(([, at]) => now - at < joiningMs).map(([id]) => id);
-		const next = planNextMembership(node.replica.currentMembership, joining, id => node.replica.isCaughtUp(id, now), {
+		const next = planNextMembership(node.replica.currentMembership, this.announcements.listJoining(), id => node.replica.isCaughtUp(id, now), {
 			maxVoters: options.voters,
 			isSilent: id => id !== this.ownId && now - Math.max(node.replica.acknowledgedAt(id), node.replica.ledSince) > silentMs,
 		});
--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -12,10 +12,12 @@
 	assumeType, describeError, repeatUntilAborted, waitFor,
 } from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
+import type {ControlService} from './control-service.js';
 import type {DemandReport} from './demand-report.js';
 import {EngineDirector} from './engines/engine-director.js';
 import type {EnginePort} from './engines/engine-port.js';
 import type {FollowAnswer, FollowRequest} from './follow.js';
+import {createForwardedHandlers} from './forwarded-control.js';
 import {Liveness, type LivenessTimes} from './liveness.js';
 
 /** What a control instance is made from. */
@@ -42,7 +44,7 @@
 const incompleteGraceMs = 5000;
 
 /** One control instance. */
-export class FleetControl {
+export class FleetControl implements ControlService {
 	static async open(options: FleetControlOptions): Promise<FleetControl> {
 		const waiting = {wake: () => undefined as void};
 		const machine = new FleetMachine(() => {
@@ -76,6 +78,7 @@
 	handlers(): Array<[string, PeerHandler]> {
 		return [
 			...this.group.handlers(),
+			...createForwardedHandlers(this),
 			['/follow', async (body, signal) => this.follow(assumeType<FollowRequest>(body), signal)],
 			['/demand', async body => {
 				this.director.hear(assumeType<DemandReport>(body));
@@ -101,9 +104,14 @@
 		]);
 	}
 
-	/** Hands over and stops. */
-	async stop(): Promise<void> {
+	/** Hands leadership over, so that a planned stop costs no election. */
+	async handOver(): Promise<void> {
 		await this.group.handOver();
+	}
+
+	/** Stops; hands over before. */
+	async stop(): Promise<void> {
+		await this.handOver();
 		this.ending.abort();
 		this.wakeFollowers();
 		await this.group.stop();
--- a/packages/mastvalve-fleet-control/src/fleet-metrics.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-metrics.ts
@@ -5,16 +5,18 @@
 import {Gauge, type Registry} from 'prom-client';
 import type {FleetControl} from './fleet-control.js';
 
-/** Registers the metrics. */
-export const registerFleetMetrics = (registry: Registry, control: FleetControl): void => {
-	const gauges: Array<{name: string; help: string; read: () => number}> = [
-		{name: 'mastvalve_is_leader', help: '1 when this instance leads with a valid lease', read: () => Number(control.group.isLeading)},
-		{name: 'mastvalve_is_current', help: '1 when this instance has heard from the leader lately', read: () => Number(control.group.isCurrent)},
-		{name: 'mastvalve_term', help: 'Term of the replicated log', read: () => control.group.term},
-		{name: 'mastvalve_voters', help: 'Members that make up quorums', read: () => control.group.voters.length},
-		{name: 'mastvalve_fleet_revision', help: 'Log index of the last change of the fleet', read: () => control.machine.revision},
-		{name: 'mastvalve_configuration_version', help: 'Version of the configuration in force', read: () => control.machine.configuration?.configuration.version ?? 0},
-		{name: 'mastvalve_endpoints', help: 'Endpoints that are remembered', read: () => control.machine.list().length},
+type FleetGauge = {name: string; help: string; read: (control: FleetControl) => number};
+
+/** Registers the metrics; an instance that keeps no log has none of them. */
+export const registerFleetMetrics = (registry: Registry, readControl: () => FleetControl | undefined): void => {
+	const gauges: FleetGauge[] = [
+		{name: 'mastvalve_is_leader', help: '1 when this instance leads with a valid lease', read: control => Number(control.group.isLeading)},
+		{name: 'mastvalve_is_current', help: '1 when this instance has heard from the leader lately', read: control => Number(control.group.isCurrent)},
+		{name: 'mastvalve_term', help: 'Term of the replicated log', read: control => control.group.term},
+		{name: 'mastvalve_voters', help: 'Members that make up quorums', read: control => control.group.voters.length},
+		{name: 'mastvalve_fleet_revision', help: 'Log index of the last change of the fleet', read: control => control.machine.revision},
+		{name: 'mastvalve_configuration_version', help: 'Version of the configuration in force', read: control => control.machine.configuration?.configuration.version ?? 0},
+		{name: 'mastvalve_endpoints', help: 'Endpoints that are remembered', read: control => control.machine.list().length},
 	];
 	gauges.forEach(({name, help, read}) => {
 		const gauge = new Gauge({
@@ -22,7 +24,10 @@
 			help,
 			registers: [registry],
 			collect() {
-				gauge.set(read());
+				const control = readControl();
+				if (control) {
+					gauge.set(read(control));
+				}
 			},
 		});
 	});
--- a/packages/mastvalve-fleet-control/src/index.ts
+++ b/packages/mastvalve-fleet-control/src/index.ts
@@ -2,7 +2,10 @@
  * Control of a fleet.
  */
 
+export * from './control-node.js';
+export type * from './control-service.js';
 export * from './fleet-control.js';
+export * from './forwarded-control.js';
 export type * from './follow.js';
 export type * from './demand-report.js';
 export * from './engines/engine-port.js';
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -11,7 +11,7 @@
 import {createRandom, systemClock} from 'mastvalve-utils';
 import {findFreePorts} from '../../../../features/support/free-ports.js';
 import {
-	dropConnectionHeaders, EndpointBoard, FleetView, Gateway, ModelDemand, RetryAllowance, UpstreamAgent, type Dialect,
+	EndpointBoard, FieldOwner, FleetView, Gateway, ModelDemand, RetryAllowance, UpstreamAgent, type Dialect,
 } from '../../src/index.js';
 
 const textOf = (value: string | string[] | undefined): string | undefined => (Array.isArray(value) ? value[0] : value);
@@ -27,8 +27,8 @@
 		promptParts: [],
 		resumeAfter: undefined,
 	}),
-	writeEndpoint: (rawHeaders, {resumeAfter, bodyLength}) => [
-		...dropConnectionHeaders(rawHeaders),
+	fieldOwners: new Map([['x-resume', FieldOwner.Entry], ['content-length', FieldOwner.Entry]]),
+	writeEndpoint: ({resumeAfter, bodyLength}) => [
 		...(resumeAfter === undefined ? [] : ['x-resume', resumeAfter]),
 		...(bodyLength === undefined ? [] : ['content-length', String(bodyLength)]),
 	],
--- a/packages/mastvalve-gateway/src/dialect.ts
+++ b/packages/mastvalve-gateway/src/dialect.ts
@@ -50,10 +50,20 @@
 /** Load that an endpoint tells with an answer. */
 export type ReportedLoad = {running: number; waiting: number; slots: number};
 
+/** Who sets a header field of a request to an endpoint. */
+export enum FieldOwner {
+	/** Passed on as the caller sent it. */
+	Caller = 'caller',
+	/** Set by the entry or nobody; what a caller sends of it is dropped, or an endpoint would act on it. */
+	Entry = 'entry',
+}
+
 /** The dialect. */
 export type Dialect = {
+	/** All fields with a meaning, by their names in lower case. */
+	fieldOwners: ReadonlyMap<string, FieldOwner>;
 	readCaller: (headers: IncomingHttpHeaders) => CallerHeaders;
-	/** Headers for the endpoint as a flat list of names and values. */
-	writeEndpoint: (rawHeaders: readonly string[], added: EndpointHeaders) => string[];
+	/** What the entry adds, as a flat list of names and values. */
+	writeEndpoint: (added: EndpointHeaders) => string[];
 	readAnswer: (statusCode: number, headers: IncomingHttpHeaders) => AnswerHeaders;
 };
--- a/packages/mastvalve-gateway/src/fleet/fleet-follower.ts
+++ b/packages/mastvalve-gateway/src/fleet/fleet-follower.ts
@@ -12,8 +12,8 @@
 export type FleetFollowerOptions = {
 	client: PeerClient;
 	view: FleetView;
-	/** Control instances to ask first. */
-	readSeeds: () => string[];
+	/** Control instances to ask besides those that an answer has named. */
+	listSources: () => string[];
 	/** Lower is nearer. */
 	distanceTo: (address: string) => number;
 	onEvent: (kind: string, detail: string) => void;
@@ -29,12 +29,18 @@
 export class FleetFollower {
 	/** Address of control's leader, as last heard. */
 	leader: string | undefined;
+	/** Addresses of all control instances, as last heard. */
 	private members: string[] = [];
 	private current: string | undefined;
 	private isConnected = false;
 
 	constructor(private readonly options: FleetFollowerOptions) {}
 
+	/** Control instances as last heard, the nearest first. */
+	listMembers(): string[] {
+		return this.members.toSorted((a, b) => this.options.distanceTo(a) - this.options.distanceTo(b));
+	}
+
 	/** Follows until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		let candidates = this.listCandidates();
@@ -53,7 +59,7 @@
 	}
 
 	private listCandidates(): string[] {
-		return [...new Set([...this.members, ...this.options.readSeeds()])]
+		return [...new Set([...this.members, ...this.options.listSources()])]
 			.toSorted((a, b) => this.options.distanceTo(a) - this.options.distanceTo(b));
 	}
 
--- a/packages/mastvalve-gateway/src/index.ts
+++ b/packages/mastvalve-gateway/src/index.ts
@@ -2,7 +2,8 @@
  * The data path by routes.
  */
 
-export type * from './dialect.js';
+export * from './dialect.js';
+export * from './endpoint-headers.js';
 export * from './fleet/demand-reporter.js';
 export * from './fleet/fleet-follower.js';
 export * from './fleet/fleet-view.js';
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -5,6 +5,7 @@
 
 import type {FleetEndpoint} from 'mastvalve-fleet';
 import type {AnswerHeaders} from '../dialect.js';
+import {createEndpointHeaders} from '../endpoint-headers.js';
 import {formatModel} from '../routing/model-demand.js';
 import type {GatewayCore} from '../server/gateway-core.js';
 import {exchange, ExchangeKind, type ExchangeOutcome} from '../upstream/exchange.js';
@@ -138,7 +139,7 @@
 		address: endpoint.address,
 		method: request.method,
 		path: request.path,
-		headers: core.dialect.writeEndpoint(request.rawHeaders, {
+		headers: createEndpointHeaders(core.dialect, request.rawHeaders, {
 			remainingMs, endpointId: endpoint.id, priority: route.priority, resumeAfter: progress.position?.lastEventId ?? caller.resumeAfter,
 			bodyLength: hasBody(request) ? request.body.length : undefined,
 		}),
