A caller that has left is served no further, wherever its request waits

Cause: the end of a caller's connection was heard through its answer only. Node tells it to the answer whose turn it is; a request behind another one on the connection, and one that still waited for the first configuration, went on to an endpoint and its run was not stopped. A stopping entry also waited for such requests until it was killed. Ruled out: the request's own close event (Node emits it when the request was read). Change: one signal a request, from the connection and the answer; checked before each try.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -123,7 +123,7 @@
 	}
 
 	/** A connection on which requests may follow each other before their answers are over. */
-	connect(): {send: (path: string) => void; text: () => string} {
+	connect(): {send: (path: string, headers?: string) => void; text: () => string; leave: () => void} {
 		const [host, port] = this.address.split(':');
 		const socket = connect(Number(port), host);
 		let received = '';
@@ -132,11 +132,14 @@
 		});
 		socket.on('error', () => undefined);
 		return {
-			send: path => {
+			send: (path, headers = '') => {
 				this.requests += 1;
-				socket.write(`POST ${path} HTTP/1.1\r\nhost: h\r\nx-id: r${this.requests}\r\ncontent-length: 0\r\n\r\n`);
+				socket.write(`POST ${path} HTTP/1.1\r\nhost: h\r\nx-id: r${this.requests}\r\n${headers}content-length: 0\r\n\r\n`);
 			},
 			text: () => received,
+			leave() {
+				socket.resetAndDestroy();
+			},
 		};
 	}
 
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/scripted-endpoint.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/scripted-endpoint.ts
@@ -10,8 +10,8 @@
 /** What an endpoint does with a request. */
 export type Script = (socket: Socket, requestText: string, requestNumber: number) => void;
 
-/** A running endpoint. */
-export type ScriptedEndpoint = {address: string; requests: string[]; connections: () => number; close: () => void};
+/** A running endpoint; `open` counts its open connections. */
+export type ScriptedEndpoint = {address: string; requests: string[]; connections: () => number; open: () => number; close: () => void};
 
 const headEnd = '\r\n\r\n';
 
@@ -32,6 +32,9 @@
 		sockets.add(socket);
 		let text = '';
 		socket.on('error', () => undefined);
+		socket.once('close', () => {
+			sockets.delete(socket);
+		});
 		socket.on('data', chunk => {
 			text += chunk.toString('latin1');
 			if (isWhole(text)) {
@@ -49,6 +52,7 @@
 		address: `127.0.0.1:${assumeType<AddressInfo>(server.address()).port}`,
 		requests,
 		connections: () => connections,
+		open: () => sockets.size,
 		close() {
 			server.close();
 			sockets.forEach(socket => {
--- a/packages/mastvalve-gateway/__tests__/gateway.feature
+++ b/packages/mastvalve-gateway/__tests__/gateway.feature
@@ -103,3 +103,24 @@
     Given an endpoint that answers "nothing"
     When a caller sends an "unsafe" request with 300 ms left
     Then it gets status 504 with the word "deadline-passed"
+
+  Scenario: A caller that leaves before the entry knows the newest configuration is not served any more
+    Given an endpoint that answers "whole"
+    When a caller sends a request before the entry knows the newest configuration and leaves
+    Then nothing of it reaches an endpoint when the entry knows the configuration
+
+  Scenario: A caller that leaves with two requests on one connection stops the runs of both
+    Given an endpoint that answers "nothing"
+    When a caller leaves after its second request came behind one that is not answered
+    Then no run goes on at the endpoint
+
+  Scenario: A caller that leaves while its request waits for a model is not served any more
+    Given an endpoint that answers "whole"
+    When a caller leaves whose two requests wait for a model that is loaded after that
+    Then nothing of it reaches an endpoint when the model is there
+
+  Scenario: A caller that leaves between two tries is not served any more
+    Given an endpoint that answers "not run" when asked for
+    And an endpoint that answers "whole"
+    When a caller leaves while its second request behind another one is tried at the first endpoint, which then refuses it
+    Then the second endpoint gets no request
--- a/packages/mastvalve-gateway/__tests__/gateway.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/gateway.steps.ts
@@ -8,7 +8,7 @@
 	After, Before, Given, Then, When, type World,
 } from '@cucumber/cucumber';
 import {WeightSource} from 'mastvalve-fleet';
-import {assumeType} from 'mastvalve-utils';
+import {assumeType, waitFor} from 'mastvalve-utils';
 import {waitUntil} from '../../../features/support/conditions.js';
 import {RunningGateway, type Received} from './__fixtures__/running-gateway.js';
 import {
@@ -62,6 +62,11 @@
 		reset(socket);
 	},
 	nothing: () => undefined,
+	'not run when asked for'(socket, text) {
+		releases.push(() => {
+			socket.write(formatAnswer(idOf(text), '', '503 Service Unavailable', 'x-not-run: 1\r\n'));
+		});
+	},
 	'its head, then the rest when asked for'(socket, text) {
 		socket.write(`HTTP/1.1 200 OK\r\nx-id: ${idOf(text)}\r\ncontent-length: 4\r\n\r\nha`);
 		releases.push(() => {
@@ -179,6 +184,78 @@
 	});
 });
 
+/** Long enough for everything on loopback to arrive, ms. */
+const settleMs = 150;
+
+When('a caller sends a request before the entry knows the newest configuration and leaves', async function (this: GatewayWorld) {
+	this.gatewayRun = new RunningGateway();
+	await this.gatewayRun.listen();
+	const caller = this.gatewayRun.connect();
+	caller.send('/safe/x');
+	await waitUntil('the request is there', async () => this.gatewayRun.gateway.inFlight === 1);
+	caller.leave();
+	await waitUntil('the entry knows that the caller left', async () => this.gatewayRun.gateway.inFlight === 0);
+});
+
+Then('nothing of it reaches an endpoint when the entry knows the configuration', async function (this: GatewayWorld) {
+	this.gatewayRun.setEndpoints(this.scripted.map(({address}) => address));
+	await waitFor(settleMs);
+	assert.equal(this.scripted[0]?.requests.length, 0);
+});
+
+When('a caller leaves after its second request came behind one that is not answered', async function (this: GatewayWorld) {
+	await start(this);
+	const caller = this.gatewayRun.connect();
+	caller.send('/safe/first');
+	caller.send('/safe/second');
+	await waitUntil('both run', async () => this.scripted[0]?.requests.length === 2);
+	caller.leave();
+});
+
+Then('no run goes on at the endpoint', async function (this: GatewayWorld) {
+	await waitUntil('all connections to the endpoint are closed', async () => this.scripted[0]?.open() === 0);
+});
+
+When('a caller leaves whose two requests wait for a model that is loaded after that', async function (this: GatewayWorld) {
+	await start(this);
+	const caller = this.gatewayRun.connect();
+	caller.send('/patient/first', 'x-model: rare\r\nx-left: 60000\r\n');
+	caller.send('/patient/second', 'x-model: rare\r\nx-left: 60000\r\n');
+	await waitUntil('both wait', async () => this.gatewayRun.logged.filter(kind => kind === 'request.waits').length === 2);
+	caller.leave();
+	await waitFor(settleMs);
+});
+
+Then('nothing of it reaches an endpoint when the model is there', async function (this: GatewayWorld) {
+	this.gatewayRun.setEndpoints(this.scripted.map(({address}) => address), ['rare']);
+	await waitFor(settleMs);
+	assert.equal(this.scripted[0]?.requests.length, 0);
+});
+
+Given('an endpoint that answers {string} when asked for', async function (this: GatewayWorld, name: string) {
+	this.scripted.push(await startScriptedEndpoint(scripts[`${name} when asked for`]!));
+});
+
+When('a caller leaves while its second request behind another one is tried at the first endpoint, which then refuses it', async function (this: GatewayWorld) {
+	await start(this);
+	const [first, second] = this.scripted;
+	const caller = this.gatewayRun.connect();
+	caller.send('/safe/first');
+	caller.send('/safe/second');
+	await waitUntil('both are tried', async () => first!.requests.length + second!.requests.length === 2);
+	second!.requests.splice(0);
+	caller.leave();
+	await waitFor(settleMs);
+	releases.splice(0).forEach(release => {
+		release();
+	});
+});
+
+Then('the second endpoint gets no request', async function (this: GatewayWorld) {
+	await waitFor(settleMs);
+	assert.equal(this.scripted[1]?.requests.length, 0);
+});
+
 Given('an endpoint where nobody listens any more', async function (this: GatewayWorld) {
 	const endpoint = await startScriptedEndpoint(() => undefined);
 	endpoint.close();
--- a/packages/mastvalve-gateway/src/requests/reply.ts
+++ b/packages/mastvalve-gateway/src/requests/reply.ts
@@ -36,6 +36,11 @@
 		return this.res.writableEnded || this.res.destroyed;
 	}
 
+	/** Status of an answer that was handed over whole; 0 for any other. */
+	get finishedStatus(): number {
+		return this.res.writableFinished ? this.res.statusCode : 0;
+	}
+
 	/** Answers for mastvalve itself. */
 	send({status, code, message, retryAfterSeconds}: OwnAnswer): void {
 		if (this.res.headersSent || this.res.destroyed) {
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -49,7 +49,7 @@
 	}
 
 	let isOver = false;
-	while (!isOver && !reply.isOver) {
+	while (!isOver && !reply.isOver && !request.signal.aborted) {
 		// Attempts follow each other.
 		// eslint-disable-next-line no-await-in-loop
 		isOver = await tryOnce(core, request, reply, progress);
@@ -69,6 +69,10 @@
 		return true;
 	}
 
+	if (request.signal.aborted) {
+		return true;
+	}
+
 	progress.tried.add(endpoint.id);
 	const use = core.board.begin(endpoint.id, request.caller.promptTokens);
 	const outcome = await sendTo(core, request, endpoint, progress);
--- a/packages/mastvalve-gateway/src/server/gateway.ts
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -14,6 +14,7 @@
 import type {CallerRequest} from '../requests/caller-request.js';
 import {Reply} from '../requests/reply.js';
 import {serveRequest} from '../requests/serve-request.js';
+import {onceOver} from './caller-presence.js';
 import type {GatewayCore} from './gateway-core.js';
 import {silentObserver, type GatewayObserver} from './gateway-observer.js';
 import {readBody} from './read-request.js';
@@ -65,10 +66,12 @@
 			maxHeaderSize: firstLimits.maxHeaderBytes, headersTimeout: firstLimits.headerTimeoutMs, requestTimeout: 0, keepAliveTimeout: firstLimits.idleTimeoutMs,
 		}, (req, res) => {
 			this.inFlight += 1;
-			res.once('close', () => {
+			const ending = new AbortController();
+			onceOver(req, res, () => {
 				this.inFlight -= 1;
+				ending.abort();
 			});
-			this.handle(req, res).catch((error: unknown) => {
+			this.handle(req, res, ending).catch((error: unknown) => {
 				this.core.log('request.failed', {reason: describeError(error)});
 				res.destroy();
 			});
@@ -108,7 +111,7 @@
 		return this.core.view.configuration?.limits ?? firstLimits;
 	}
 
-	private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+	private async handle(req: IncomingMessage, res: ServerResponse, ending: AbortController): Promise<void> {
 		const arrivedAt = this.core.clock.now();
 		const reply = new Reply(res);
 		if (this.isDraining) {
@@ -133,7 +136,11 @@
 			return;
 		}
 
-		await this.waitForSync(req, res);
+		await this.waitForSync(req, ending.signal);
+		if (ending.signal.aborted) {
+			return;
+		}
+
 		const {configuration, isSynced} = this.core.view;
 		if (!configuration || !isSynced) {
 			reply.send({
@@ -142,11 +149,11 @@
 			return;
 		}
 
-		await this.route(req, res, reply, {arrivedAt, body, configuration});
+		await this.route(req, reply, ending, {arrivedAt, body, configuration});
 	}
 
 	/** An entry that has just started knows the newest configuration soon; a request with time left waits for that. */
-	private async waitForSync(req: IncomingMessage, res: ServerResponse): Promise<void> {
+	private async waitForSync(req: IncomingMessage, signal: AbortSignal): Promise<void> {
 		const {view, dialect} = this.core;
 		if (view.isSynced || this.isDraining) {
 			return;
@@ -162,11 +169,11 @@
 
 			const timer = setTimeout(done, Math.min(maxSyncWaitMs, remainingMs * syncWaitShare));
 			const unsubscribe = view.subscribe(done);
-			res.once('close', done);
+			signal.addEventListener('abort', done, {once: true});
 		});
 	}
 
-	private async route(req: IncomingMessage, res: ServerResponse, reply: Reply, read: {arrivedAt: number; body: Uint8Array; configuration: ServingConfiguration}): Promise<void> {
+	private async route(req: IncomingMessage, reply: Reply, ending: AbortController, read: {arrivedAt: number; body: Uint8Array; configuration: ServingConfiguration}): Promise<void> {
 		const {core} = this;
 		const path = req.url ?? '/';
 		const route = findRoute(read.configuration.routes, req.headers.host ?? '', path.split('?', 1)[0] ?? '/');
@@ -185,7 +192,6 @@
 			return;
 		}
 
-		const ending = new AbortController();
 		const callerDeadlineAt = read.arrivedAt + Math.min(caller.remainingMs ?? maxDeadlineMs, maxDeadlineMs);
 		const deadlineAt = Math.min(callerDeadlineAt, read.arrivedAt + route.timeoutMs);
 		const request: CallerRequest = {
@@ -195,11 +201,10 @@
 			this.expire(request, reply);
 			ending.abort();
 		}, Math.max(1, deadlineAt - core.clock.now()));
-		res.once('close', () => {
+		ending.signal.addEventListener('abort', () => {
 			clearTimeout(timer);
-			ending.abort();
-			core.observer.recordRequest(route.kind, res.writableFinished ? res.statusCode : 0, core.clock.now() - read.arrivedAt);
-		});
+			core.observer.recordRequest(route.kind, reply.finishedStatus, core.clock.now() - read.arrivedAt);
+		}, {once: true});
 		await serveRequest(core, request, reply);
 	}
 
