Connections that go silent cost one call each peer, not one call each connection

Cause: open connections may go silent for good while new ones work. After a call without an answer the next one took the next resting connection, which was silent as well. Ruled out: TCP probes (Node offers them after a second at the least, with ten probes a second apart; connections to endpoints rest 4 s at most). Change: a call that is not answered in its time closes the connections that rest to the same address; an attempt at an endpoint does so after 0.6 s without an answer, and goes on.

--- a/packages/mastvalve-cluster/__tests__/control-group.feature
+++ b/packages/mastvalve-cluster/__tests__/control-group.feature
@@ -44,3 +44,9 @@
     Then it is a voter again under a new identity, and has all changes
     When the first one is stopped for good and another one starts at another address
     Then the newcomer takes its place and has all changes
+
+  Scenario: When a kept connection to a peer goes silent, one call is lost and the next one is answered
+    Given a peer whose connections go silent after their first answer, while new ones work
+    When 3 calls were answered together
+    Then the next call gets no answer in time
+    And the call after that is answered
--- a/packages/mastvalve-cluster/__tests__/control-group.steps.ts
+++ b/packages/mastvalve-cluster/__tests__/control-group.steps.ts
@@ -4,7 +4,7 @@
 
 import {strict as assert} from 'node:assert';
 import {mkdtemp, rm} from 'node:fs/promises';
-import type {Server} from 'node:http';
+import {createServer, type Server} from 'node:http';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {
@@ -21,7 +21,7 @@
 type Member = {address: string; folder: string; group: ControlGroup; applied: unknown[]; server: Server; client: PeerClient};
 
 /** An instance without a log. */
-type Guide = {directory: ControlDirectory; server: Server; client: PeerClient; ending: AbortController};
+type Guide = {directory: ControlDirectory | undefined; server: Server; client: PeerClient; ending: AbortController};
 
 type GroupWorld = World & {members: Member[]; folders: string[]; seeds: string[]; proposed: string[]; guides: Guide[]; guideAddress: string};
 
@@ -160,7 +160,7 @@
 
 Then('the instances without a log know where it is kept', async function (this: GroupWorld) {
 	const addresses = this.members.map(({address}) => address).toSorted();
-	await waitUntil('all are known', async () => this.guides.every(({directory}) => JSON.stringify(directory.listKeepers().toSorted()) === JSON.stringify(addresses)));
+	await waitUntil('all are known', async () => this.guides.every(({directory}) => JSON.stringify(directory?.listKeepers().toSorted()) === JSON.stringify(addresses)));
 });
 
 Given('an instance without a log at its first start', async function (this: GroupWorld) {
@@ -290,3 +290,49 @@
 	assert.equal(decideFormation(identity('d:1#4', {mayBegin: false}), three, seeds), undefined);
 	assert.equal(decideFormation(identity('d:1#4'), three, seeds.slice(0, 2)), undefined);
 });
+
+Given('a peer whose connections go silent after their first answer, while new ones work', async function (this: GroupWorld) {
+	const answered = new Set<unknown>();
+	const [port] = await findFreePorts(1);
+	this.guideAddress = `127.0.0.1:${port}`;
+	const server = createServer((req, res) => {
+		if (answered.has(req.socket)) {
+			return;
+		}
+
+		answered.add(req.socket);
+		// Held for a moment, so that calls that come together need a connection each.
+		setTimeout(() => {
+			res.end('true');
+		}, silenceMs);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(port, '127.0.0.1', resolve);
+	});
+	this.guides = [{
+		directory: undefined, server, client: new PeerClient(), ending: new AbortController(),
+	}];
+});
+
+/** Time in which a silent peer shows, ms. */
+const silenceMs = 100;
+
+const callSilent = async ({guides, guideAddress}: GroupWorld): Promise<boolean> => {
+	const answer = await guides[0]!.client.call({
+		address: guideAddress, path: '/any', body: {}, timeoutMs: silenceMs * 3,
+	});
+	return answer.isOk();
+};
+
+When('{int} calls were answered together', async function (this: GroupWorld, count: number) {
+	const answers = await Promise.all(Array.from({length: count}, async () => callSilent(this)));
+	assert.equal(answers.every(Boolean), true);
+});
+
+Then('the next call gets no answer in time', async function (this: GroupWorld) {
+	assert.equal(await callSilent(this), false);
+});
+
+Then('the call after that is answered', async function (this: GroupWorld) {
+	assert.equal(await callSilent(this), true);
+});
--- a/packages/mastvalve-cluster/src/peer/peer-client.ts
+++ b/packages/mastvalve-cluster/src/peer/peer-client.ts
@@ -8,7 +8,9 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request, type IncomingMessage} from 'node:http';
 import {MastvalveError, Outcome} from 'mastvalve-types';
-import {assumeType, collectText, describeError} from 'mastvalve-utils';
+import {
+	assumeType, collectText, describeError, dropIdleConnections,
+} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 
 /** A call to another process of mastvalve that got no answer, or one that says no. */
@@ -43,6 +45,7 @@
 			});
 			const timer = setTimeout(() => {
 				req.destroy(new Error(`no answer within ${timeoutMs} ms`));
+				dropIdleConnections(this.agent, address);
 			}, timeoutMs);
 			const onClose = (): void => {
 				clearTimeout(timer);
--- a/packages/mastvalve-gateway/__tests__/gateway.feature
+++ b/packages/mastvalve-gateway/__tests__/gateway.feature
@@ -124,3 +124,8 @@
     And an endpoint that answers "whole"
     When a caller leaves while its second request behind another one is tried at the first endpoint, which then refuses it
     Then the second endpoint gets no request
+
+  Scenario: When a kept connection to an endpoint goes silent, the others that rest are not used again
+    Given an endpoint whose connections go silent after their first answer, while new ones work
+    When 3 requests were answered together, and one after them is not answered for a while
+    Then the next request is answered at once
--- a/packages/mastvalve-gateway/__tests__/gateway.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/gateway.steps.ts
@@ -256,6 +256,32 @@
 	assert.equal(this.scripted[1]?.requests.length, 0);
 });
 
+Given('an endpoint whose connections go silent after their first answer, while new ones work', async function (this: GatewayWorld) {
+	const answered = new Set<Socket>();
+	this.scripted.push(await startScriptedEndpoint((socket, text) => {
+		if (!answered.has(socket)) {
+			answered.add(socket);
+			// Held for a moment, so that requests that come together need a connection each.
+			setTimeout(() => {
+				socket.write(formatAnswer(idOf(text), 'whole'));
+			}, settleMs);
+		}
+	}));
+});
+
+When('{int} requests were answered together, and one after them is not answered for a while', async function (this: GatewayWorld, count: number) {
+	await start(this);
+	const answers = await Promise.all(Array.from({length: count}, async () => this.gatewayRun.call('/safe/x')));
+	assert.deepEqual(answers.map(({status}) => status), Array.from({length: count}, () => 200));
+	void this.gatewayRun.call('/safe/x');
+	await waitUntil('the resting connections are closed', async () => this.scripted[0]!.open() === 1);
+});
+
+Then('the next request is answered at once', async function (this: GatewayWorld) {
+	const {status} = await this.gatewayRun.call('/safe/x');
+	assert.equal(status, 200);
+});
+
 Given('an endpoint where nobody listens any more', async function (this: GatewayWorld) {
 	const endpoint = await startScriptedEndpoint(() => undefined);
 	endpoint.close();
--- a/packages/mastvalve-gateway/src/upstream/exchange.ts
+++ b/packages/mastvalve-gateway/src/upstream/exchange.ts
@@ -3,7 +3,7 @@
  */
 
 import {request, type IncomingMessage} from 'node:http';
-import {assumeType, describeError} from 'mastvalve-utils';
+import {assumeType, describeError, dropIdleConnections} from 'mastvalve-utils';
 import type {UpstreamAgent} from './upstream-agent.js';
 
 /** How an attempt went. */
@@ -38,6 +38,12 @@
 	signal: AbortSignal;
 };
 
+/**
+ * A kept connection without an answer for this long may be silent for good, so the others that rest are closed, ms. The
+ * attempt itself goes on. Above the time in which engines with room begin to answer (0.1 to 0.5 s).
+ */
+const silentMs = 600;
+
 /** Makes the attempt; never throws. */
 export const exchange = async ({agent, address, method, path, headers, body, connectMs, signal}: ExchangeOptions): Promise<ExchangeOutcome> =>
 	new Promise(resolve => {
@@ -59,6 +65,11 @@
 				req.destroy();
 			}
 		}, connectMs);
+		const silence = setTimeout(() => {
+			if (req.reusedSocket) {
+				dropIdleConnections(agent, address);
+			}
+		}, silentMs);
 		const onAbort = (): void => {
 			reason ||= 'given up';
 			req.destroy();
@@ -91,11 +102,13 @@
 		});
 		req.once('close', () => {
 			clearTimeout(timer);
+			clearTimeout(silence);
 			signal.removeEventListener('abort', onAbort);
 			resolve({kind: isSent ? ExchangeKind.Lost : ExchangeKind.NotSent, reason: reason || 'the connection closed', isRefused});
 		});
 		req.once('response', res => {
 			clearTimeout(timer);
+			clearTimeout(silence);
 			agent.noteAnswer(res);
 			if (!req.writableFinished) {
 				// An answer that came before the whole request was read: the rest may not be taken for the next request.
