A load whose end only the engine has told keeps its room until a heartbeat tells the same

Cause found by reading: a load whose heartbeat is missing is confirmed by asking the engine; the desk then took the next plan from the record, in which the model was still absent, and counted its room as free. Change: a change that only the engine has told ends in a new reading of its state, which waits until the record says the same. Test failed before (m4 ordered beside 3 models in 3 places).

--- a/packages/mastvalve-fleet-control/__tests__/__fixtures__/stand-in-engine.ts
+++ b/packages/mastvalve-fleet-control/__tests__/__fixtures__/stand-in-engine.ts
@@ -37,6 +37,8 @@
 	answering: Answering[] = [];
 	/** What holders have recorded. */
 	recorded: Holdings | undefined;
+	/** What its last heartbeats told, while newer ones are lost. */
+	private toldHolds: HeldModel[] | undefined;
 	private readonly history: Array<{at: number; status: EngineStatus}> = [];
 	private busyWith: string | undefined;
 
@@ -49,7 +51,7 @@
 	get endpoint(): FleetEndpoint {
 		return {
 			id: 'e', sequence: 1, service: 'llm', address: '', failureDomain: 'a', release: '', slots: 1, isLeaving: false, remainingMs: undefined,
-			holds: this.holds, inMemory: [], onDisk: [], phase: EndpointPhase.Ready, retiring: this.recorded?.retiring, loading: this.recorded?.loading, isOrdering: this.recorded?.isOrdering ?? false, orderedAt: 1, revision: 1,
+			holds: this.toldHolds ?? this.holds, inMemory: [], onDisk: [], phase: EndpointPhase.Ready, retiring: this.recorded?.retiring, loading: this.recorded?.loading, isOrdering: this.recorded?.isOrdering ?? false, orderedAt: 1, revision: 1,
 		};
 	}
 
@@ -66,6 +68,16 @@
 		};
 	}
 
+	/** From now on, heartbeats are lost. */
+	loseHeartbeats(): void {
+		this.toldHolds = this.holds;
+	}
+
+	/** Heartbeats arrive again. */
+	findHeartbeats(): void {
+		this.toldHolds = undefined;
+	}
+
 	/** Carries an order out, or refuses it. */
 	execute(sent: SentOrder): OrderOutcome {
 		const outcome = this.carryOut(sent);
--- a/packages/mastvalve-fleet-control/__tests__/engine-desk.feature
+++ b/packages/mastvalve-fleet-control/__tests__/engine-desk.feature
@@ -13,6 +13,13 @@
     And another model is wanted meanwhile
     Then the engine gets no order that needs more places than there are
 
+  Scenario: A load whose end only the engine itself has told keeps its room until a heartbeat tells the same
+    Given an engine with 3 places that holds 2 models
+    When a load ends while heartbeats are lost
+    And another model is wanted meanwhile
+    Then the engine gets no order that needs more places than there are
+    And the new holder knows the load as soon as heartbeats arrive again
+
   Scenario: An unanswered order is sent again with the same count, and only one copy is carried out
     Given an engine with 3 places that holds 2 models
     When an order gets no answer and is carried out late
--- a/packages/mastvalve-fleet-control/__tests__/engine-desk.steps.ts
+++ b/packages/mastvalve-fleet-control/__tests__/engine-desk.steps.ts
@@ -100,6 +100,28 @@
 	}, Promise.resolve());
 });
 
+When('a load ends while heartbeats are lost', async function (this: DeskWorld) {
+	this.desk = createDesk(this.time, this.engine, 'one');
+	this.desk.requestSync();
+	await this.time.advance(100);
+	this.engine.loseHeartbeats();
+	tryMove(this.desk, this.engine, 3, 'm3');
+	await this.time.advance(5000);
+});
+
+Then('the new holder knows the load as soon as heartbeats arrive again', async function (this: DeskWorld) {
+	this.engine.findHeartbeats();
+	// Whoever plans asks again and again; asking makes the desk read the state.
+	await Array.from({length: 10}).reduce<Promise<void>>(async before => {
+		await before;
+		this.desk.describe(this.engine.endpoint);
+		await this.time.advance(100);
+	}, Promise.resolve());
+	const state = this.desk.describe(this.engine.endpoint);
+	assert.equal(state.isReady, true);
+	assert.deepEqual(state.holds.map(({name}) => name), ['m1', 'm2', 'm3']);
+});
+
 When('an order gets no answer and is carried out late', async function (this: DeskWorld) {
 	this.desk = createDesk(this.time, this.engine, 'one');
 	this.desk.requestSync();
--- a/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
@@ -31,6 +31,15 @@
 const adapterFixedMs = 5;
 const adapterMsPerMb = 0.3;
 
+/** Who has shown that an order is done. */
+enum ChangeSeen {
+	No = 'no',
+	/** The engine, when it was asked; the record lacks it. */
+	Told = 'told',
+	/** A heartbeat, so it is on record. */
+	Recorded = 'recorded',
+}
+
 /** One desk. */
 export class EngineDesk {
 	private readonly orders: OrderSequence;
@@ -102,8 +111,9 @@
 		onBegun();
 		if (effect !== OrderEffect.None) {
 			this.adapters.delete(move.load);
-			const isThere = await this.waitUntil(holds => holds.includes(move.load), expectedMs);
-			this.requireSync(isThere);
+			const seen = await this.waitUntil(holds => holds.includes(move.load), expectedMs);
+			const isThere = seen !== ChangeSeen.No;
+			this.requireSync(seen);
 			this.heldSince.set(move.load, this.options.clock.now());
 			this.options.onEvent('engine.changed', `${this.options.id} ${isThere ? 'holds' : 'may not hold'} ${move.load} from ${move.source}`);
 		}
@@ -151,9 +161,12 @@
 		return this.enqueue(async () => this.orders.give(order));
 	}
 
-	/** An order whose end was not seen may still be under way: its memory is not free until the true state was read. */
-	private requireSync(isConfirmed: boolean): void {
-		if (!isConfirmed) {
+	/**
+	 * An order whose end was not seen may still be under way, and one whose end no heartbeat has told is missing in the
+	 * record: its memory is not free until the engine and the record say the same.
+	 */
+	private requireSync(seen: ChangeSeen): void {
+		if (seen !== ChangeSeen.Recorded) {
 			this.orders.forget();
 		}
 	}
@@ -177,8 +190,10 @@
 	private async unload(model: string): Promise<boolean> {
 		await this.options.wait(retireNoticeMs);
 		const effect = await this.order({kind: EngineOrderKind.Unload, model, adapter: undefined});
-		const isGone = effect !== OrderEffect.None && await this.waitUntil(holds => !holds.includes(model), 0);
-		this.requireSync(isGone);
+		const seen = effect === OrderEffect.None ? ChangeSeen.No : await this.waitUntil(holds => !holds.includes(model), 0);
+		const isGone = seen !== ChangeSeen.No;
+		// While the model is on record, its room does not count as free.
+		this.requireSync(isGone ? ChangeSeen.Recorded : seen);
 		this.adapters.delete(model);
 		this.heldSince.delete(model);
 		this.retiring = undefined;
@@ -187,18 +202,18 @@
 	}
 
 	/** Waits until heartbeats, or the engine itself when it is asked, show a state. */
-	private async waitUntil(isReached: (holds: string[]) => boolean, expectedMs: number): Promise<boolean> {
+	private async waitUntil(isReached: (holds: string[]) => boolean, expectedMs: number): Promise<ChangeSeen> {
 		const {clock, readEndpoint, port} = this.options;
 		const startedAt = clock.now();
 		let askAt = startedAt + expectedMs + overdueMs;
 		while (clock.now() - startedAt < maxMoveMs) {
 			const endpoint = readEndpoint();
 			if (!endpoint) {
-				return false;
+				return ChangeSeen.No;
 			}
 
 			if (isReached(endpoint.holds.map(({name}) => name))) {
-				return true;
+				return ChangeSeen.Recorded;
 			}
 
 			if (clock.now() > askAt) {
@@ -206,7 +221,7 @@
 				// eslint-disable-next-line no-await-in-loop
 				const status = await port.readStatus(endpoint.id, endpoint.address);
 				if (status && !status.isBusy) {
-					return isReached(status.holds.map(({name}) => name));
+					return isReached(status.holds.map(({name}) => name)) ? ChangeSeen.Told : ChangeSeen.No;
 				}
 			}
 
@@ -214,7 +229,7 @@
 			await this.options.wait(pollMs);
 		}
 
-		return false;
+		return ChangeSeen.No;
 	}
 
 	private async enqueue<T>(task: () => Promise<T>): Promise<T> {
