Engines by their use, with head times that entries learn

The place of a new engine is dearer where an engine is used more. What is on its way is no holder when the place of the last one is valued. Entries prefer engines whose last answers began without delay. Whether a caller has time for a change of models follows from the declared load time.

--- a/packages/mastvalve-fleet-control/src/demand-report.ts
+++ b/packages/mastvalve-fleet-control/src/demand-report.ts
@@ -10,6 +10,8 @@
 	requests: Record<string, number>;
 	/** Those of them, by model, whose callers have no time for a load. */
 	urgent: Record<string, number>;
+	/** Time in which an engine without a queue begins an answer, as far as the entry has learned it, by model, ms. */
+	headMs: Record<string, number>;
 	/** What requests wait for now. */
 	wanted: Wanted[];
 	/** Endpoints that refused a request for a model or adapter which they were thought to hold. */
--- a/packages/mastvalve-fleet-control/src/engines/engine-demand.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-demand.ts
@@ -14,6 +14,8 @@
  * engines while nobody is waiting.
  */
 const expectedRates = [1.2, 0.6, 1.3, 1.4, 0.6, 0.5, 0.4, 0.3, 0.3];
+/** Time to begin an answer before any was told, ms: entries begin with the same. */
+const firstHeadMs = 125;
 /** What an entry wants is void when it has not been repeated, ms: three reports. */
 const wantedMs = 3000;
 
@@ -28,13 +30,15 @@
 	/** By `model/adapter`. */
 	private readonly adapters = new ModelDemandEstimate();
 	private readonly step = new DemandStep();
+	/** Time to begin an answer by model and entry, ms. */
+	private readonly headTimes = new Map<string, Map<string, number>>();
 	/** By entry. */
 	private readonly wanted = new Map<string, {at: number; items: KnownWanted[]}>();
 
 	constructor(private readonly now: () => number) {}
 
 	/** Hears what callers of one entry ask for. */
-	hear({entry, requests, urgent, wanted}: DemandReport): void {
+	hear({entry, requests, urgent, headMs, wanted}: DemandReport): void {
 		const now = this.now();
 		Object.entries(requests).forEach(([name, count]) => {
 			this.all.record(name.split('/', 1)[0] ?? name, count, now);
@@ -43,6 +47,9 @@
 		Object.entries(urgent).forEach(([model, count]) => {
 			this.urgent.record(model, count, now);
 		});
+		Object.entries(headMs).forEach(([model, ms]) => {
+			this.headTimes.set(model, new Map(this.headTimes.get(model)).set(entry, ms));
+		});
 		this.wanted.set(entry, {at: now, items: wanted.map(item => ({...item, deadlineAt: now + item.remainingMs}))});
 	}
 
@@ -53,6 +60,13 @@
 		}
 	}
 
+	/** Time in which an engine without a queue begins an answer with a model, ms: the mean over entries, or over other models. */
+	headMsOf(model: string): number {
+		const told = [...this.headTimes.get(model)?.values() ?? []];
+		const all = told.length > 0 ? told : [...this.headTimes.values()].flatMap(times => [...times.values()]);
+		return all.length === 0 ? firstHeadMs : all.reduce((sum, ms) => sum + ms, 0) / all.length;
+	}
+
 	/** Requests a second. */
 	rateOf(model: string): number {
 		return this.all.rateOf(model, this.now());
--- a/packages/mastvalve-fleet-control/src/engines/engine-director.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-director.ts
@@ -216,6 +216,7 @@
 			engines: this.describe(endpoints),
 			wanted: sumByModel(wanted),
 			rateOf: model => this.demand.rateOf(model),
+			headMsOf: model => this.demand.headMsOf(model),
 			idleOf: model => this.demand.idleOf(model),
 			urgentIdleOf: model => this.demand.urgentIdleOf(model),
 			heldFor: (id, model) => this.deskOf(id).heldFor(model),
--- a/packages/mastvalve-fleet/__tests__/placement.steps.ts
+++ b/packages/mastvalve-fleet/__tests__/placement.steps.ts
@@ -29,6 +29,7 @@
 	engines,
 	wanted: wanted.map(model => ({model, waiting: 1})),
 	rateOf: model => rates[model] ?? 0,
+	headMsOf: () => 125,
 	expectedRateOf: model => rates[model] ?? 0,
 	idleOf: model => ((rates[model] ?? 0) > 0 ? 100 : 60_000),
 	urgentIdleOf: model => ((rates[model] ?? 0) > 0 ? 100 : 60_000),
--- a/packages/mastvalve-fleet/src/engines/plan-models.ts
+++ b/packages/mastvalve-fleet/src/engines/plan-models.ts
@@ -29,6 +29,8 @@
 	wanted: readonly WantedModel[];
 	/** Requests a second. */
 	rateOf: (model: string) => number;
+	/** Time in which an engine without a queue begins an answer with a model, ms: mostly the reading of the prompt. */
+	headMsOf: (model: string) => number;
 	/** Requests a second that may come soon: those of now, or a part of those of the models declared before it. */
 	expectedRateOf: (model: string) => number;
 	/** Time since a model was last asked for, ms. */
@@ -47,11 +49,12 @@
 const idleAfterMs = 6000;
 /** An additional engine must be wanted by this factor more than what gives way, so that models don't take turns. */
 const hysteresis = 1.6;
-/**
- * Requests a second that one engine answers for a model within a tight objective: about 0.1 s of reading each, with
- * room for bursts and for the other models that it holds. Above it, the model gets one more engine.
- */
-const comfortableRate = 4;
+/** Part of its time that an engine may spend on reading prompts, so that bursts find it free. Above it, a model gets one more engine. */
+const comfortableShare = 0.5;
+/** A model that takes less of an engine's time than this doesn't get another engine because of the others there. */
+const minOwnShare = 0.1;
+/** What a fully used engine costs as the place of another model, beside what a load costs. */
+const usedEngineCost = 10;
 /** Engines that load from the store for waiting requests at the same time, as a share of all; the others take orders. */
 const maxStoreShare = 0.35;
 /** Engines that load from the store for any reason while requests wait for models, as a share of all. */
@@ -104,9 +107,33 @@
 const askedWorth = 0.5;
 const urgentWorth = 1.5;
 
+/** How many engines hold a model now; one that is on its way serves nobody yet. */
+const countPresent = (engines: readonly EngineState[], model: string): number =>
+	engines.filter(engine => engine.holds.some(({name}) => name === model) && engine.retiring !== model).length;
+
+const msPerSecond = 1000;
+
+/** Part of its time that an engine spends on the requests of one of the models that it holds. */
+const shareOfEngine = (input: ModelPlanInput, model: string, rate: number): number =>
+	rate * input.headMsOf(model) / msPerSecond / Math.max(1, countHolders(input.engines, model));
+
+/** Part of its time that an engine spends on all requests. */
+const usedShare = (input: ModelPlanInput, engine: EngineState): number =>
+	engine.holds
+		.filter(({name}) => name !== engine.retiring)
+		.reduce((sum, {name}) => sum + shareOfEngine(input, name, input.rateOf(name)), 0);
+
+/** How much of their time the engines of a model spend: on its own requests, and on those of the models beside it if it has a part in that. */
+const pressureOn = (input: ModelPlanInput, model: string, rate: number): number => {
+	const own = shareOfEngine(input, model, rate);
+	const holders = input.engines.filter(({holds}) => holds.some(({name}) => name === model));
+	const used = holders.reduce((sum, engine) => sum + usedShare(input, engine), 0) / Math.max(1, holders.length);
+	return own < minOwnShare ? own : Math.max(own, used);
+};
+
 /** How much a place is worth to a model: its demand, of now or soon, for each of its engines. */
 const worthOfPlace = (input: ModelPlanInput, model: string): number => {
-	const holders = Math.max(1, countHolders(input.engines, model));
+	const holders = Math.max(1, countPresent(input.engines, model));
 	const rate = input.expectedRateOf(model);
 	if (holders > 1) {
 		return rate / holders;
@@ -138,7 +165,7 @@
 			}
 
 			const way = {engine: engine.id, load, source};
-			const loadCost = sourceCost[source] + (source === WeightSource.Store ? adapterDemand(input, engine) * blockedAdapterCost : 0);
+			const loadCost = sourceCost[source] + (usedShare(input, engine) * usedEngineCost) + (source === WeightSource.Store ? adapterDemand(input, engine) * blockedAdapterCost : 0);
 			if (fits(input.spec, engine, load) && !engine.hasLateOrder) {
 				return [{
 					...way, evict: undefined, evictedWorth: 0, cost: loadCost,
@@ -193,8 +220,8 @@
 		});
 
 /** What one more engine is worth to a model: the requests that are too many for those that hold it, now or, by half, soon. */
-const worthOfEngine = (input: ModelPlanInput, model: string, holders: number): number => {
-	const overload = (rate: number): number => Math.max(0, rate - (holders * comfortableRate));
+const worthOfEngine = (input: ModelPlanInput, model: string): number => {
+	const overload = (rate: number): number => rate * Math.max(0, 1 - (comfortableShare / pressureOn(input, model, rate)));
 	return (overload(input.rateOf(model)) + overload(input.expectedRateOf(model))) / 2 * demandHorizonS;
 };
 
@@ -204,13 +231,16 @@
 	return input.spec.models
 		.map(({name}) => {
 			const holders = countHolders(input.engines, name);
-			return {name, worth: worthOfEngine(input, name, holders), load: holders === 0 ? input.expectedRateOf(name) * absentFactor : input.expectedRateOf(name) / holders};
+			const rate = input.expectedRateOf(name) * (holders === 0 ? absentFactor : 1);
+			return {
+				name, worth: worthOfEngine(input, name), load: rate / Math.max(1, holders), pressure: pressureOn(input, name, rate),
+			};
 		})
-		.filter(({load}) => load > comfortableRate)
-		.map(({name, worth, load}) => ({
+		.filter(({pressure}) => pressure > comfortableShare)
+		.map(({name, worth, load, pressure}) => ({
 			worth,
 			ways: listWays(input, name).filter(way =>
-				way.evictedWorth * hysteresis < load && (way.source !== WeightSource.Store || (mayUseStore && load > comfortableRate * storeFactor))),
+				way.evictedWorth * hysteresis < load && (way.source !== WeightSource.Store || (mayUseStore && pressure > comfortableShare * storeFactor))),
 		}));
 };
 
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -11,7 +11,7 @@
 import {createRandom, systemClock} from 'mastvalve-utils';
 import {findFreePorts} from '../../../../features/support/free-ports.js';
 import {
-	EndpointBoard, FieldOwner, FleetView, Gateway, ModelDemand, RetryAllowance, UpstreamAgent, type Dialect,
+	EndpointBoard, FieldOwner, FleetView, Gateway, HeadTimes, ModelDemand, RetryAllowance, UpstreamAgent, type Dialect,
 } from '../../src/index.js';
 
 const textOf = (value: string | string[] | undefined): string | undefined => (Array.isArray(value) ? value[0] : value);
@@ -57,7 +57,8 @@
 	/** The longest time that a call took, ms. */
 	longestMs = 0;
 	readonly gateway: Gateway;
-	readonly demand = new ModelDemand('entry', () => systemClock.now(), () => undefined);
+	readonly headTimes = new HeadTimes();
+	readonly demand = new ModelDemand('entry', () => systemClock.now(), () => undefined, this.headTimes);
 	private readonly agent = new Agent({keepAlive: true});
 	private readonly upstream = new UpstreamAgent();
 	private address = '';
@@ -74,6 +75,7 @@
 			board: new EndpointBoard(now),
 			agent: this.upstream,
 			allowance: new RetryAllowance({ratio: 1, slack: 5, windowMs: 10_000}, now),
+			headTimes: this.headTimes,
 			demand: this.demand,
 			log: kind => {
 				this.logged.push(kind);
--- a/packages/mastvalve-gateway/src/requests/choose-now.ts
+++ b/packages/mastvalve-gateway/src/requests/choose-now.ts
@@ -18,4 +18,6 @@
 		now: core.clock.now(),
 		knowledgeOf: id => core.board.find(id),
 		random: core.random,
+		headMs: core.headTimes.headMsOf(request.caller.model ?? ''),
+		msPerToken: core.headTimes.msPerToken(request.caller.model ?? ''),
 	});
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -12,7 +12,7 @@
 import {isRepeatable, type CallerRequest} from './caller-request.js';
 import {relayBody, StreamPosition} from './relay.js';
 import type {Reply} from './reply.js';
-import {waitForEndpoint} from './wait-for-endpoint.js';
+import {hasTimeForSwap, waitForEndpoint} from './wait-for-endpoint.js';
 
 /** Endpoints that may be out of reach before a request is given up; nothing was handed to them. */
 const maxUnsent = 3;
@@ -20,6 +20,7 @@
 const connectMs = 400;
 /** What is left of the time must be worth an attempt, ms. */
 const minRemainingMs = 20;
+const okStatus = 200;
 /** Pause of a caller after a refusal that says nothing else, ms. */
 const defaultRetryAfterMs = 100;
 
@@ -45,7 +46,7 @@
 
 	core.allowance.recordRequest(request.service);
 	if (caller.model !== undefined) {
-		core.demand.recordRequest(caller.model, caller.adapter, route.objectiveMs);
+		core.demand.recordRequest(caller.model, caller.adapter, hasTimeForSwap(core, request, caller.model));
 	}
 
 	let isOver = false;
@@ -75,9 +76,11 @@
 
 	progress.tried.add(endpoint.id);
 	const use = core.board.begin(endpoint.id, request.caller.promptTokens);
+	const sentAt = core.clock.now();
 	const outcome = await sendTo(core, request, endpoint, progress);
 	core.observer.recordAttempt(outcome.kind);
 	if (outcome.kind === ExchangeKind.Answered) {
+		recordHead(core, request, endpoint, outcome.res.statusCode ?? 0, core.clock.now() - sentAt);
 		progress.sent += 1;
 		const isOver = await takeAnswer(core, request, reply, progress, {endpoint, outcome, read: use.read});
 		use.end();
@@ -103,6 +106,16 @@
 	return endOrRetry(core, request, reply, progress, outcome.reason);
 };
 
+/** Learns from the time in which an engine began to answer. */
+const recordHead = (core: GatewayCore, {caller}: CallerRequest, {id}: FleetEndpoint, status: number, headMs: number): void => {
+	if (caller.model === undefined || status !== okStatus) {
+		return;
+	}
+
+	core.headTimes.record(caller.model, caller.promptTokens, headMs);
+	core.board.recordDelay(id, headMs - core.headTimes.headMsOf(caller.model));
+};
+
 /** Whether the request is over after an attempt that did not answer it. */
 const endOrRetry = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, reason: string): boolean => {
 	const {route, deadlineAt} = request;
--- a/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
@@ -61,6 +61,16 @@
 	return core.clock.now() + (loadMs[source] * loadReserve[source]) < patienceEnd(request);
 };
 
+/** A change of models takes this many times as long as a load from disk: what gives way is unloaded first. */
+const swapReserve = 1.5;
+
+/** Whether the objective of a request leaves time for a load from an engine's disk. */
+export const hasTimeForSwap = (core: GatewayCore, {service, route}: CallerRequest, model: string): boolean => {
+	const spec = core.view.configuration?.services.find(({name}) => name === service)?.engine;
+	const diskLoadMs = spec?.models.find(({name}) => name === model)?.diskLoadMs ?? 0;
+	return route.objectiveMs >= diskLoadMs * swapReserve;
+};
+
 const describeAbsence = (core: GatewayCore, request: CallerRequest, model: string): NoEndpoint => {
 	const now = core.clock.now();
 	const expectedMs = (core.view.expectModel(request.service, model) ?? now + unknownRetryMs) - now;
--- a/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
+++ b/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
@@ -18,21 +18,23 @@
 	now: number;
 	knowledgeOf: (id: string) => EndpointKnowledge;
 	random: () => number;
+	/** Time in which an engine without a queue begins an answer with this model, ms. */
+	headMs: number;
+	/** The part of that for each prompt token, ms. */
+	msPerToken: number;
 };
 
-/** Time in which a prompt token is read, ms; 19.1 tokens a ms on the engines of both deployments. */
-const readMsPerToken = 1 / 19.1;
-/** What one more running request adds to the wait of the next, ms: its share of a step. */
-const runningMs = 4;
+/** What one more running request adds to the wait of the next, as a part of the time to begin an answer: its share of a step. */
+const runningShare = 0.03;
 /** Bytes between failure domains are dear: another domain must be faster by this, ms. */
 const otherDomainMs = 25;
-/** Time in which an engine reads the prompt of a request of others, ms: 2,368 tokens less what is kept of them. */
-const waitingMs = 100;
 /**
  * An endpoint with own requests that has sent no byte for this long is doubtful, ms. Streams send several events a
  * second, and the longest reading of a prompt takes less.
  */
 const silentMs = 1200;
+/** What the last answers came late by means less and less; ms. */
+const delayDecayMs = 700;
 /** A told load means less and less; ms. */
 const loadDecayMs = 700;
 
@@ -47,13 +49,14 @@
 };
 
 /** Expected wait at an endpoint, ms. */
-const estimateWait = (knowledge: EndpointKnowledge, now: number): number => {
-	const {load, loadAt, inFlight, unreadTokens, unread} = knowledge;
+const estimateWait = (knowledge: EndpointKnowledge, {now, headMs, msPerToken}: EndpointChoiceInput): number => {
+	const {load, loadAt, inFlight, unreadTokens, unread, delay, delayAt} = knowledge;
 	const weight = Math.exp(-(now - loadAt) / loadDecayMs);
 	const others = load ? Math.max(0, load.running + load.waiting - inFlight) * weight : 0;
 	// What others have sent and was not read yet when the load was told; the own part is known exactly.
 	const othersUnread = load ? Math.max(0, load.waiting - unread) * weight : 0;
-	return (unreadTokens * readMsPerToken) + ((inFlight + others) * runningMs) + (othersUnread * waitingMs);
+	const lateness = delay * Math.exp(-(now - delayAt) / delayDecayMs);
+	return (unreadTokens * msPerToken) + ((inFlight + others) * headMs * runningShare) + (othersUnread * headMs) + lateness;
 };
 
 /** Whether an endpoint said itself that it can't take a request for this model. */
@@ -75,7 +78,7 @@
 		.map(endpoint => {
 			const knowledge = knowledgeOf(endpoint.id);
 			const domainMs = endpoint.failureDomain === failureDomain ? 0 : otherDomainMs;
-			return {endpoint, isDoubted: isDoubtful(endpoint, knowledge, now), cost: estimateWait(knowledge, now) + domainMs + random()};
+			return {endpoint, isDoubted: isDoubtful(endpoint, knowledge, now), cost: estimateWait(knowledge, input) + domainMs + random()};
 		});
 	const sound = candidates.filter(candidate => !candidate.isDoubted);
 	return (sound.length > 0 ? sound : candidates).toSorted((a, b) => a.cost - b.cost)[0]?.endpoint;
--- a/packages/mastvalve-gateway/src/routing/endpoint-board.ts
+++ b/packages/mastvalve-gateway/src/routing/endpoint-board.ts
@@ -15,6 +15,10 @@
 	load: ReportedLoad | undefined;
 	/** When the load was told, ms. */
 	loadAt: number;
+	/** How much later than without a queue its answers began lately, ms. */
+	delay: number;
+	/** When the last of them began, ms. */
+	delayAt: number;
 	/** Others are preferred until then, ms. */
 	suspectUntil: number;
 	failures: number;
@@ -32,6 +36,9 @@
 const firstSuspicionMs = 400;
 const maxSuspicionMs = 6000;
 
+/** Weight of the newest answer's delay. */
+const delayWeight = 0.4;
+
 /** The board. */
 export class EndpointBoard {
 	private readonly known = new Map<string, EndpointKnowledge>();
@@ -40,7 +47,7 @@
 
 	find(id: string): EndpointKnowledge {
 		const knowledge = this.known.get(id) ?? {
-			inFlight: 0, unread: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, heardAt: Number.NEGATIVE_INFINITY, busySince: 0, lacks: new Map<string, number>(), isReplaced: false,
+			inFlight: 0, unread: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, delay: 0, delayAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, heardAt: Number.NEGATIVE_INFINITY, busySince: 0, lacks: new Map<string, number>(), isReplaced: false,
 		};
 		this.known.set(id, knowledge);
 		return knowledge;
@@ -73,6 +80,13 @@
 		};
 	}
 
+	/** An answer began so much later than without a queue, ms. */
+	recordDelay(id: string, delayMs: number): void {
+		const knowledge = this.find(id);
+		knowledge.delay += (Math.max(0, delayMs) - knowledge.delay) * delayWeight;
+		knowledge.delayAt = this.now();
+	}
+
 	/** A byte came. */
 	recordByte(id: string): void {
 		this.find(id).heardAt = this.now();
--- a/packages/mastvalve-gateway/src/routing/model-demand.ts
+++ b/packages/mastvalve-gateway/src/routing/model-demand.ts
@@ -3,9 +3,7 @@
  */
 
 import type {DemandReport, Wanted} from 'mastvalve-fleet-control';
-
-/** A model gives way to another one that comes from an engine's disk in about this time, ms: 0.1 to 0.3 s and 1.6 to 2.3 s on both deployments. */
-const loadTimeMs = 2600;
+import type {HeadTimes} from './head-times.js';
 
 type Waiting = {service: string; model: string; adapter: string | undefined; deadlines: number[]};
 
@@ -20,12 +18,13 @@
 	private absent = new Set<string>();
 	private readonly waiting = new Map<string, Waiting>();
 
-	constructor(private readonly entry: string, private readonly now: () => number, private readonly onUrgent: () => void) {}
+	constructor(private readonly entry: string, private readonly now: () => number, private readonly onUrgent: () => void, private readonly headTimes: HeadTimes) {}
 
-	recordRequest(model: string, adapter: string | undefined, objectiveMs: number): void {
+	/** A request came; whether its caller has time for a change of models. */
+	recordRequest(model: string, adapter: string | undefined, hasTime: boolean): void {
 		const name = formatModel(model, adapter);
 		this.requests[name] = (this.requests[name] ?? 0) + 1;
-		if (objectiveMs < loadTimeMs) {
+		if (!hasTime) {
 			this.urgent[model] = (this.urgent[model] ?? 0) + 1;
 		}
 	}
@@ -76,6 +75,7 @@
 			entry: this.entry,
 			requests,
 			urgent,
+			headMs: this.headTimes.list(),
 			suspects: [...suspects],
 			absent: [...absent],
 			wanted: [...this.waiting.values()].map(({service, model, adapter, deadlines}): Wanted => ({
--- a/packages/mastvalve-gateway/src/server/gateway-core.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-core.ts
@@ -7,6 +7,7 @@
 import type {FleetView} from '../fleet/fleet-view.js';
 import type {EndpointBoard} from '../routing/endpoint-board.js';
 import type {RetryAllowance} from '../routing/retry-allowance.js';
+import type {HeadTimes} from '../routing/head-times.js';
 import type {ModelDemand} from '../routing/model-demand.js';
 import type {UpstreamAgent} from '../upstream/upstream-agent.js';
 import type {GatewayObserver} from './gateway-observer.js';
@@ -24,6 +25,7 @@
 	board: EndpointBoard;
 	agent: UpstreamAgent;
 	allowance: RetryAllowance;
+	headTimes: HeadTimes;
 	demand: ModelDemand;
 	log: LogDecision;
 	observer: GatewayObserver;
