A restarted replica waits from the start of its process, not from the moment at which it has loaded

The wait keeps a lease that may rest on an acknowledgement of the former life; none can be younger than the new process. Change: the wait counts from the start of the process.

--- a/packages/mastvalve-cluster/__tests__/control-group.feature
+++ b/packages/mastvalve-cluster/__tests__/control-group.feature
@@ -45,6 +45,11 @@
     When the first one is stopped for good and another one starts at another address
     Then the newcomer takes its place and has all changes
 
+  Scenario: A replica that was restarted waits from the start of its process on, not from the moment at which it has loaded
+    Given a replica whose process started 400 ms before it, with an election timeout of 550 ms
+    Then it grants no vote and stands for no election before 550 ms after the start of its process
+    And it grants a vote 10 ms after that
+
   Scenario: When a kept connection to a peer goes silent, one call is lost and the next one is answered
     Given a peer whose connections go silent after their first answer, while new ones work
     When 3 calls were answered together
--- a/packages/mastvalve-cluster/__tests__/control-group.steps.ts
+++ b/packages/mastvalve-cluster/__tests__/control-group.steps.ts
@@ -11,6 +11,9 @@
 	After, Given, Then, When, type World,
 } from '@cucumber/cucumber';
 import {assumeType, systemClock} from 'mastvalve-utils';
+import {
+	defaultReplicaRules, MessageKind, Replica, Role,
+} from 'mastvalve-replication';
 import {findFreePorts} from '../../../features/support/free-ports.js';
 import {waitUntil} from '../../../features/support/conditions.js';
 import {
@@ -336,3 +339,32 @@
 Then('the call after that is answered', async function (this: GroupWorld) {
 	assert.equal(await callSilent(this), true);
 });
+
+type ReplicaWorld = World & {replica: Replica; timeoutMs: number; startedAt: number};
+
+/** A pre-vote request that is granted unless a lease may rest on the replica's silence. */
+const askForVote = ({replica}: ReplicaWorld, now: number): boolean => {
+	replica.receive({
+		kind: MessageKind.PreVoteRequest, from: 'b', to: 'a', term: replica.term + 1, lastIndex: 9, lastTerm: 9, transfer: false,
+	}, now);
+	return replica.takeEffects().messages.some(message => message.kind === MessageKind.PreVoteResponse && message.granted);
+};
+
+Given('a replica whose process started {int} ms before it, with an election timeout of {int} ms', function (this: ReplicaWorld, loadMs: number, timeoutMs: number) {
+	this.startedAt = 1000;
+	this.timeoutMs = timeoutMs;
+	this.replica = new Replica({
+		id: 'a', initialMembership: {voters: ['a', 'b', 'c'], learners: []}, restored: {hardState: {term: 1}, snapshot: undefined, entries: []}, times: {electionTimeoutMs: timeoutMs, heartbeatMs: 100, maxClockDrift: 0.1}, rules: defaultReplicaRules, random: () => 0, now: this.startedAt + loadMs, quietSince: this.startedAt,
+	});
+});
+
+Then('it grants no vote and stands for no election before {int} ms after the start of its process', function (this: ReplicaWorld, quietMs: number) {
+	const now = this.startedAt + quietMs - 1;
+	this.replica.tick(now);
+	assert.equal(this.replica.role, Role.Follower);
+	assert.equal(askForVote(this, now), false);
+});
+
+Then('it grants a vote {int} ms after that', function (this: ReplicaWorld, afterMs: number) {
+	assert.equal(askForVote(this, this.startedAt + this.timeoutMs + afterMs), true);
+});
--- a/packages/mastvalve-cluster/src/membership/control-group.ts
+++ b/packages/mastvalve-cluster/src/membership/control-group.ts
@@ -36,6 +36,11 @@
 	client: PeerClient;
 	clock: Clock;
 	times?: ReplicaTimes;
+	/**
+	 * When this process started, in the clock's ms; a former one can't have acknowledged anything after that. With it, a group
+	 * that was killed whole has a leader earlier by the time in which a process loads.
+	 */
+	processStartedAt?: number;
 	onEvent: (kind: string, detail: string) => void;
 	onError: (message: string) => void;
 };
@@ -286,7 +291,7 @@
 	}
 
 	private startNode(): LogNode {
-		const {machine, clock, times, onEvent, onError} = this.options;
+		const {machine, clock, times, processStartedAt, onEvent, onError} = this.options;
 		const {header, restored} = this.journal;
 		if (restored.snapshot) {
 			machine.restoreSnapshot(restored.snapshot.data, restored.snapshot.index);
@@ -300,6 +305,7 @@
 			rules: defaultReplicaRules,
 			random: Math.random,
 			now: clock.now(),
+			quietSince: processStartedAt,
 		});
 		return new LogNode({
 			replica,
--- a/packages/mastvalve-replication/src/replica-options.ts
+++ b/packages/mastvalve-replication/src/replica-options.ts
@@ -64,6 +64,11 @@
 	random: () => number;
 	/** Monotonic time of the start, ms. */
 	now: number;
+	/**
+	 * The latest time at which a former life of this replica can have acknowledged anything, ms: the start of the process.
+	 * Votes and elections wait from then on. The time of the start of the replica when left out.
+	 */
+	quietSince?: number;
 	/** Entries kept in memory behind a snapshot, for replicas that are a little behind. */
 	trailingEntries?: number;
 };
--- a/packages/mastvalve-replication/src/replica.ts
+++ b/packages/mastvalve-replication/src/replica.ts
@@ -90,8 +90,9 @@
 		this.commitIndex = options.restored.snapshot?.index ?? 0;
 		this.emittedIndex = this.commitIndex;
 		// Before a restart we may have acknowledged a heartbeat on which a lease still rests.
-		this.quietUntil = options.now + options.times.electionTimeoutMs;
-		this.resetElectionTimer(options.now);
+		const quietSince = options.quietSince ?? options.now;
+		this.quietUntil = quietSince + options.times.electionTimeoutMs;
+		this.resetElectionTimer(quietSince);
 	}
 
 	get term(): number {
