--- a/packages/mastvalve-fleet-control/src/engines/engine-director.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-director.ts
@@ -50,6 +50,8 @@
 const absentMs = 4000;
 /** Moves that one round begins at the most; the rest waits for the next. */
 const maxMovesPerRound = 6;
+/** Reports of this time are answered by one round, ms. */
+const gatherMs = 10;
 /** Adapters that one round begins to load ahead of need. */
 const maxPrefetchesPerRound = 8;
 
@@ -66,6 +68,7 @@
 	/** Rises whenever all desks are closed. */
 	private generation = 0;
 	private isClaiming = false;
+	private isRoundDue = false;
 	/** When this instance became the holder of the orders, ms. */
 	private aloneSince = Number.NEGATIVE_INFINITY;
 	/** Whether nobody gave orders before, so that the list of models is at its beginning. */
@@ -84,7 +87,7 @@
 			this.absentUntil.set(id, now + absentMs);
 		});
 		report.suspects.forEach(id => this.desks.get(id)?.requestSync());
-		void this.runRound();
+		this.runSoon();
 	}
 
 	/** One round: claims the orders if need be, then begins moves. */
@@ -109,6 +112,19 @@
 		});
 	}
 
+	/** Reports come in bursts; one round answers all of a moment, so that planning does not hold up the requests of an instance. */
+	private runSoon(): void {
+		if (this.isRoundDue) {
+			return;
+		}
+
+		this.isRoundDue = true;
+		void this.options.wait(gatherMs).then(async () => {
+			this.isRoundDue = false;
+			await this.runRound();
+		});
+	}
+
 	/** Moves in progress give no more orders, also when this instance may order again in the same term. */
 	private closeDesks(): void {
 		this.desks.clear();
--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -40,6 +40,8 @@
 const directPauseMs = 100;
 /** Longest wait for a change, ms: well below the time in which a follower must notice that this instance is cut off. */
 const maxFollowWaitMs = 500;
+/** How often a question that waits for a leader looks for one, ms. */
+const leaderPollMs = 15;
 /** An incomplete group takes the first changes after this long all the same, ms. */
 const incompleteGraceMs = 5000;
 
@@ -186,7 +188,7 @@
 	}
 
 	private async follow({revision, waitMs, mustBeNewest}: FollowRequest, signal: AbortSignal): Promise<Result<FollowAnswer, MastvalveError>> {
-		const fresh = mustBeNewest ? await this.group.readFresh() : ok(true);
+		const fresh = mustBeNewest ? await this.readFreshSoon(Math.min(waitMs, maxFollowWaitMs), signal) : ok(true);
 		if (fresh.isErr()) {
 			return err(fresh.error);
 		}
@@ -200,6 +202,20 @@
 			: err(new ControlUnavailableError('This control instance hears no leader, so it may not know the newest state.'));
 	}
 
+	/** Without a leader that is sure of the newest, the question waits for one: asking again and again would cost a starting entry more than the wait. */
+	private async readFreshSoon(ms: number, signal: AbortSignal): Promise<Result<unknown, MastvalveError>> {
+		const endAt = this.options.clock.now() + ms;
+		let fresh: Result<unknown, MastvalveError> = await this.group.readFresh();
+		while (fresh.isErr() && this.options.clock.now() < endAt && !signal.aborted) {
+			// eslint-disable-next-line no-await-in-loop
+			await waitFor(leaderPollMs, signal);
+			// eslint-disable-next-line no-await-in-loop
+			fresh = await this.group.readFresh();
+		}
+
+		return fresh;
+	}
+
 	private async waitForChange(ms: number, signal: AbortSignal): Promise<void> {
 		await new Promise<void>(resolve => {
 			const done = () => {
--- /dev/null
+++ b/packages/mastvalve-fleet/src/engines/engine-use.ts
@@ -0,0 +1,78 @@
+/**
+ * How much engines are used, for one plan: who holds which model, and which part of its time an engine spends on reading
+ * prompts. Everything is worked out once for a plan, since a plan asks for it for each way to each load.
+ */
+
+import type {EngineState} from './engine-state.js';
+
+/** What it is worked out from. */
+export type EngineUseInput = {
+	engines: readonly EngineState[];
+	/** Requests a second. */
+	rateOf: (model: string) => number;
+	/** Time in which an engine without a queue begins an answer with a model, ms: mostly the reading of the prompt. */
+	headMsOf: (model: string) => number;
+};
+
+/** A model that takes less of an engine's time than this doesn't get another engine because of the others there. */
+const minOwnShare = 0.1;
+const msPerSecond = 1000;
+
+const countBy = (models: readonly string[]): Map<string, number> =>
+	models.reduce((counts, model) => counts.set(model, (counts.get(model) ?? 0) + 1), new Map<string, number>());
+
+/** The use of all engines. */
+export class EngineUse {
+	/** Engines that hold a model, by model. */
+	private readonly present: Map<string, number>;
+	/** The same with those to which it is on its way. */
+	private readonly holders: Map<string, number>;
+	private readonly used: Map<string, number>;
+
+	constructor(private readonly input: EngineUseInput) {
+		const {engines} = input;
+		const held = engines.flatMap(({holds, retiring}) => holds.map(({name}) => name).filter(name => name !== retiring));
+		const coming = engines.flatMap(({holds, loading}) => (loading === undefined || holds.some(({name}) => name === loading) ? [] : [loading]));
+		this.present = countBy(held);
+		this.holders = countBy([...held, ...coming]);
+		this.used = new Map(engines.map(engine => [engine.id, this.sumShares(engine)]));
+	}
+
+	/** How many engines hold a model, or are about to. */
+	countHolders(model: string): number {
+		return this.holders.get(model) ?? 0;
+	}
+
+	/** How many engines hold a model now; one that is on its way serves nobody yet. */
+	countPresent(model: string): number {
+		return this.present.get(model) ?? 0;
+	}
+
+	/** Part of its time that an engine spends on all requests. */
+	usedShare(engine: EngineState): number {
+		return this.used.get(engine.id) ?? 0;
+	}
+
+	/** How much of their time the engines of a model spend: on its own requests, and on those of the models beside it if it has a part in that. */
+	pressureOn(model: string, rate: number): number {
+		const own = this.shareOf(model, rate);
+		if (own < minOwnShare) {
+			return own;
+		}
+
+		const holders = this.input.engines.filter(({holds}) => holds.some(({name}) => name === model));
+		const used = holders.reduce((sum, engine) => sum + this.usedShare(engine), 0) / Math.max(1, holders.length);
+		return Math.max(own, used);
+	}
+
+	/** Part of its time that an engine spends on the requests of one of the models that it holds. */
+	private shareOf(model: string, rate: number): number {
+		return rate * this.input.headMsOf(model) / msPerSecond / Math.max(1, this.countHolders(model));
+	}
+
+	private sumShares({holds, retiring}: EngineState): number {
+		return holds
+			.filter(({name}) => name !== retiring)
+			.reduce((sum, {name}) => sum + this.shareOf(name, this.input.rateOf(name)), 0);
+	}
+}
--- a/packages/mastvalve-fleet/src/engines/plan-models.ts
+++ b/packages/mastvalve-fleet/src/engines/plan-models.ts
@@ -7,6 +7,7 @@
 
 import type {EngineSpec} from '../configuration/served-service.js';
 import type {EngineModel} from '../configuration/engine-model.js';
+import {EngineUse, type EngineUseInput} from './engine-use.js';
 import {findSource, WeightSource, type EngineState} from './engine-state.js';
 
 /** A change of one engine. */
@@ -22,15 +23,10 @@
 export type WantedModel = {model: string; waiting: number};
 
 /** What the plan rests on. */
-export type ModelPlanInput = {
+export type ModelPlanInput = EngineUseInput & {
 	spec: EngineSpec;
-	engines: readonly EngineState[];
 	/** Models that requests wait for. */
 	wanted: readonly WantedModel[];
-	/** Requests a second. */
-	rateOf: (model: string) => number;
-	/** Time in which an engine without a queue begins an answer with a model, ms: mostly the reading of the prompt. */
-	headMsOf: (model: string) => number;
 	/** Requests a second that may come soon: those of now, or a part of those of the models declared before it. */
 	expectedRateOf: (model: string) => number;
 	/** Time since a model was last asked for, ms. */
@@ -43,6 +39,9 @@
 	storeLoads: number;
 };
 
+/** A plan in the making. */
+type Planning = ModelPlanInput & {use: EngineUse};
+
 /** A model that was loaded for waiting requests serves for this long at the least, ms. */
 const minServeMs = 1500;
 /** A model counts as idle after this long without a request, ms. */
@@ -51,8 +50,6 @@
 const hysteresis = 1.6;
 /** Part of its time that an engine may spend on reading prompts, so that bursts find it free. Above it, a model gets one more engine. */
 const comfortableShare = 0.5;
-/** A model that takes less of an engine's time than this doesn't get another engine because of the others there. */
-const minOwnShare = 0.1;
 /** What a fully used engine costs as the place of another model, beside what a load costs. */
 const usedEngineCost = 10;
 /** Engines that load from the store for waiting requests at the same time, as a share of all; the others take orders. */
@@ -72,6 +69,21 @@
 /** A load from the store keeps an engine from all other orders for 8 to 9 s; demand must be this much above. */
 const storeFactor = 1.4;
 
+/** What is asked of a specification for every way to every load. */
+type SpecFacts = {models: ReadonlyMap<string, EngineModel>; adapterReserve: number};
+
+const knownFacts = new WeakMap<EngineSpec, SpecFacts>();
+
+const factsOf = (spec: EngineSpec): SpecFacts => {
+	const facts = knownFacts.get(spec) ?? {
+		models: new Map(spec.models.map(model => [model.name, model])),
+		// Room that an engine keeps for adapters, MB: all its slots with the largest ones.
+		adapterReserve: spec.adapterSlots * Math.max(0, ...spec.models.map(model => model.adapterSize)),
+	};
+	knownFacts.set(spec, facts);
+	return facts;
+};
+
 const memoryOf = (models: ReadonlyMap<string, EngineModel>, engine: EngineState): number => {
 	const held = engine.holds.reduce((sum, {name, adapters}) => {
 		const model = models.get(name);
@@ -82,20 +94,13 @@
 	return held + loading + adapters;
 };
 
-/** Room that an engine keeps for adapters, MB: all its slots with the largest ones. */
-const adapterReserve = (spec: EngineSpec): number => spec.adapterSlots * Math.max(0, ...spec.models.map(model => model.adapterSize));
-
 /** Whether a model fits beside all that an engine holds or was ordered to load. */
 export const fits = (spec: EngineSpec, engine: EngineState, model: string, without?: string): boolean => {
-	const models = new Map(spec.models.map(each => [each.name, each]));
+	const {models, adapterReserve} = factsOf(spec);
 	const remaining = without === undefined ? engine : {...engine, holds: engine.holds.filter(({name}) => name !== without)};
-	return memoryOf(models, remaining) + (models.get(model)?.size ?? Number.POSITIVE_INFINITY) + adapterReserve(spec) <= spec.weightCapacity;
+	return memoryOf(models, remaining) + (models.get(model)?.size ?? Number.POSITIVE_INFINITY) + adapterReserve <= spec.weightCapacity;
 };
 
-/** How many engines hold a model, or are about to. */
-const countHolders = (engines: readonly EngineState[], model: string): number =>
-	engines.filter(engine => (engine.holds.some(({name}) => name === model) && engine.retiring !== model) || engine.loading === model).length;
-
 const isFree = (engine: EngineState): boolean => engine.isReady && engine.loading === undefined && engine.retiring === undefined;
 
 const sourceCost: Record<WeightSource, number> = {[WeightSource.Memory]: 1, [WeightSource.Disk]: 2.5, [WeightSource.Store]: 10};
@@ -107,33 +112,9 @@
 const askedWorth = 0.5;
 const urgentWorth = 1.5;
 
-/** How many engines hold a model now; one that is on its way serves nobody yet. */
-const countPresent = (engines: readonly EngineState[], model: string): number =>
-	engines.filter(engine => engine.holds.some(({name}) => name === model) && engine.retiring !== model).length;
-
-const msPerSecond = 1000;
-
-/** Part of its time that an engine spends on the requests of one of the models that it holds. */
-const shareOfEngine = (input: ModelPlanInput, model: string, rate: number): number =>
-	rate * input.headMsOf(model) / msPerSecond / Math.max(1, countHolders(input.engines, model));
-
-/** Part of its time that an engine spends on all requests. */
-const usedShare = (input: ModelPlanInput, engine: EngineState): number =>
-	engine.holds
-		.filter(({name}) => name !== engine.retiring)
-		.reduce((sum, {name}) => sum + shareOfEngine(input, name, input.rateOf(name)), 0);
-
-/** How much of their time the engines of a model spend: on its own requests, and on those of the models beside it if it has a part in that. */
-const pressureOn = (input: ModelPlanInput, model: string, rate: number): number => {
-	const own = shareOfEngine(input, model, rate);
-	const holders = input.engines.filter(({holds}) => holds.some(({name}) => name === model));
-	const used = holders.reduce((sum, engine) => sum + usedShare(input, engine), 0) / Math.max(1, holders.length);
-	return own < minOwnShare ? own : Math.max(own, used);
-};
-
 /** How much a place is worth to a model: its demand, of now or soon, for each of its engines. */
-const worthOfPlace = (input: ModelPlanInput, model: string): number => {
-	const holders = Math.max(1, countPresent(input.engines, model));
+const worthOfPlace = (input: Planning, model: string): number => {
+	const holders = Math.max(1, input.use.countPresent(model));
 	const rate = input.expectedRateOf(model);
 	if (holders > 1) {
 		return rate / holders;
@@ -147,15 +128,15 @@
 const blockedAdapterCost = 2;
 
 /** Requests a second that an engine gets for models with adapters. */
-const adapterDemand = (input: ModelPlanInput, engine: EngineState): number =>
+const adapterDemand = (input: Planning, engine: EngineState): number =>
 	engine.holds
 		.filter(({name}) => input.spec.models.some(model => model.name === name && model.adapterCount > 0))
-		.reduce((sum, {name}) => sum + (input.rateOf(name) / Math.max(1, countHolders(input.engines, name))), 0);
+		.reduce((sum, {name}) => sum + (input.rateOf(name) / Math.max(1, input.use.countHolders(name))), 0);
 
 type Candidate = ModelMove & {cost: number; evictedWorth: number};
 
 /** All ways to bring a model to an engine now. */
-const listWays = (input: ModelPlanInput, load: string): Candidate[] =>
+const listWays = (input: Planning, load: string): Candidate[] =>
 	input.engines
 		.filter(engine => isFree(engine) && !engine.holds.some(({name}) => name === load))
 		.flatMap((engine): Candidate[] => {
@@ -165,7 +146,7 @@
 			}
 
 			const way = {engine: engine.id, load, source};
-			const loadCost = sourceCost[source] + (usedShare(input, engine) * usedEngineCost) + (source === WeightSource.Store ? adapterDemand(input, engine) * blockedAdapterCost : 0);
+			const loadCost = sourceCost[source] + (input.use.usedShare(engine) * usedEngineCost) + (source === WeightSource.Store ? adapterDemand(input, engine) * blockedAdapterCost : 0);
 			if (fits(input.spec, engine, load) && !engine.hasLateOrder) {
 				return [{
 					...way, evict: undefined, evictedWorth: 0, cost: loadCost,
@@ -195,7 +176,7 @@
  * Ways to bring a model for which requests wait. While some engine has a copy of the weights, that one is waited for:
  * loads from the store would keep one engine after the other from all orders.
  */
-const listWaysForWaiting = (input: ModelPlanInput, model: string): Candidate[] => {
+const listWaysForWaiting = (input: Planning, model: string): Candidate[] => {
 	const hasCopy = input.engines.some(engine => findSource(engine, model) !== WeightSource.Store);
 	const storeLoading = countStoreLoads(input.engines);
 	const isBusy = input.rateOf(model) >= busyRate;
@@ -207,33 +188,33 @@
 type Proposal = {worth: number; ways: Candidate[]};
 
 /** What a load is worth to those who wait for it, and to those who will come. */
-const worthOfLoad = (input: ModelPlanInput, {model, waiting}: WantedModel): number =>
+const worthOfLoad = (input: Planning, {model, waiting}: WantedModel): number =>
 	(input.rateOf(model) * demandHorizonS) + (waiting * (input.urgentIdleOf(model) < idleAfterMs ? urgentWaitingShare : 1));
 
 /** Loads for requests that wait. What gives way may not be worth much more than what comes. */
-const proposeForWaiting = (input: ModelPlanInput): Proposal[] =>
+const proposeForWaiting = (input: Planning): Proposal[] =>
 	input.wanted
-		.filter(({model}) => countHolders(input.engines, model) === 0)
+		.filter(({model}) => input.use.countHolders(model) === 0)
 		.map(wanted => {
 			const worth = worthOfLoad(input, wanted);
 			return {worth, ways: listWaysForWaiting(input, wanted.model).filter(way => way.evictedWorth < worth * maxEvictedFactor)};
 		});
 
 /** What one more engine is worth to a model: the requests that are too many for those that hold it, now or, by half, soon. */
-const worthOfEngine = (input: ModelPlanInput, model: string): number => {
-	const overload = (rate: number): number => rate * Math.max(0, 1 - (comfortableShare / pressureOn(input, model, rate)));
+const worthOfEngine = (input: Planning, model: string): number => {
+	const overload = (rate: number): number => rate * Math.max(0, 1 - (comfortableShare / input.use.pressureOn(model, rate)));
 	return (overload(input.rateOf(model)) + overload(input.expectedRateOf(model))) / 2 * demandHorizonS;
 };
 
 /** Loads that give a model with much demand one more engine. */
-const proposeForDemand = (input: ModelPlanInput): Proposal[] => {
+const proposeForDemand = (input: Planning): Proposal[] => {
 	const mayUseStore = input.wanted.length === 0 || countStoreLoads(input.engines) < Math.max(1, Math.floor(input.engines.length * maxBusyShare));
 	return input.spec.models
 		.map(({name}) => {
-			const holders = countHolders(input.engines, name);
+			const holders = input.use.countHolders(name);
 			const rate = input.expectedRateOf(name) * (holders === 0 ? absentFactor : 1);
 			return {
-				name, worth: worthOfEngine(input, name), load: rate / Math.max(1, holders), pressure: pressureOn(input, name, rate),
+				name, worth: worthOfEngine(input, name), load: rate / Math.max(1, holders), pressure: input.use.pressureOn(name, rate),
 			};
 		})
 		.filter(({pressure}) => pressure > comfortableShare)
@@ -245,7 +226,8 @@
 };
 
 /** The next move, or undefined: the cheapest way to the load that is worth most. */
-export const planModelMove = (input: ModelPlanInput): ModelMove | undefined => {
+export const planModelMove = (given: ModelPlanInput): ModelMove | undefined => {
+	const input = {...given, use: new EngineUse(given)};
 	const way = [...proposeForWaiting(input), ...proposeForDemand(input)]
 		.toSorted((a, b) => b.worth - a.worth)
 		.map(({ways}) => cheapest(ways))
