Tests of learned speeds, the use of engines, late heartbeats and 300 callers at once

The choices follow engines that are half and twice as fast as those the constants came from. A late heartbeat of an earlier identity and 300 connections at once pass without a change; they hold what was so already.

--- a/packages/mastvalve-fleet/__tests__/fleet.feature
+++ b/packages/mastvalve-fleet/__tests__/fleet.feature
@@ -20,6 +20,12 @@
     When another endpoint reports from the same address
     Then the former one is gone and the new one is ready
 
+  Scenario: A heartbeat of an earlier identity that arrives after the next one has registered changes nothing
+    Given a fleet with a ready endpoint
+    When another endpoint reports from the same address
+    And a newer heartbeat of the former one arrives after that
+    Then the former one is gone and the new one is ready
+
   Scenario: Heartbeats don't undo what orders changed
     Given a fleet with a ready endpoint
     When an adapter is recorded and a heartbeat without adapters arrives
--- a/packages/mastvalve-fleet/__tests__/fleet.steps.ts
+++ b/packages/mastvalve-fleet/__tests__/fleet.steps.ts
@@ -80,6 +80,10 @@
 	apply(this, {kind: FleetCommandKind.Report, report: report('f', 1, {address: 'e:1'})});
 });
 
+When('a newer heartbeat of the former one arrives after that', function (this: FleetWorld) {
+	apply(this, {kind: FleetCommandKind.Report, report: report('e', 9, {address: 'e:1'})});
+});
+
 Then('the former one is gone and the new one is ready', function (this: FleetWorld) {
 	assert.equal(this.machine.find('e')?.phase, EndpointPhase.Gone);
 	assert.equal(this.machine.find('f')?.phase, EndpointPhase.Ready);
--- a/packages/mastvalve-fleet/__tests__/placement.feature
+++ b/packages/mastvalve-fleet/__tests__/placement.feature
@@ -61,5 +61,32 @@
     Then "b" counts for more than 7 requests a second 1000 ms later
     And "b" counts for less than 1 request a second 12000 ms later
 
+  Scenario Outline: How many engines a model gets follows from how fast they begin answers
+    Given 2 engines, one of which holds "a", that begin an answer in <head> ms
+    When "a" is asked for at <rate> requests a second
+    Then another engine loads "a": <loads>
+
+    Examples:
+      | head | rate | loads |
+      | 125  | 3    | no    |
+      | 125  | 6    | yes   |
+      | 62   | 6    | no    |
+      | 62   | 12   | yes   |
+      | 250  | 1.5  | no    |
+      | 250  | 3    | yes   |
+
+  Scenario: A model gets another engine because of what its engine does for others
+    Given 2 engines, one of which holds "a" and a busy "b"
+    Then another engine loads "a" or "b"
+
+  Scenario: The place of another engine is the one that is used least
+    Given a busy engine with "a", one that is used much and one that is used little
+    Then the one that is used little loads "a"
+
+  Scenario: A load that is under way does not make the last engine of a model give it up
+    Given an engine that holds a busy "a", and another one on which a load of "a" is under way
+    When "f" is waited for
+    Then "a" is not unloaded
+
   Scenario: No move needs more memory than there is
     Then 300 random fleets get only moves that fit
--- a/packages/mastvalve-fleet/__tests__/placement.steps.ts
+++ b/packages/mastvalve-fleet/__tests__/placement.steps.ts
@@ -8,7 +8,7 @@
 } from '@cucumber/cucumber';
 import fc from 'fast-check';
 import {
-	anticipateRates, DemandStep, fits, ModelDemandEstimate, planModelMove, type EngineSpec, type EngineState, type ModelPlanInput,
+	anticipateRates, DemandStep, fits, ModelDemandEstimate, planModelMove, WeightSource, type EngineSpec, type EngineState, type ModelPlanInput,
 } from '../src/index.js';
 
 type PlacementWorld = World & {held: string[]; plan: ModelPlanInput; demandStep: DemandStep; estimate: ModelDemandEstimate};
@@ -198,3 +198,61 @@
 		}
 	}), {numRuns: 300, seed: 5});
 });
+
+type SpeedWorld = World & {plan: ModelPlanInput};
+
+const copies = ['a', 'b', 'c', 'd', 'e', 'f'];
+
+Given('{int} engines, one of which holds {string}, that begin an answer in {int} ms', function (this: SpeedWorld, count: number, model: string, headMs: number) {
+	const engines = Array.from({length: count}, (_, index) => engine(`${index}`, index === 0 ? [model] : [], {onDisk: copies}));
+	this.plan = {...planInput(engines, {}), headMsOf: () => headMs};
+});
+
+When('{string} is asked for at {float} requests a second', function (this: SpeedWorld, model: string, rate: number) {
+	this.plan = {...planInput(this.plan.engines, {[model]: rate}), headMsOf: this.plan.headMsOf};
+});
+
+Then('another engine loads {string}: no', function (this: SpeedWorld, _model: string) {
+	assert.equal(planModelMove(this.plan), undefined);
+});
+
+Then('another engine loads {string}: yes', function (this: SpeedWorld, model: string) {
+	const move = planModelMove(this.plan);
+	assert.equal(move?.load, model);
+	assert.equal(move.engine, '1');
+});
+
+Given('2 engines, one of which holds {string} and a busy {string}', function (this: SpeedWorld, model: string, busy: string) {
+	this.plan = planInput([engine('0', [model, busy], {onDisk: copies}), engine('1', [], {onDisk: copies})], {[model]: 2, [busy]: 3});
+});
+
+Then('another engine loads {string} or {string}', function (this: SpeedWorld, first: string, second: string) {
+	const move = planModelMove(this.plan);
+	assert.equal(move?.engine, '1');
+	assert.ok([first, second].includes(move.load));
+});
+
+Given('a busy engine with {string}, one that is used much and one that is used little', function (this: SpeedWorld, model: string) {
+	this.plan = planInput([engine('0', [model], {onDisk: copies}), engine('1', ['b'], {onDisk: copies}), engine('2', ['c'], {onDisk: copies})], {[model]: 8, b: 3.5, c: 0.5});
+});
+
+Then('the one that is used little loads {string}', function (this: SpeedWorld, model: string) {
+	assert.deepEqual(planModelMove(this.plan), {
+		engine: '2', load: model, evict: undefined, source: WeightSource.Disk,
+	});
+});
+
+Given('an engine that holds a busy {string}, and another one on which a load of {string} is under way', function (this: SpeedWorld, model: string, _loading: string) {
+	this.plan = planInput([
+		engine('0', [model, 'b', 'c'], {onDisk: copies}),
+		engine('1', ['b', 'c'], {loading: model}),
+	], {[model]: 14, b: 1, c: 1});
+});
+
+When('{string} is waited for', function (this: SpeedWorld, model: string) {
+	this.plan = {...this.plan, wanted: [{model, waiting: 3}]};
+});
+
+Then('{string} is not unloaded', function (this: SpeedWorld, model: string) {
+	assert.notEqual(planModelMove(this.plan)?.evict, model);
+});
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -47,6 +47,11 @@
 	createRoute('patient', RouteKind.Safe, 60_000),
 ];
 
+/** An endpoint that is ready. */
+export const createEndpoint = (id: string, more: Partial<FleetEndpoint> = {}): FleetEndpoint => ({
+	id, sequence: 1, service: 's', address: '', failureDomain: 'a', release: '', slots: 4, isLeaving: false, remainingMs: undefined, holds: [], inMemory: [], onDisk: [], phase: EndpointPhase.Ready, retiring: undefined, loading: undefined, isOrdering: false, orderedAt: 0, revision: 0, ...more,
+});
+
 /** What a caller gets. */
 export type Received = {status: number; body: string; isWhole: boolean; headers: Record<string, string | string[] | undefined>};
 
@@ -118,8 +123,8 @@
 					maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 				},
 			},
-			endpoints: addresses.map((address, index): FleetEndpoint => ({
-				id: `e${index}`, sequence: 1, service: 's', address, failureDomain: index === 0 ? 'a' : 'b', release: '', slots: 4, isLeaving: false, remainingMs: undefined, holds: (holdings[index] ?? []).map(name => ({name, adapters: []})), inMemory: [], onDisk: [], phase: EndpointPhase.Ready, retiring: undefined, loading, isOrdering: false, orderedAt: 0, revision: this.view.revision + 1,
+			endpoints: addresses.map((address, index): FleetEndpoint => createEndpoint(`e${index}`, {
+				address, failureDomain: index === 0 ? 'a' : 'b', holds: (holdings[index] ?? []).map(name => ({name, adapters: []})), loading, revision: this.view.revision + 1,
 			})),
 		});
 	}
@@ -145,14 +150,19 @@
 		};
 	}
 
+	/** The same as `call` over a connection of its own. */
+	async callAnew(path: string): Promise<Received> {
+		return this.call(path, {agent: false});
+	}
+
 	/** Sends a request and waits for the end of its answer. */
-	async call(path: string, options: {method?: string; body?: string; headers?: Record<string, string>} = {}): Promise<Received> {
+	async call(path: string, options: {method?: string; body?: string; headers?: Record<string, string>; agent?: false} = {}): Promise<Received> {
 		this.requests += 1;
 		const [host, port] = this.address.split(':');
 		const startedAt = systemClock.now();
 		return new Promise<Received>(resolve => {
 			const req = request({
-				host, port, path, agent: this.agent, method: options.method ?? 'POST', headers: {host: 'h', 'x-id': `r${this.requests}`, ...options.headers},
+				host, port, path, agent: options.agent ?? this.agent, method: options.method ?? 'POST', headers: {host: 'h', 'x-id': `r${this.requests}`, ...options.headers},
 			}, res => {
 				let body = '';
 				const done = (isWhole: boolean): void => {
--- a/packages/mastvalve-gateway/__tests__/gateway.feature
+++ b/packages/mastvalve-gateway/__tests__/gateway.feature
@@ -99,6 +99,25 @@
     When a caller sends an "unsafe" request before the entry knows the newest configuration
     Then it gets status 200 with the body "whole" whole
 
+  Scenario: 300 callers that connect at the same moment are all answered
+    Given an endpoint that answers "whole"
+    When 300 callers connect and send a request each
+    Then all of them get status 200
+
+  Scenario Outline: An entry learns how fast engines begin answers, whatever else delays them
+    Given engines that begin an answer in <head> ms, and 4 in 10 answers later by 2000 ms
+    Then an entry expects about <head> ms after 60 requests
+
+    Examples:
+      | head |
+      | 30   |
+      | 125  |
+      | 400  |
+
+  Scenario: An engine whose last answers began late is avoided for a while
+    Given two engines with one load, of which one began its last answers 500 ms late
+    Then the other one is chosen, and either of them 5000 ms later
+
   Scenario: The route's time ends a request with a last answer
     Given an endpoint that answers "nothing"
     When a caller sends an "unsafe" request with 300 ms left
--- a/packages/mastvalve-gateway/__tests__/gateway.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/gateway.steps.ts
@@ -10,7 +10,8 @@
 import {WeightSource} from 'mastvalve-fleet';
 import {assumeType, waitFor} from 'mastvalve-utils';
 import {waitUntil} from '../../../features/support/conditions.js';
-import {RunningGateway, type Received} from './__fixtures__/running-gateway.js';
+import {chooseEndpoint, EndpointBoard, HeadTimes} from '../src/index.js';
+import {createEndpoint, RunningGateway, type Received} from './__fixtures__/running-gateway.js';
 import {
 	formatAnswer, idOf, startScriptedEndpoint, type Script, type ScriptedEndpoint,
 } from './__fixtures__/scripted-endpoint.js';
@@ -347,3 +348,49 @@
 Then('the endpoint got {int} request(s)', function (this: GatewayWorld, count: number) {
 	assert.equal(this.scripted[0]?.requests.length, count);
 });
+
+When('{int} callers connect and send a request each', async function (this: GatewayWorld, count: number) {
+	await start(this);
+	this.received = await Promise.all(Array.from({length: count}, async () => this.gatewayRun.callAnew('/safe/x')));
+});
+
+Then('all of them get status {int}', function (this: GatewayWorld, status: number) {
+	assert.equal(this.received.every(received => received.status === status), true);
+});
+
+type LearningWorld = World & {headTimes: HeadTimes; board: EndpointBoard; now: number};
+
+/** Requests that an estimate gets, and the part of them that something else delays. */
+const learningRequests = 60;
+
+Given('engines that begin an answer in {int} ms, and {int} in {int} answers later by {int} ms', function (this: LearningWorld, headMs: number, late: number, outOf: number, laterMs: number) {
+	this.headTimes = new HeadTimes();
+	Array.from({length: learningRequests}).forEach((_, index) => {
+		this.headTimes.record('m', 1000, headMs + (index % outOf < late ? laterMs : 0));
+	});
+});
+
+Then('an entry expects about {int} ms after {int} requests', function (this: LearningWorld, headMs: number, _requests: number) {
+	const learned = this.headTimes.headMsOf('m');
+	assert.ok(learned > headMs * 0.6 && learned < headMs * 1.6, `${learned}`);
+});
+
+Given('two engines with one load, of which one began its last answers {int} ms late', function (this: LearningWorld, lateMs: number) {
+	this.now = 0;
+	this.board = new EndpointBoard(() => this.now);
+	this.board.recordDelay('late', lateMs);
+	this.board.recordDelay('late', lateMs);
+});
+
+/** Chooses between the two engines; `random` is added to what each of them costs, in turn. */
+const chooseEngine = ({board, now}: LearningWorld, random: number[]): string | undefined =>
+	chooseEndpoint({
+		endpoints: ['late', 'other'].map(id => createEndpoint(id)), model: undefined, adapter: undefined, failureDomain: 'a', tried: new Set(), now, knowledgeOf: id => board.find(id), random: () => random.shift() ?? 0, headMs: 100, msPerToken: 0.1,
+	})?.id;
+
+Then('the other one is chosen, and either of them {int} ms later', function (this: LearningWorld, laterMs: number) {
+	assert.equal(chooseEngine(this, [0, 1]), 'other');
+	this.now = laterMs;
+	assert.equal(chooseEngine(this, [0, 1]), 'late');
+	assert.equal(chooseEngine(this, [1, 0]), 'other');
+});
