--- a/packages/mastvalve-bench/src/policy/policy-bench.ts
+++ b/packages/mastvalve-bench/src/policy/policy-bench.ts
@@ -5,7 +5,8 @@
 import {Priority} from 'mastvalve-types';
 import {comparedPolicies, routingPolicies, type BenchPolicy} from './bench-policy.js';
 import {alairopontShape, katalogixShape, type DeploymentShape} from './deployment-shape.js';
-import {PolicyRun, type RunOptions, type RunResult} from './run-policy.js';
+import {PolicyRun} from './run-policy.js';
+import type {RunOptions, RunResult} from './run-result.js';
 import {scenarios, type Scenario} from './scenario.js';
 
 /** One row of the table. */
--- a/packages/mastvalve-bench/src/policy/run-policy.ts
+++ b/packages/mastvalve-bench/src/policy/run-policy.ts
@@ -3,46 +3,30 @@
  * decision code of each.
  */
 
-import {createEmptyConfiguration, memoryOfModel} from 'mastvalve-configuration';
+import {memoryOfModel} from 'mastvalve-configuration';
 import {
-	changeEndpoints, DemandEstimate, joinEndpoint, placeAssignments, recordLoaded, restoreCoverage,
+	changeEndpoints, DemandEstimate, placeAssignments, recordLoaded, restoreCoverage,
 } from 'mastvalve-control';
 import {EndpointTable} from 'mastvalve-entry';
 import {listChangedPlacements, planConfiguration} from 'mastvalve-intents';
 import {chooseWantedReplicas, defaultReleaseShare} from 'mastvalve-placement';
 import {hashPrefixes, RetryBudget} from 'mastvalve-routing';
 import {
-	AssignmentMode, EndpointState, prioritiesByUrgency, ServiceKind, type Configuration, type Model, type Priority,
+	AssignmentMode, EndpointState, prioritiesByUrgency, type Configuration,
 } from 'mastvalve-types';
 import {
-	assumeType, createRandom, keyBy, type Random,
+	assumeType, createRandom, type Random,
 } from 'mastvalve-utils';
 import {PlacementKind, type BenchPolicy} from './bench-policy.js';
 import type {DeploymentShape} from './deployment-shape.js';
+import {createFirstConfiguration} from './first-configuration.js';
+import type {RunOptions, RunResult} from './run-result.js';
 import {durationMs, faultAt, type Scenario} from './scenario.js';
 import {VirtualEndpoint} from './virtual-endpoint.js';
 import {VirtualStore} from './virtual-store.js';
 import {VirtualTime} from './virtual-time.js';
 import {createWorkload, type BenchRequest} from './workload.js';
 
-/** What a run gave. */
-export type RunResult = {
-	/** Requests that were served within target, by class, and all of the class. */
-	served: Record<Priority, {within: number; all: number}>;
-	/** Requests within target a second and accelerator (one an engine). */
-	attainment: number;
-	moves: number;
-	refused: number;
-	/** Longest wait for a model that had to be loaded, ms. */
-	worstColdMs: number;
-	attemptsPerRequest: number;
-	/** Largest share of an engine's requests over the mean, while it lived. */
-	memoryViolations: number;
-};
-
-/** Knobs of a run. */
-export type RunOptions = {seed: number; moveWeight?: number; ratePerReplica?: number; loadFactor?: number};
-
 const entryCount = 3;
 const spreadMs = 200;
 const dutyMs = 500;
@@ -74,7 +58,7 @@
 	constructor(private readonly shape: DeploymentShape, private readonly scenario: Scenario, private readonly policy: BenchPolicy, private readonly options: RunOptions) {
 		this.random = createRandom(options.seed);
 		this.store = new VirtualStore(this.time, shape.loadsPerSecond, shape.parallelLoads);
-		this.committed = this.createConfiguration();
+		this.committed = createFirstConfiguration(shape, policy.placement);
 		this.known = this.committed;
 		this.endpoints = Array.from({length: shape.engines}, (_, index) => this.createEndpoint(index));
 		this.tables = Array.from({length: entryCount}, () => new EndpointTable(this.time));
@@ -122,41 +106,6 @@
 		this.time.runUntil(60_000);
 	}
 
-	private createConfiguration(): Configuration {
-		const {shape} = this;
-		const models = shape.models.map((model): Model => ({
-			name: model.name,
-			service: shape.service,
-			size: model.size,
-			adapters: Array.from({length: model.adapters}, (_, index) => ({name: `${model.name}-a${index}`, size: 2})),
-			minReplicas: this.policy.placement === PlacementKind.OnDemand ? 0 : 1,
-		}));
-		const declared: Configuration = {
-			...createEmptyConfiguration('bench'),
-			services: {[shape.service]: {name: shape.service, kind: ServiceKind.Model, notRepeated: []}},
-			models: keyBy(models, model => model.name),
-		};
-		const joined = Array.from({length: shape.engines}).reduce<Configuration>((configuration, _, index) => joinEndpoint(configuration, {
-			id: `e${index}`,
-			service: shape.service,
-			failureDomain: shape.failureDomains[index % shape.failureDomains.length] ?? '',
-			address: '',
-			capacity: shape.capacity,
-			processId: `p${index}`,
-		}, index + 1).configuration, declared);
-		return this.policy.placement === PlacementKind.OnDemand ? this.assignEverything(joined) : restoreCoverage(joined);
-	}
-
-	private assignEverything(configuration: Configuration): Configuration {
-		const assignments = this.shape.models.map(({name}) => ({model: name, mode: AssignmentMode.OnDemand}));
-		return {
-			...configuration,
-			placements: keyBy(Object.values(configuration.endpoints).map(endpoint => ({
-				endpointId: endpoint.id, incarnation: endpoint.incarnation, assignments, loaded: [],
-			})), placement => placement.endpointId),
-		};
-	}
-
 	private createEndpoint(index: number): VirtualEndpoint {
 		const models = new Map(this.shape.models.map(model => [model.name, model]));
 		return new VirtualEndpoint({
