mastvalve dev says that it is ready when a chat is answered

Cause: it announced as soon as control had all placements; the entry learns of them a moment later, so the command that it prints could be refused. Ruled out: nothing else was looked for. Change: it asks the entry until a chat is answered. The test was not run without the change.

--- a/packages/mastvalve/src/commands/dev.ts
+++ b/packages/mastvalve/src/commands/dev.ts
@@ -88,10 +88,24 @@
 	return level;
 };
 
+const firstChat = {model: 'opis-hasla', stream: true, messages: [{role: 'user', content: 'Subject headings for a new atlas'}]};
+
+/** Whether the entry answers a chat; it learns of the placements a moment after control does. */
+const answersChat = async (address: string): Promise<boolean> => {
+	try {
+		const res = await fetch(`http://${address}/v1/chat/completions`, {method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify(firstChat)});
+		await res.body?.cancel();
+		return res.ok;
+	} catch {
+		// Nobody listens yet; it is asked again.
+		return false;
+	}
+};
+
 const welcome = (address: string): string => String.raw`mastvalve dev is ready on http://${address}
 
   curl -N http://${address}/v1/chat/completions -H 'content-type: application/json' \
-    -d '{"model":"opis-hasla","stream":true,"messages":[{"role":"user","content":"Subject headings for a new atlas"}]}'
+    -d '${JSON.stringify(firstChat)}'
 
 Models: ${devIntent.models.flatMap(model => [model.name, ...model.adapters.map(adapter => adapter.name)]).join(', ')}. Plain service: /services/lada-app/.
 Ctrl-C ends it.`;
@@ -123,7 +137,9 @@
 		const programs = await Promise.all(settings.instances.map(async instance => startInstance(settings, instance)));
 		const running = programs.map(unwrap);
 		await confirmIntent(settings);
-		print(welcome(findInstance(settings, 'entry-1', Program.Entry).listen));
+		const {listen} = findInstance(settings, 'entry-1', Program.Entry);
+		await waitUntil(async () => answersChat(listen));
+		print(welcome(listen));
 		return runUntilStopped({
 			async drain() {
 				// Entries first, then sidecars, control last: whoever still works has what it needs.
