mastvalve dev ends soon after Ctrl-C: the chat by which it tells that it is ready is read whole

Finding: in a fresh clone, npm start with Ctrl-C on a terminal ended only after 64 s (exit code 0). It came with: the chat that dev asks for was a stream that was given up, over a kept connection of the same process. Ruled out: not yet which of the two holds the stop up. Change: the chat is asked for without a stream, over a connection of its own, and read whole.

--- a/packages/mastvalve/src/commands/dev.ts
+++ b/packages/mastvalve/src/commands/dev.ts
@@ -93,8 +93,8 @@
 /** Whether the entry answers a chat; it learns of the placements a moment after control does. */
 const answersChat = async (address: string): Promise<boolean> => {
 	try {
-		const res = await fetch(`http://${address}/v1/chat/completions`, {method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify(firstChat)});
-		await res.body?.cancel();
+		const res = await fetch(`http://${address}/v1/chat/completions`, {method: 'POST', headers: {'content-type': 'application/json', connection: 'close'}, body: JSON.stringify({...firstChat, stream: false})});
+		await res.text();
 		return res.ok;
 	} catch {
 		// Nobody listens yet; it is asked again.
