Sight: how much of an answer had come, when a configuration was committed and when an entry serves by it

Cause: the logs could not tell a peer that says nothing from an answer that is too large for its time, nor a late commit from a late follower; a refusal 'hears no leader' was also given while a write was under way.

Change: log lines configuration.stated (control) and configuration.in-force (entries), bytes received in the reason of a lost call, and the age of what a control instance knows in its refusals. No decision changes.

--- a/packages/mastvalve-cluster/src/membership/control-group.ts
+++ b/packages/mastvalve-cluster/src/membership/control-group.ts
@@ -142,6 +142,15 @@
 		return heardAt !== undefined && clock.now() - heardAt < staleAfterMs && (this.node?.appliedIndex ?? 0) >= (this.node?.replica.commitIndex ?? 1);
 	}
 
+	/** How current this instance is, in words, for whoever was refused because it isn't. */
+	describeAge(): string {
+		const {clock} = this.options;
+		const now = clock.now();
+		const heardAt = this.node?.replica.leaderHeardAt(now);
+		const heard = heardAt === undefined ? 'no leader heard' : `leader heard ${Math.round(now - heardAt)} ms ago`;
+		return `${heard}, applied ${this.node?.appliedIndex ?? 0} of ${this.node?.replica.commitIndex ?? 0} committed entries`;
+	}
+
 	/** Calls of the other members and of followers. */
 	handlers(): Array<[string, PeerHandler]> {
 		return [
--- a/packages/mastvalve-cluster/src/peer/peer-client.ts
+++ b/packages/mastvalve-cluster/src/peer/peer-client.ts
@@ -38,13 +38,14 @@
 				resolve(err(new PeerError(address, path, reason, status)));
 			};
 
+			let received = 0;
 			const [host, port] = address.split(':');
 			const text = JSON.stringify(body);
 			const req = request({
 				host, port, path, method: 'POST', agent: this.agent, signal, headers: {'content-type': 'application/json', 'content-length': Buffer.byteLength(text)},
 			});
 			const timer = setTimeout(() => {
-				req.destroy(new Error(`no answer within ${timeoutMs} ms`));
+				req.destroy(new Error(`no whole answer within ${timeoutMs} ms, ${received} bytes of it`));
 				dropIdleConnections(this.agent, address);
 			}, timeoutMs);
 			const onClose = (): void => {
@@ -59,6 +60,9 @@
 			req.once('response', (res: IncomingMessage) => {
 				// From here on the body tells how it ends; the request may close before the body was handed over.
 				req.off('close', onClose);
+				res.on('data', (chunk: Uint8Array) => {
+					received += chunk.length;
+				});
 				collectText(res).then(answer => {
 					if (res.statusCode === 200) {
 						resolve(ok(assumeType<T>(JSON.parse(answer))));
--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -132,8 +132,12 @@
 			return ok(held);
 		}
 
+		const askedAt = this.options.clock.now();
 		const result = await this.propose({kind: FleetCommandKind.Configure, stated});
-		return result.map(version => assumeType<number>(version));
+		const {version, routes} = stated.configuration;
+		const outcome = result.isOk() ? `committed, version ${assumeType<number>(result.value)} is held` : `not known to be committed: ${result.error.message}`;
+		this.options.onEvent('configuration.stated', `version ${version}, ${routes.length} routes, ${stated.source.length} bytes: ${outcome}; after ${Math.round(this.options.clock.now() - askedAt)} ms`);
+		return result.map(held => assumeType<number>(held));
 	}
 
 	/** The newest configuration; an error when this instance can't be sure of it. */
@@ -199,7 +203,7 @@
 
 		return this.group.isCurrent && !this.ending.signal.aborted
 			? ok({update: this.machine.changesSince(revision), members: this.group.members, leader: this.group.leaderAddress})
-			: err(new ControlUnavailableError('This control instance hears no leader, so it may not know the newest state.'));
+			: err(new ControlUnavailableError(`This control instance may not know the newest state: ${this.group.describeAge()}.`));
 	}
 
 	/** Without a leader that is sure of the newest, the question waits for one: asking again and again would cost a starting entry more than the wait. */
--- a/packages/mastvalve-gateway/src/fleet/fleet-follower.ts
+++ b/packages/mastvalve-gateway/src/fleet/fleet-follower.ts
@@ -83,7 +83,12 @@
 		this.leader = leader;
 		this.current = address;
 		view.isSynced = true;
+		const before = view.configuration?.version;
 		view.apply(update);
+		if (view.configuration && view.configuration.version !== before) {
+			onEvent('configuration.in-force', `version ${view.configuration.version}, ${view.configuration.routes.length} routes, from ${address} at revision ${view.revision}`);
+		}
+
 		if (!this.isConnected) {
 			this.isConnected = true;
 			onEvent('control.regained', `follows ${address} at revision ${view.revision}`);
