Red: entries behind slow links, a configuration of thousands of routes

Cause, as suspected: a limit on the time of a whole answer whose size grows with the state.

Reproduced: control in the test's process, an entry's follower behind a loopback proxy with 60 to 300 KB/s, 6,000 routes. Three scenarios fail on the code as it is: the newest configuration is not there after 2.5 s, an entry that starts isn't synced after 5 s, an endpoint that leaves is still sent to after 1 s.

Ruled out: the stand-in link itself (with one route the follower syncs over it in the same scenarios).

--- /dev/null
+++ b/packages/mastvalve-gateway/__tests__/following.steps.ts
@@ -0,0 +1,187 @@
+/**
+ * Steps of entries that follow control over links that are slow or break.
+ */
+
+import {strict as assert} from 'node:assert';
+import {mkdtemp, rm} from 'node:fs/promises';
+import type {Server} from 'node:http';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {
+	After, Given, Then, When, type World,
+} from '@cucumber/cucumber';
+import {PeerClient, startPeerServer} from 'mastvalve-cluster';
+import {RouteKind, type EndpointReport, type Route, type StatedConfiguration} from 'mastvalve-fleet';
+import {FleetControl, OrderOutcome} from 'mastvalve-fleet-control';
+import {createRandom, systemClock, waitFor} from 'mastvalve-utils';
+import {findFreePorts} from '../../../features/support/free-ports.js';
+import {waitUntil} from '../../../features/support/conditions.js';
+import {SlowLink} from '../../../features/support/slow-link.js';
+import {FleetFollower, FleetView} from '../src/index.js';
+
+type FollowWorld = World & {
+	folder: string;
+	/** Where control is reached: at the link's near end. */
+	address: string;
+	/** Where it listens. */
+	listen: string;
+	control: FleetControl;
+	server: Server;
+	clients: PeerClient[];
+	slowLink: SlowLink;
+	view: FleetView;
+	ending: AbortController;
+	version: number;
+	/** When the last step acted, ms. */
+	actedAt: number;
+};
+
+const kilobyte = 1000;
+const pollMs = 10;
+
+/** A route whose names differ as those of real ones do. */
+const createRoute = (index: number, random: () => number): Route => {
+	const name = Math.floor(random() * 0xFF_FF_FF_FF).toString(36);
+	return {
+		name: `r-${name}`, host: 'library.example', pathPrefix: `/${name}${index}/`, kind: RouteKind.Safe, timeoutMs: 15_000, objectiveMs: 800, patienceMs: undefined, priority: 1, targets: [{service: 's', weight: 1}], maxAttempts: 2, isResumable: false,
+	};
+};
+
+const createStated = (version: number, routeCount: number): StatedConfiguration => {
+	const random = createRandom(1);
+	return {
+		configuration: {
+			version,
+			routes: Array.from({length: routeCount}, (_, index) => createRoute(index, random)),
+			services: [{name: 's', healthPath: '/', maxConnections: 10}],
+			limits: {
+				maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+			},
+		},
+		source: '{}',
+	};
+};
+
+const endpoint = (sequence: number, isLeaving: boolean): EndpointReport => ({
+	id: 'e', sequence, service: 's', address: '127.0.0.1:1', failureDomain: 'a', release: 'v1', slots: 1, isLeaving, remainingMs: undefined, holds: [], inMemory: [], onDisk: [],
+});
+
+const startControl = async (world: FollowWorld): Promise<void> => {
+	const [nearPort, port] = await findFreePorts(2);
+	const client = new PeerClient();
+	world.clients = [client];
+	world.ending = new AbortController();
+	world.version = 0;
+	world.folder = await mkdtemp(join(tmpdir(), 'mastvalve-follow-'));
+	world.address = `127.0.0.1:${nearPort}`;
+	world.listen = `127.0.0.1:${port}`;
+	world.control = await FleetControl.open({
+		address: world.address,
+		dataFolder: world.folder,
+		isFirstStart: true,
+		readSeeds: () => [world.address],
+		voters: 1,
+		client,
+		clock: systemClock,
+		heartbeatMs: 60_000,
+		orderLeaseMs: 3000,
+		storeWindowMs: 5000,
+		engines: {sendOrder: async () => OrderOutcome.Absent, readStatus: async () => undefined},
+		onEvent: () => undefined,
+		onError: () => undefined,
+	});
+	const listening = await startPeerServer(world.listen, new Map(world.control.handlers()), () => undefined);
+	world.server = listening._unsafeUnwrap();
+	void world.control.run();
+};
+
+const configure = async (world: FollowWorld, routeCount: number): Promise<void> => {
+	world.version += 1;
+	const stated = createStated(world.version, routeCount);
+	await waitUntil('the configuration is in force', async () => {
+		const result = await world.control.configure(stated);
+		return result.isOk();
+	});
+};
+
+const report = async (world: FollowWorld, sequence: number, isLeaving: boolean): Promise<void> => {
+	const result = await world.control.report(endpoint(sequence, isLeaving));
+	assert.equal(result.isOk(), true);
+};
+
+const beginFollowing = async (world: FollowWorld, kilobytesPerSecond: number): Promise<void> => {
+	const client = new PeerClient();
+	world.clients.push(client);
+	world.slowLink = await SlowLink.open(world.address, world.listen, kilobytesPerSecond * kilobyte);
+	world.view = new FleetView(() => systemClock.now());
+	const follower = new FleetFollower({
+		client, view: world.view, listSources: () => [world.address], distanceTo: () => 0, onEvent: () => undefined,
+	});
+	void follower.run(world.ending.signal);
+};
+
+/** Waits until a condition holds; fails when that takes longer than the limit from the last action on. */
+const expectWithin = async (world: FollowWorld, limitMs: number, condition: () => boolean): Promise<void> => {
+	while (!condition() && performance.now() - world.actedAt < limitMs) {
+		// eslint-disable-next-line no-await-in-loop
+		await waitFor(pollMs);
+	}
+
+	assert.equal(condition(), true, `not within ${limitMs} ms`);
+};
+
+After(async function (this: FollowWorld) {
+	if (!this.control) {
+		return;
+	}
+
+	this.ending.abort();
+	this.slowLink?.close();
+	await this.control.stop();
+	this.server.close();
+	this.server.closeAllConnections();
+	this.clients.forEach(client => {
+		client.close();
+	});
+	await rm(this.folder, {recursive: true, force: true});
+});
+
+Given('control with a configuration of {int} route(s)', async function (this: FollowWorld, routeCount: number) {
+	await startControl(this);
+	await configure(this, routeCount);
+	await report(this, 1, false);
+});
+
+Given('an entry that follows it over a link of {int} KB a second', async function (this: FollowWorld, kilobytesPerSecond: number) {
+	await beginFollowing(this, kilobytesPerSecond);
+	await waitUntil('the entry is synced', async () => this.view.isSynced);
+	assert.equal(this.view.listEndpoints('s').length, 1);
+});
+
+When('an entry begins to follow it over a link of {int} KB a second', async function (this: FollowWorld, kilobytesPerSecond: number) {
+	this.actedAt = performance.now();
+	await beginFollowing(this, kilobytesPerSecond);
+});
+
+When('a configuration of {int} routes is put in force', async function (this: FollowWorld, routeCount: number) {
+	await configure(this, routeCount);
+	this.actedAt = performance.now();
+});
+
+When('a configuration of {int} routes is put in force and an endpoint says that it leaves', async function (this: FollowWorld, routeCount: number) {
+	await configure(this, routeCount);
+	await report(this, 2, true);
+	this.actedAt = performance.now();
+});
+
+Then('the entry serves by it within {int} ms', async function (this: FollowWorld, limitMs: number) {
+	await expectWithin(this, limitMs, () => this.view.configuration?.version === this.version);
+});
+
+Then('the entry is synced within {int} ms', {timeout: 10_000}, async function (this: FollowWorld, limitMs: number) {
+	await expectWithin(this, limitMs, () => this.view.isSynced && this.view.configuration?.version === this.version);
+});
+
+Then('the entry sends it nothing after {int} ms', async function (this: FollowWorld, limitMs: number) {
+	await expectWithin(this, limitMs, () => this.view.listEndpoints('s').length === 0);
+});
