--- a/packages/mastvalve-cluster/__tests__/control-group.feature
+++ b/packages/mastvalve-cluster/__tests__/control-group.feature
@@ -55,3 +55,13 @@
     When 3 calls were answered together
     Then the next call gets no answer in time
     And the call after that is answered
+
+  # Symptom, by measurement: the log of a group grew with the size of its changes, on disk and in memory, until 400 of them had come:
+  # 400 configurations of 1 MB exceed a disk of 64 to 128 MB and the memory of an instance. Cause: snapshots were due by the
+  # number of entries alone.
+  Scenario: A log of large changes is cut by its size, not only by their number
+    Given a control instance that is a group of its own and whose state is its last change
+    When 60 changes of 500 KB are proposed
+    Then its log takes at most 12 MB on disk
+    And it holds at most 40 of the changes in memory
+    And after a restart it has the last change
--- a/packages/mastvalve-cluster/__tests__/control-group.steps.ts
+++ b/packages/mastvalve-cluster/__tests__/control-group.steps.ts
@@ -3,7 +3,9 @@
  */
 
 import {strict as assert} from 'node:assert';
-import {mkdtemp, rm} from 'node:fs/promises';
+import {
+	mkdtemp, readdir, rm, stat,
+} from 'node:fs/promises';
 import {createServer, type Server} from 'node:http';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -368,3 +370,73 @@
 Then('it grants a vote {int} ms after that', function (this: ReplicaWorld, afterMs: number) {
 	assert.equal(askForVote(this, this.startedAt + this.timeoutMs + afterMs), true);
 });
+
+type LargeWorld = GroupWorld & {last: {value: unknown}};
+
+/** A group of one, whose state is the last change that it has applied. */
+const startLast = async (world: LargeWorld, folder: string): Promise<void> => {
+	const client = new PeerClient();
+	world.last = {value: undefined};
+	const {last} = world;
+	const group = await ControlGroup.open({
+		address: world.seeds[0]!,
+		dataFolder: folder,
+		isFirstStart: true,
+		readSeeds: () => world.seeds,
+		voters: 1,
+		client,
+		clock: systemClock,
+		machine: {
+			apply(command) {
+				last.value = command;
+				return true;
+			},
+			takeSnapshot: () => last.value,
+			restoreSnapshot(data) {
+				last.value = data;
+			},
+		},
+		onEvent: () => undefined,
+		onError: () => undefined,
+	});
+	const listening = await startPeerServer(world.seeds[0]!, new Map(group.handlers()), () => undefined);
+	void group.run();
+	world.members = [{
+		address: world.seeds[0]!, folder, group, applied: [], server: listening._unsafeUnwrap(), client,
+	}];
+	await waitUntil('it leads', async () => group.isLeading);
+};
+
+Given('a control instance that is a group of its own and whose state is its last change', {timeout: 20_000}, async function (this: LargeWorld) {
+	const [port] = await findFreePorts(1);
+	this.seeds = [`127.0.0.1:${port}`];
+	this.proposed = [];
+	this.folders = [await mkdtemp(join(tmpdir(), 'mastvalve-group-'))];
+	await startLast(this, this.folders[0]!);
+});
+
+When('{int} changes of {int} KB are proposed', {timeout: 30_000}, async function (this: LargeWorld, count: number, kilobytes: number) {
+	await Array.from({length: count}).reduce<Promise<void>>(async (before, _, index) => {
+		await before;
+		await propose(this, this.members[0]!, `${index}-${'x'.repeat(kilobytes * 1000)}`);
+	}, Promise.resolve());
+});
+
+Then('its log takes at most {int} MB on disk', async function (this: LargeWorld, megabytes: number) {
+	const [folder] = this.folders;
+	const names = await readdir(folder!);
+	const sizes = await Promise.all(names.map(async name => stat(join(folder!, name)).then(({size}) => size)));
+	const total = sizes.reduce((sum, size) => sum + size, 0);
+	assert.ok(total <= megabytes * 1_000_000, `${total} bytes`);
+});
+
+Then('it holds at most {int} of the changes in memory', function (this: LargeWorld, most: number) {
+	const held = this.members[0]!.group.logLength;
+	assert.ok(held <= most, `${held} entries`);
+});
+
+Then('after a restart it has the last change', {timeout: 20_000}, async function (this: LargeWorld) {
+	await stopMember(this.members[0]!);
+	await startLast(this, this.folders[0]!);
+	assert.equal(this.last.value, this.proposed.at(-1));
+});
--- a/packages/mastvalve-cluster/src/membership/control-group.ts
+++ b/packages/mastvalve-cluster/src/membership/control-group.ts
@@ -133,6 +133,11 @@
 		return this.node?.replica.term ?? 0;
 	}
 
+	/** Entries of the log in memory. */
+	get logLength(): number {
+		return this.node?.replica.logLength ?? 0;
+	}
+
 	/** Whether as many voters hold the log as are wanted. */
 	get isComplete(): boolean {
 		return this.voters.length >= this.options.voters;
--- a/packages/mastvalve-replication/src/replica.ts
+++ b/packages/mastvalve-replication/src/replica.ts
@@ -103,6 +103,11 @@
 		return this.log.lastIndex;
 	}
 
+	/** Entries in memory. */
+	get logLength(): number {
+		return this.log.lastIndex - this.log.firstIndex + 1;
+	}
+
 	get currentMembership(): Membership {
 		return this.membership;
 	}
