--- a/packages/mastvalve-cluster/src/membership/control-group.ts
+++ b/packages/mastvalve-cluster/src/membership/control-group.ts
@@ -332,6 +332,7 @@
 			machine,
 			clock,
 			snapshotEvery,
+			isStorageLarge: () => this.journal.isLarge,
 			send: message => {
 				this.transport.send(message);
 			},
--- a/packages/mastvalve-replication/src/journal.ts
+++ b/packages/mastvalve-replication/src/journal.ts
@@ -16,6 +16,11 @@
 
 const journalPattern = /^journal-(?<number>\d+)$/v;
 
+/** A journal is not compacted for its size below this, bytes: an eighth of the smallest disks met (64 MB). */
+const minLargeBytes = 8_000_000;
+/** Above that it is large at this many times its size after the last compaction, so that compacting costs a fixed share of what is written. */
+const largeFactor = 4;
+
 const formatName = (number: number): string => `journal-${number}`;
 
 const numberOf = (name: string): number => Number(journalPattern.exec(name)?.groups?.number ?? -1);
@@ -106,6 +111,8 @@
 	private file: AppendFile;
 	private number: number;
 	private size: number;
+	/** Size after the last compaction of this life; 0 before it, so that a large journal of a former life is compacted soon. */
+	private compactedSize = 0;
 	/** Whether a failed write may have left bytes behind the last whole record. */
 	private isTailDirty = false;
 
@@ -119,6 +126,11 @@
 		this.cutBytes = parts.cutBytes;
 	}
 
+	/** Whether compacting it would make it much smaller. */
+	get isLarge(): boolean {
+		return this.size > Math.max(minLargeBytes, largeFactor * this.compactedSize);
+	}
+
 	/**
 	 * Makes a write durable. After an error it may be tried again, and nothing else may be written before: what a failed
 	 * try has left behind the last whole record is cut first.
@@ -156,6 +168,7 @@
 		const former = {file: this.file, name: formatName(this.number)};
 		this.file = file;
 		this.size = size;
+		this.compactedSize = size;
 		this.isTailDirty = false;
 		this.number += 1;
 		await former.file.close();
--- a/packages/mastvalve-replication/src/log-node.ts
+++ b/packages/mastvalve-replication/src/log-node.ts
@@ -32,6 +32,8 @@
 	clock: Clock;
 	/** Entries after which a snapshot is taken. */
 	snapshotEvery: number;
+	/** Whether storage has so much behind its last snapshot that one is due earlier. */
+	isStorageLarge?: () => boolean;
 	/** Called once when storage failed; the node takes no further part. */
 	onFailure: (thrown: unknown) => void;
 	/** Called when role, term or leader changed. */
@@ -227,8 +229,9 @@
 	}
 
 	private snapshotIfDue(): void {
-		const {replica, machine, snapshotEvery} = this.options;
-		if (this.appliedIndex - this.snapshotIndex >= snapshotEvery) {
+		const {replica, machine, snapshotEvery, isStorageLarge} = this.options;
+		const entries = this.appliedIndex - this.snapshotIndex;
+		if (entries >= snapshotEvery || (entries > 0 && isStorageLarge?.())) {
 			this.snapshotIndex = this.appliedIndex;
 			replica.compact(this.appliedIndex, machine.takeSnapshot());
 			// The write goes out with the next round.
--- a/packages/mastvalve-replication/src/replica.ts
+++ b/packages/mastvalve-replication/src/replica.ts
@@ -214,7 +214,9 @@
 		const snapshot: Snapshot = {
 			index, term, membership: this.log.membershipAt(index), data,
 		};
-		this.log.compact(snapshot, this.trailingEntries);
+		// Replicas that are behind the snapshot before this one get this one: entries are kept by number, but may be large.
+		const sinceFormer = index - (this.log.snapshot?.index ?? 0);
+		this.log.compact(snapshot, Math.min(this.trailingEntries, sinceFormer));
 		this.pendingWrite = {
 			...this.pendingWrite, snapshot, truncateFrom: undefined, append: this.log.read(index + 1), hardState: this.hardState,
 		};
