--- a/packages/mastvalve-cluster/src/membership/control-group.ts
+++ b/packages/mastvalve-cluster/src/membership/control-group.ts
@@ -9,7 +9,7 @@
 	assumeType, callUntilAborted, type Clock, describeError, repeatUntilAborted, waitFor,
 } from 'mastvalve-utils';
 import {
-	createFileSystem, defaultReplicaRules, formatReplicaId, Journal, journalFormat, LogNode, nameOfReplica, planNextMembership,
+	createFileSystem, defaultReplicaRules, formatReplicaId, Journal, journalFormat, LogNode, nameOfReplica,
 	Replica, Role, type DurableWrite, type Message, type ReplicaId, type ReplicaTimes, type StateMachine,
 } from 'mastvalve-replication';
 import {err, ok, type Result} from 'neverthrow';
@@ -19,6 +19,7 @@
 import {Announcements, type Announcement} from './announcements.js';
 import {decideFormation} from './formation.js';
 import type {Identity} from './identity.js';
+import {MembershipDuty} from './membership-duty.js';
 import {PeerSearch} from './peer-search.js';
 
 /** What a member of the group is made from. */
@@ -60,8 +61,6 @@
 const callSilenceMs = 700;
 /** How long a read waits until what is committed is applied here, ms. */
 const applyWaitMs = 700;
-/** A voter that has been silent for this long gives way to one that is caught up, ms: the shortest time after which machines count as lost. */
-const silentMs = 2500;
 /** An instance that heard no leader for this long can't tell whether what it holds is the newest, ms. Half of the shortest bound for configurations. */
 export const staleAfterMs = 1000;
 /** Storage that refused a write is tried again after this, ms. */
@@ -189,17 +188,19 @@
 			return;
 		}
 
-		this.node = this.startNode();
+		const node = this.startNode();
+		this.node = node;
+		const duty = this.createDuty(node);
 		callUntilAborted(signal, tickMs, () => {
-			this.node?.tick();
+			node.tick();
 		});
 		const onError = (thrown: unknown) => {
 			this.options.onError(`a round of membership failed: ${describeError(thrown)}`);
 		};
 
 		await Promise.all([
-			repeatUntilAborted(signal, announcePauseMs, async () => this.announce(), onError),
-			repeatUntilAborted(signal, membershipPauseMs, async () => this.planMembership(), onError),
+			repeatUntilAborted(signal, announcePauseMs, async () => duty.announce(), onError),
+			repeatUntilAborted(signal, membershipPauseMs, async () => duty.changeMembership(), onError),
 		]);
 	}
 
@@ -310,6 +311,13 @@
 		}
 	}
 
+	private createDuty(node: LogNode): MembershipDuty {
+		const {clock, voters, onEvent} = this.options;
+		return new MembershipDuty({
+			ownId: this.ownId, node, search: this.search, announcements: this.announcements, clock, voters, isCurrent: () => this.isCurrent, listMembers: () => this.members, onEvent,
+		});
+	}
+
 	private startNode(): LogNode {
 		const {machine, clock, times, processStartedAt, onEvent, onError} = this.options;
 		const {header, restored} = this.journal;
@@ -368,34 +376,4 @@
 
 		throw new Error('stopped while a write was waiting');
 	}
-
-	/** Asks to be taken into the membership as long as it isn't in it, or hears nothing of a leader. */
-	private async announce(): Promise<void> {
-		const {voters, learners} = this.node?.replica.currentMembership ?? {voters: [], learners: []};
-		const isMember = [...voters, ...learners].includes(this.ownId);
-		if (isMember && this.isCurrent) {
-			return;
-		}
-
-		await this.askOthers();
-		await this.search.announce({id: this.ownId, mayBegin: false});
-	}
-
-	/** The leader's duty: one membership change at a time. */
-	private async planMembership(): Promise<void> {
-		const {node, options} = this;
-		const now = options.clock.now();
-		if (!node?.isFresh() || node.replica.hasUncommittedMembership) {
-			return;
-		}
-
-		const next = planNextMembership(node.replica.currentMembership, this.announcements.listJoining(), id => node.replica.isCaughtUp(id, now), {
-			maxVoters: options.voters,
-			isSilent: id => id !== this.ownId && now - Math.max(node.replica.acknowledgedAt(id), node.replica.ledSince) > silentMs,
-		});
-		if (next) {
-			const result = await node.proposeMembership(next);
-			options.onEvent('membership.changed', `${result.isOk() ? 'voters' : 'not committed: voters'} ${next.voters.join(', ')}; learners ${next.learners.join(', ') || 'none'}`);
-		}
-	}
 }
--- a/packages/mastvalve-fleet/src/engines/plan-models.ts
+++ b/packages/mastvalve-fleet/src/engines/plan-models.ts
@@ -8,7 +8,8 @@
 import type {EngineSpec} from '../configuration/served-service.js';
 import {fits} from './engine-room.js';
 import {EngineUse, type EngineUseInput} from './engine-use.js';
-import {findSource, WeightSource, type EngineState} from './engine-state.js';
+import type {EngineState} from './engine-state.js';
+import {findSource, WeightSource} from './weight-source.js';
 
 /** A change of one engine. */
 export type ModelMove = {
--- a/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
@@ -2,7 +2,7 @@
  * An endpoint as control knows it.
  */
 
-import type {WeightSource} from '../engines/engine-state.js';
+import type {WeightSource} from '../engines/weight-source.js';
 
 /** How far an endpoint is in its life. */
 export enum EndpointPhase {
