--- a/packages/mastvalve-cluster/__tests__/control-group.steps.ts
+++ b/packages/mastvalve-cluster/__tests__/control-group.steps.ts
@@ -454,10 +454,10 @@
 		const digits = Array.from({length: this.piecesToSend}, (_, index) => (index === 0 ? '1' : '0'));
 		const timer = setInterval(() => {
 			const digit = digits.shift();
-			if (digit === undefined) {
-				clearInterval(timer);
-			} else {
+			if (digit !== undefined) {
 				res.write(digit);
+			} else if (this.piecesToSend === pieces) {
+				res.end();
 			}
 		}, pauseMs);
 		res.once('close', () => {
