A test's peer ends its answer as it began it

The peer decided by a field that the next step changes, so it never ended its first answer, and a second request on the same connection kept a timer for ever.

Change: the peer decides when the request comes.

--- a/packages/mastvalve-cluster/__tests__/control-group.steps.ts
+++ b/packages/mastvalve-cluster/__tests__/control-group.steps.ts
@@ -450,16 +450,19 @@
 	const [port] = await findFreePorts(1);
 	this.guideAddress = `127.0.0.1:${port}`;
 	const server = createServer((_req, res) => {
-		res.writeHead(200, {'content-length': pieces});
-		const digits = Array.from({length: this.piecesToSend}, (_, index) => (index === 0 ? '1' : '0'));
+		const {piecesToSend} = this;
+		let sent = 0;
 		const timer = setInterval(() => {
-			const digit = digits.shift();
-			if (digit !== undefined) {
-				res.write(digit);
-			} else if (this.piecesToSend === pieces) {
+			sent += 1;
+			if (sent <= piecesToSend) {
+				res.write(sent === 1 ? '1' : '0');
+			}
+
+			if (sent === pieces && piecesToSend === pieces) {
 				res.end();
 			}
 		}, pauseMs);
+		res.writeHead(200, {'content-length': pieces});
 		res.once('close', () => {
 			clearInterval(timer);
 		});
