--- a/packages/mastvalve-bench/src/bin.ts
+++ b/packages/mastvalve-bench/src/bin.ts
@@ -1,11 +1,12 @@
 /**
- * `npm run bench -- policy|nodes|log|placement|aperture`: focused measurements.
+ * `npm run bench -- policy|nodes|followers|log|placement|aperture`: focused measurements.
  */
 
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {formatTable} from 'mastvalve-utils';
 import {benchAperture} from './aperture/aperture-bench.js';
+import {benchFollowers} from './followers/followers-bench.js';
 import {logMeasurements, type BenchTable} from './log/log-bench.js';
 import {nodesMeasurements} from './nodes/nodes-bench.js';
 import {benchPlacement} from './placement/placement-bench.js';
@@ -85,6 +86,9 @@
 			printTables([await measure()]);
 		}
 	},
+	async followers() {
+		printTables(await benchFollowers());
+	},
 	async nodes() {
 		const chosen = Object.entries(nodesMeasurements).filter(([table]) => values.table === undefined || table === values.table);
 		for (const [, measure] of chosen) {
--- a/packages/mastvalve-fakes/src/index.ts
+++ b/packages/mastvalve-fakes/src/index.ts
@@ -11,4 +11,5 @@
 export * from './fake-weight-store.js';
 export * from './faults.js';
 export * from './prefix-cache.js';
+export * from './slow-link.js';
 export * from './tokens.js';
--- a/packages/mastvalve-gateway/__tests__/following.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/following.steps.ts
@@ -11,6 +11,7 @@
 	After, Given, Then, When, type World,
 } from '@cucumber/cucumber';
 import {PeerClient, startPeerServer} from 'mastvalve-cluster';
+import {SlowLink} from 'mastvalve-fakes';
 import {
 	FleetCommandKind, RouteKind, type EndpointReport, type Route, type StatedConfiguration,
 } from 'mastvalve-fleet';
@@ -20,7 +21,6 @@
 } from 'mastvalve-utils';
 import {findFreePorts} from '../../../features/support/free-ports.js';
 import {waitUntil} from '../../../features/support/conditions.js';
-import {SlowLink} from '../../../features/support/slow-link.js';
 import {FleetFollower, FleetView} from '../src/index.js';
 
 type FollowWorld = World & {
