Red: a load that was given up without an answer counts as begun at once

Cause: the class of the engine's room looked for at the store's rate: an order without an answer may be carried out 2 to 12 s late, and its load counts as begun when it is given up, so it may begin in a later window that is full.

--- a/packages/mastvalve-fleet-control/__tests__/engine-desk.feature
+++ b/packages/mastvalve-fleet-control/__tests__/engine-desk.feature
@@ -75,6 +75,14 @@
   Scenario: Whatever orders for adapters are lost or late, and however often the holder changes or may not order, no order needs more slots than there are
     Then 150 random series of adapter moves, lost orders, late orders, pauses of the holder and new holders overfill no slots
 
+  # Symptom, by reading: more loads from the weight store could begin in a window than its rate allows. Sequence: an order to load
+  # from the store got no answer and was given up when the holder lost its right to order; it was carried out seconds later.
+  # Cause: it counted as begun when it was given up.
+  Scenario: A load that was given up without an answer may begin as long as its order may come late
+    Given an engine with 3 places that holds 2 models
+    When a load gets no answer and is given up since the holder may not order any more
+    Then it does not count as begun within 12 s, and does after 14 s
+
   Scenario Outline: No rule of an engine's account can be left out
     Then an account in which "<fault>" lets some of 1000 random series overfill the slots
 
--- a/packages/mastvalve-fleet-control/__tests__/engine-desk.steps.ts
+++ b/packages/mastvalve-fleet-control/__tests__/engine-desk.steps.ts
@@ -16,7 +16,7 @@
 import {Answering, StandInEngine} from './__fixtures__/stand-in-engine.js';
 import {VirtualTime} from './__fixtures__/virtual-time.js';
 
-type DeskWorld = World & {time: VirtualTime; engine: StandInEngine; desk: EngineDesk; mayOrder: boolean};
+type DeskWorld = World & {time: VirtualTime; engine: StandInEngine; desk: EngineDesk; mayOrder: boolean; begunAt: number | undefined};
 
 /** Room for three models and two adapters; every model takes one of three places. */
 const spec: EngineSpec = {
@@ -290,6 +290,30 @@
 	assert.deepEqual(this.engine.excessive, []);
 });
 
+When('a load gets no answer and is given up since the holder may not order any more', async function (this: DeskWorld) {
+	this.mayOrder = true;
+	this.begunAt = undefined;
+	this.desk = createDesk(this.time, this.engine, 'one', () => this.mayOrder);
+	this.desk.requestSync();
+	await this.time.advance(1000);
+	this.engine.answering = [Answering.Lost];
+	void this.desk.moveModel({
+		engine: 'e', load: 'm3', evict: undefined, source: WeightSource.Store,
+	}, 2000, () => {
+		this.begunAt = this.time.clock.now();
+	});
+	await this.time.advance(100);
+	this.mayOrder = false;
+	await this.time.advance(400);
+});
+
+Then('it does not count as begun within 12 s, and does after 14 s', async function (this: DeskWorld) {
+	await this.time.advance(12_000);
+	assert.equal(this.begunAt, undefined);
+	await this.time.advance(2000);
+	assert.notEqual(this.begunAt, undefined);
+});
+
 type SequenceWorld = World & {sequence: OrderSequence; sent: SentOrder[]; answer: (outcome: OrderOutcome) => void; giving: Promise<unknown>};
 
 const loadOrder = (model: string) => ({kind: EngineOrderKind.Load, model, adapter: undefined});
