A load that was given up without an answer takes its place in the store's rate until it can't begin any more

Cause: it counted as begun when it was given up.

Change: the desk tells the store's rate that a load has begun 13 s after an order that nobody answered, the time in which late ones come.

Before and after: 1,250 ms after the start of the scenario; now after more than 12 s. 18 scenarios of desks and directors pass.

--- a/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
@@ -10,7 +10,9 @@
 import {ChangeSeen, ChangeWatch} from './change-watch.js';
 import type {EngineStatus} from './engine-port.js';
 import {isSameSet, isSettled} from './settled-state.js';
-import {OrderEffect, OrderSequence, type OrderSequenceOptions} from './order-sequence.js';
+import {
+	lateOrderMs, OrderEffect, OrderSequence, type OrderSequenceOptions,
+} from './order-sequence.js';
 
 /** What a desk is made from. */
 export type EngineDeskOptions = OrderSequenceOptions & {
@@ -102,7 +104,7 @@
 		const isReady = isRecorded && (move.evict === undefined || await this.unload(move.evict));
 		this.retiring = undefined;
 		const effect = isReady ? await this.order({kind: EngineOrderKind.Load, model: move.load, adapter: undefined}) : OrderEffect.None;
-		onBegun();
+		this.tellBegun(effect, onBegun);
 		if (isTaken(effect)) {
 			const seen = await this.watch.waitUntil(holds => holds.includes(move.load), expectedMs);
 			const isThere = seen !== ChangeSeen.No;
@@ -120,6 +122,15 @@
 		await this.publish();
 	}
 
+	/** Without an answer, the load may begin for as long as its order may be carried out late. */
+	private tellBegun(effect: OrderEffect, onBegun: () => void): void {
+		if (effect === OrderEffect.Unknown) {
+			void this.options.wait(lateOrderMs).then(onBegun);
+		} else {
+			onBegun();
+		}
+	}
+
 	/** Changes which adapters the engine holds. */
 	async moveAdapter({model, load, evict}: AdapterMove, sizeMb: number): Promise<void> {
 		const name: AdapterName = {model, adapter: load};
--- a/packages/mastvalve-fleet-control/src/engines/order-sequence.ts
+++ b/packages/mastvalve-fleet-control/src/engines/order-sequence.ts
@@ -46,7 +46,7 @@
 /** What an engine says of itself is up to some hundred ms old (0.1 to 0.2 s were seen), ms. */
 const statusAgeMs = 500;
 /** An unanswered order that was not carried out in this time never will be, ms: late ones came 2 to 12 s late. */
-const lateOrderMs = 13_000;
+export const lateOrderMs = 13_000;
 
 /** The sequence. */
 export class OrderSequence {
