--- a/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
@@ -122,15 +122,6 @@
 		await this.publish();
 	}
 
-	/** Without an answer, the load may begin for as long as its order may be carried out late. */
-	private tellBegun(effect: OrderEffect, onBegun: () => void): void {
-		if (effect === OrderEffect.Unknown) {
-			void this.options.wait(lateOrderMs).then(onBegun);
-		} else {
-			onBegun();
-		}
-	}
-
 	/** Changes which adapters the engine holds. */
 	async moveAdapter({model, load, evict}: AdapterMove, sizeMb: number): Promise<void> {
 		const name: AdapterName = {model, adapter: load};
@@ -152,6 +143,15 @@
 		await this.publish();
 	}
 
+	/** Without an answer, the load may begin for as long as its order may be carried out late. */
+	private tellBegun(effect: OrderEffect, onBegun: () => void): void {
+		if (effect === OrderEffect.Unknown) {
+			void this.options.wait(lateOrderMs).then(onBegun);
+		} else {
+			onBegun();
+		}
+	}
+
 	/** Unloads an adapter; false while requests still use it, so that its slot is not free yet. */
 	private async freeSlot({model, adapter}: AdapterName): Promise<boolean> {
 		const effect = await this.give({kind: EngineOrderKind.Unload, model, adapter});
