--- a/packages/mastvalve-fleet-control/__tests__/__fixtures__/stand-in-engine.ts
+++ b/packages/mastvalve-fleet-control/__tests__/__fixtures__/stand-in-engine.ts
@@ -29,6 +29,8 @@
 	/** Orders that would have needed more places than there are. */
 	readonly excessive: string[] = [];
 	readonly taken: string[] = [];
+	/** When loads began, ms. */
+	readonly loadsBegunAt: number[] = [];
 	count = 0;
 	/** Adapters that requests use, as `model/adapter`; they are unloaded when the requests end. */
 	inUse: string[] = [];
@@ -42,7 +44,7 @@
 	private readonly history: Array<{at: number; status: EngineStatus}> = [];
 	private busyWith: string | undefined;
 
-	constructor(private readonly time: VirtualTime, private readonly places: number, models: readonly string[], private readonly adapterSlots = 2) {
+	constructor(private readonly time: VirtualTime, private readonly places: number, models: readonly string[], private readonly adapterSlots = 2, private readonly id = 'e') {
 		this.holds = models.map(name => ({name, adapters: []}));
 		this.remember();
 	}
@@ -50,7 +52,7 @@
 	/** As its heartbeats tell it. */
 	get endpoint(): FleetEndpoint {
 		return {
-			id: 'e', sequence: 1, service: 'llm', address: '', failureDomain: 'a', release: '', slots: 1, isLeaving: false, remainingMs: undefined,
+			id: this.id, sequence: 1, service: 'llm', address: this.id, failureDomain: 'a', release: '', slots: 1, isLeaving: false, remainingMs: undefined,
 			holds: this.toldHolds ?? this.holds, inMemory: [], onDisk: [], phase: EndpointPhase.Ready, retiring: this.recorded?.retiring, loading: this.recorded?.loading, isOrdering: this.recorded?.isOrdering ?? false, orderedAt: 1, revision: 1,
 		};
 	}
@@ -154,6 +156,7 @@
 
 	private load(model: string): void {
 		this.busyWith = model;
+		this.loadsBegunAt.push(this.time.clock.now());
 		void this.time.wait(loadMs).then(() => {
 			this.busyWith = undefined;
 			this.holds = [...this.holds, {name: model, adapters: []}];
--- a/packages/mastvalve-fleet-control/__tests__/engine-director.feature
+++ b/packages/mastvalve-fleet-control/__tests__/engine-director.feature
@@ -18,3 +18,7 @@
     And the holder may not order for a moment, then claims the orders again in the same term
     And the load ends
     Then only what the holder has found after its second claim is recorded
+
+  Scenario: The weight store's rate holds before the first request, beside late orders and over changes of the holder
+    Given starts of 12 empty engines, with orders that are lost or late and holders that follow each other
+    Then in 40 random ones no window of 5 s has more loads from the store than its rate allows
--- a/packages/mastvalve-fleet-control/__tests__/engine-director.steps.ts
+++ b/packages/mastvalve-fleet-control/__tests__/engine-director.steps.ts
@@ -6,6 +6,7 @@
 import {
 	Given, Then, When, type World,
 } from '@cucumber/cucumber';
+import fc from 'fast-check';
 import {
 	FleetCommandKind, FleetMachine, type EngineModel, type FleetCommand, type Holdings,
 } from 'mastvalve-fleet';
@@ -152,3 +153,109 @@
 	assert.ok(this.engine.holds.length <= 3);
 	assert.ok(this.engine.taken.some(order => order.startsWith('load')));
 });
+
+/** A start of empty engines before any request. */
+type Start = {answering: Answering[]; holderChangesAt: number[]};
+
+const starts = fc.record<Start>({
+	answering: fc.array(fc.constantFrom(Answering.Normal, Answering.Normal, Answering.Lost, Answering.Late), {maxLength: 30}),
+	holderChangesAt: fc.array(fc.integer({min: 10, max: 250}), {maxLength: 3}),
+});
+
+const storeLoadsPerSecond = 1.4;
+const storeWindowMs = 5000;
+const engineCount = 12;
+const startRounds = 300;
+
+/** Plays a start; the times at which loads from the store began, in order, ms. */
+const playStart = async ({answering, holderChangesAt}: Start): Promise<number[]> => {
+	const time = new VirtualTime();
+	const machine = new FleetMachine();
+	const engines = new Map(Array.from({length: engineCount}, (_, index): [string, StandInEngine] => [`e${index}`, new StandInEngine(time, 3, [], 0, `e${index}`)]));
+	const answers = [...answering];
+	let index = 0;
+	let holder = '';
+	let leader = 0;
+	const applyCommand = (command: FleetCommand): unknown => {
+		index += 1;
+		return machine.apply(command, index);
+	};
+
+	applyCommand({
+		kind: FleetCommandKind.Configure, stated: {
+			source: '', configuration: {
+				version: 1, routes: [], limits: {
+					maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+				}, services: [{
+					name: 'llm', healthPath: '/', maxConnections: 10, engine: {
+						slots: 4, tokenCapacity: 1000, weightCapacity: 300, adapterSlots: 0, storeLoadsPerSecond, models: Array.from({length: 20}, (_, model) => createModel(`m${model}`)),
+					},
+				}],
+			},
+		},
+	});
+	const createNext = (term: number): EngineDirector => new EngineDirector({
+		machine,
+		clock: time.clock,
+		wait: time.wait,
+		port: {
+			async sendOrder(order) {
+				const engine = engines.get(order.endpointId)!;
+				engine.answering = [answers.shift() ?? Answering.Normal];
+				return engine.port.sendOrder(order);
+			},
+			readStatus: async id => engines.get(id)!.port.readStatus(id, ''),
+		},
+		holder: `holder-${term}`,
+		readTerm: () => (leader === term ? term : undefined),
+		async claim() {
+			const former = holder;
+			holder = `holder-${term}`;
+			return former;
+		},
+		async publish(holdings) {
+			applyCommand({kind: FleetCommandKind.RecordHoldings, holdings});
+			return true;
+		},
+		orderLeaseMs: 3000,
+		storeWindowMs,
+		onEvent: () => undefined,
+	});
+	const directors = Array.from({length: holderChangesAt.length + 1}, (_, term) => createNext(term));
+	await Array.from({length: startRounds}).reduce<Promise<void>>(async (before, _, round) => {
+		await before;
+		leader += holderChangesAt.includes(round) && leader < holderChangesAt.length ? 1 : 0;
+		engines.forEach(engine => {
+			const {phase: _phase, retiring: _retiring, loading: _loading, isOrdering: _isOrdering, orderedAt: _orderedAt, revision: _revision, ...own} = engine.endpoint;
+			applyCommand({
+				kind: FleetCommandKind.Report, report: {
+					...own, sequence: index, inMemory: [], onDisk: [],
+				},
+			});
+		});
+		directors.forEach(director => {
+			void director.runRound();
+		});
+		await time.advance(roundMs);
+	}, Promise.resolve());
+	return [...engines.values()].flatMap(({loadsBegunAt}) => loadsBegunAt).toSorted((a, b) => a - b);
+};
+
+Given('starts of {int} empty engines, with orders that are lost or late and holders that follow each other', function (this: DirectorWorld, engines: number) {
+	assert.equal(engines, engineCount);
+});
+
+Then('in {int} random ones no window of {int} s has more loads from the store than its rate allows', {timeout: 60_000}, async (runs: number, windowS: number) => {
+	assert.equal(windowS * 1000, storeWindowMs);
+	const most = storeLoadsPerSecond * storeWindowMs / 1000;
+	let loads = 0;
+	await fc.assert(fc.asyncProperty(starts, async start => {
+		const begun = await playStart(start);
+		loads += begun.length;
+		begun.forEach((from, first) => {
+			const count = begun.slice(first).filter(at => at < from + storeWindowMs).length;
+			assert.ok(count <= most, `${count} loads from ${from} ms on`);
+		});
+	}), {numRuns: runs, seed: 12});
+	assert.ok(loads > runs, 'nothing was loaded');
+});
