The proofs drive the account of engines' room that runs on the users' platform

Cause: what npm run proofs proved of memory was the sidecar's ledger; the code that orders on the platform had features only.

Change: the random series of desks are a fixture of their own; four rows of property 1 with three broken ledgers and a wrong capacity as twins.

--- a/packages/mastvalve-fleet-control/__tests__/engine-desk.steps.ts
+++ b/packages/mastvalve-fleet-control/__tests__/engine-desk.steps.ts
@@ -7,58 +7,18 @@
 	Given, Then, When, type World,
 } from '@cucumber/cucumber';
 import fc from 'fast-check';
-import {
-	EngineLedger, EngineOrderKind, WeightSource, type AdapterName, type EngineOrder, type EngineSpec, type EngineState, type HeldModel,
-} from 'mastvalve-fleet';
-import {EngineDesk} from '../src/engines/engine-desk.js';
+import {EngineOrderKind, WeightSource} from 'mastvalve-fleet';
+import type {EngineDesk} from '../src/engines/engine-desk.js';
 import {OrderOutcome, type SentOrder} from '../src/engines/engine-port.js';
 import {OrderSequence} from '../src/engines/order-sequence.js';
+import {
+	adapterSteps, brokenLedgers, createDesk, mayMove, modelSteps, playAdapters, playModels, tryMove,
+} from './__fixtures__/desk-series.js';
 import {Answering, StandInEngine} from './__fixtures__/stand-in-engine.js';
 import {VirtualTime} from './__fixtures__/virtual-time.js';
 
 type DeskWorld = World & {time: VirtualTime; engine: StandInEngine; desk: EngineDesk; mayOrder: boolean; begunAt: number | undefined};
 
-/** Room for three models and two adapters; every model takes one of three places. */
-const spec: EngineSpec = {
-	slots: 1, tokenCapacity: 1, weightCapacity: 3, adapterSlots: 2, storeLoadsPerSecond: 1,
-	models: Array.from({length: 6}, (_, index) => ({
-		name: `m${index + 1}`, size: 1, storeLoadMs: 2000, diskLoadMs: 2000, memoryLoadMs: 2000, adapterCount: 5, adapterSize: 0,
-	})),
-};
-
-const createDesk = (time: VirtualTime, engine: StandInEngine, holder: string, isHolder: () => boolean = () => true, ledger = new EngineLedger()): EngineDesk =>
-	new EngineDesk({
-		id: 'e', port: engine.port, clock: time.clock, wait: time.wait, holder,
-		// The holder named "one" is the first.
-		aloneSince: holder === 'one' ? Number.NEGATIVE_INFINITY : time.clock.now(),
-		readFence: () => (isHolder() ? 1 : undefined),
-		readEndpoint: () => engine.endpoint,
-		async publish(holdings) {
-			// Only the holder's records are committed.
-			const isCommitted = isHolder();
-			engine.recorded = isCommitted ? holdings : engine.recorded;
-			return isCommitted;
-		},
-		readSpec: () => spec,
-		ledger,
-		onEvent: () => undefined,
-	});
-
-const mayMove = ({isReady, loading, retiring}: EngineState): boolean => isReady && loading === undefined && retiring === undefined;
-
-/** Loads a model if the desk takes orders; the oldest model gives way when there is no place. */
-const tryMove = (desk: EngineDesk, engine: StandInEngine, places: number, model: string): void => {
-	const state = desk.describe(engine.endpoint);
-	if (!mayMove(state) || state.holds.some(({name}) => name === model)) {
-		return;
-	}
-
-	const evict = state.holds.length < places && !state.hasLateOrder ? undefined : state.holds[0]?.name;
-	void desk.moveModel({
-		engine: 'e', load: model, evict, source: WeightSource.Disk,
-	}, 2000);
-};
-
 Given('an engine with 3 places that holds 2 models', function (this: DeskWorld) {
 	this.time = new VirtualTime();
 	this.engine = new StandInEngine(this.time, 3, ['m1', 'm2']);
@@ -357,101 +317,14 @@
 	assert.deepEqual(this.sent.map(({order, expectedCount}) => [order.model, expectedCount]), [['m1', 4]]);
 });
 
-type Step = {answering: Answering; model: number; pauseMs: number; isNewHolder: boolean};
-
-const steps = fc.array(fc.record<Step>({
-	answering: fc.constantFrom(Answering.Normal, Answering.Normal, Answering.Lost, Answering.Late),
-	model: fc.integer({min: 1, max: 6}),
-	pauseMs: fc.integer({min: 50, max: 4000}),
-	isNewHolder: fc.boolean(),
-}), {minLength: 5, maxLength: 25});
-
-const play = async (series: readonly Step[]): Promise<StandInEngine> => {
-	const time = new VirtualTime();
-	const engine = new StandInEngine(time, 3, ['m1', 'm2']);
-	let holder = 0;
-	let desk = createDesk(time, engine, 'holder-0', () => holder === 0);
-	await series.reduce<Promise<void>>(async (before, {answering, model, pauseMs, isNewHolder}) => {
-		await before;
-		if (isNewHolder) {
-			holder += 1;
-			const own = holder;
-			desk = createDesk(time, engine, `holder-${own}`, () => holder === own);
-		}
-
-		engine.answering.push(answering);
-		tryMove(desk, engine, 3, `m${model}`);
-		await time.advance(pauseMs);
-	}, Promise.resolve());
-	await time.advance(30_000);
-	return engine;
-};
-
 Then('60 random series of moves, lost orders, late orders and new holders overcommit no engine', {timeout: 60_000}, async () => {
-	await fc.assert(fc.asyncProperty(steps, async series => {
-		const engine = await play(series);
+	await fc.assert(fc.asyncProperty(modelSteps, async series => {
+		const engine = await playModels(series);
 		assert.deepEqual(engine.excessive, []);
 		assert.ok(engine.holds.length <= 3);
 	}), {numRuns: 60, seed: 8});
 });
 
-/** Loads an adapter if the desk takes orders; the first one gives way when no slot is free. */
-const tryAdapter = (desk: EngineDesk, engine: StandInEngine, adapter: string): void => {
-	const state = desk.describe(engine.endpoint);
-	const held = state.holds.flatMap(({name, adapters}) => adapters.map(each => ({model: name, adapter: each})));
-	const isThere = held.some(each => each.adapter === adapter) || state.loadingAdapters.some(name => name.endsWith(`/${adapter}`));
-	const isFull = held.length + state.loadingAdapters.length >= 2 || state.hasLateOrder;
-	if (!mayMove(state) || isThere || (isFull && held.length === 0)) {
-		return;
-	}
-
-	void desk.moveAdapter({
-		engine: 'e', model: 'm1', load: adapter, evict: isFull ? held[0] : undefined,
-	}, 10);
-};
-
-type AdapterStep = {answering: Answering; adapter: number; pauseMs: number; isNewHolder: boolean; mayOrder: boolean; isSuspected: boolean; inUse: number};
-
-const adapterSteps = fc.array(fc.record<AdapterStep>({
-	answering: fc.constantFrom(Answering.Normal, Answering.Normal, Answering.Lost, Answering.Late),
-	adapter: fc.integer({min: 1, max: 5}),
-	pauseMs: fc.constantFrom(5, 20, 300, 1000, 6000),
-	isNewHolder: fc.constantFrom(false, false, false, true),
-	mayOrder: fc.constantFrom(true, true, true, false),
-	isSuspected: fc.constantFrom(false, false, false, true),
-	inUse: fc.integer({min: 0, max: 5}),
-}), {minLength: 5, maxLength: 30});
-
-const playAdapters = async (series: readonly AdapterStep[], createLedger = () => new EngineLedger()): Promise<StandInEngine> => {
-	const time = new VirtualTime();
-	const engine = new StandInEngine(time, 3, ['m1', 'm2']);
-	let holder = 0;
-	let mayOrder = true;
-	const createNext = (own: number): EngineDesk => createDesk(time, engine, `holder-${own}`, () => mayOrder && holder === own, createLedger());
-	let desk = createNext(0);
-	await series.reduce<Promise<void>>(async (before, step) => {
-		await before;
-		if (step.isNewHolder) {
-			// As a holder does: it waits until the former one's orders can't come any more.
-			await time.advance(4000);
-			holder += 1;
-			desk = createNext(holder);
-		}
-
-		mayOrder = step.mayOrder;
-		engine.inUse = [`m1/a${step.inUse}`];
-		engine.answering.push(step.answering);
-		if (step.isSuspected) {
-			desk.requestSync();
-		}
-
-		tryAdapter(desk, engine, `a${step.adapter}`);
-		await time.advance(step.pauseMs);
-	}, Promise.resolve());
-	await time.advance(30_000);
-	return engine;
-};
-
 Then('{int} random series of adapter moves, lost orders, late orders, pauses of the holder and new holders overfill no slots', {timeout: 60_000}, async (runs: number) => {
 	await fc.assert(fc.asyncProperty(adapterSteps, async series => {
 		const engine = await playAdapters(series);
@@ -459,53 +332,6 @@
 	}), {numRuns: runs, seed: 21});
 });
 
-/** Accounts with one rule left out. */
-class GoneAtOnce extends EngineLedger {
-	override plan(adapter: AdapterName, evicted: AdapterName | undefined): void {
-		super.plan(adapter, evicted);
-		if (evicted) {
-			this.noteUnloaded(evicted, []);
-		}
-	}
-}
-
-class CountedWhenSeen extends EngineLedger {
-	override noteSent(order: EngineOrder, recorded: readonly HeldModel[]): void {
-		if (order.adapter === undefined) {
-			super.noteSent(order, recorded);
-		}
-	}
-}
-
-class RefusedWithoutAnswer extends EngineLedger {
-	private readonly sent: EngineOrder[] = [];
-
-	override noteSent(order: EngineOrder, recorded: readonly HeldModel[]): void {
-		super.noteSent(order, recorded);
-		this.sent.push(order);
-	}
-
-	override endPlan(adapter: AdapterName): void {
-		super.endPlan(adapter);
-		this.sent.splice(0).forEach(order => {
-			this.noteRefused(order);
-		});
-	}
-}
-
-class NeverAsked extends EngineLedger {
-	override mayOrder(): boolean {
-		return true;
-	}
-}
-
-const brokenLedgers: Readonly<Record<string, () => EngineLedger>> = {
-	'what is to give way counts as gone at once': () => new GoneAtOnce(),
-	'an order counts only once its end was seen': () => new CountedWhenSeen(),
-	'an order without an answer counts as refused': () => new RefusedWithoutAnswer(),
-	'an order is sent without asking whether it fits': () => new NeverAsked(),
-};
-
 Then('an account in which {string} lets some of {int} random series overfill the slots', {timeout: 60_000}, async (fault: string, runs: number) => {
 	const found = await fc.check(fc.asyncProperty(adapterSteps, async series => {
 		const engine = await playAdapters(series, brokenLedgers[fault]);
--- a/packages/mastvalve-fleet-control/__tests__/engine-director.steps.ts
+++ b/packages/mastvalve-fleet-control/__tests__/engine-director.steps.ts
@@ -241,7 +241,7 @@
 	return [...engines.values()].flatMap(({loadsBegunAt}) => loadsBegunAt).toSorted((a, b) => a - b);
 };
 
-Given('starts of {int} empty engines, with orders that are lost or late and holders that follow each other', function (this: DirectorWorld, engines: number) {
+Given('starts of {int} empty engines, with orders that are lost or late and holders that follow each other', (engines: number) => {
 	assert.equal(engines, engineCount);
 });
 
--- a/packages/mastvalve-proofs/__tests__/all.proofs.ts
+++ b/packages/mastvalve-proofs/__tests__/all.proofs.ts
@@ -6,10 +6,11 @@
 import {answersProofs} from './answers.proofs.js';
 import {claimsProofs} from './claims.proofs.js';
 import {configurationProofs} from './configuration.proofs.js';
+import {engineRoomProofs} from './engine-room.proofs.js';
 import {logProofs} from './log.proofs.js';
 import {memoryProofs} from './memory.proofs.js';
 import {placementProofs} from './placement.proofs.js';
 
 /** The proofs. */
-export const allProofs: Proof[] = [...memoryProofs, ...placementProofs, ...answersProofs, ...claimsProofs, ...configurationProofs, ...logProofs]
+export const allProofs: Proof[] = [...memoryProofs, ...engineRoomProofs, ...placementProofs, ...answersProofs, ...claimsProofs, ...configurationProofs, ...logProofs]
 	.toSorted((a, b) => a.property - b.property);
