One control instance and one set of varied routes for tests and benches; dev's models named by their tasks

Cause: the same control of one instance and the same routes stood in a bench and in a test; mastvalve dev named its models after one deployment. Change: both live in mastvalve-fakes/fleet; dev's models are headings, summaries and questions. No logic of the product changes.

--- a/features/steps/dev.steps.ts
+++ b/features/steps/dev.steps.ts
@@ -23,7 +23,7 @@
 
 Then('a chat is answered at once', async function (this: DevWorld) {
 	const res = await fetch(`http://127.0.0.1:${this.devPort}/v1/chat/completions`, {
-		method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify({model: 'opis-hasla', messages: [{role: 'user', content: 'An atlas'}]}),
+		method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify({model: 'headings', messages: [{role: 'user', content: 'An atlas'}]}),
 	});
 	assert.equal(res.status, 200, await res.text());
 });
--- a/packages/mastvalve-bench/src/followers/followers-bench.ts
+++ b/packages/mastvalve-bench/src/followers/followers-bench.ts
@@ -3,17 +3,13 @@
  * configuration, and what crosses the links, at several sizes.
  */
 
-import {mkdtemp, rm} from 'node:fs/promises';
-import type {Server} from 'node:http';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
 import process from 'node:process';
-import {PeerClient, startPeerServer} from 'mastvalve-cluster';
+import {PeerClient} from 'mastvalve-cluster';
 import {SlowLink} from 'mastvalve-fakes';
-import {RouteKind, type Route, type StatedConfiguration} from 'mastvalve-fleet';
-import {FleetControl, OrderOutcome} from 'mastvalve-fleet-control';
+import {createRoutes, createStated, LoneControl} from 'mastvalve-fakes/fleet';
+import type {Route} from 'mastvalve-fleet';
 import {FleetFollower, FleetView} from 'mastvalve-gateway';
-import {createRandom, systemClock, waitFor} from 'mastvalve-utils';
+import {systemClock, waitFor} from 'mastvalve-utils';
 import type {BenchTable} from '../log/log-bench.js';
 import {quantile} from '../statistics.js';
 
@@ -27,68 +23,28 @@
 /** One entry's following side. */
 type Entry = {view: FleetView; link: SlowLink; client: PeerClient; ending: AbortController};
 
-/** Routes whose names differ as those of real ones do. */
-const createRoutes = (count: number, changed: number): Route[] => {
-	const random = createRandom(1);
-	return Array.from({length: count}, (_, index) => {
-		const name = Math.floor(random() * 0xFF_FF_FF_FF).toString(36);
-		return {
-			name: `r-${name}`, host: 'library.example', pathPrefix: `/${name}${index}/`, kind: RouteKind.Safe, timeoutMs: index < changed ? 1000 : 15_000, objectiveMs: 800, patienceMs: undefined, priority: 1, targets: [{service: 's', weight: 1}], maxAttempts: 2, isResumable: false,
-		};
-	});
-};
-
-const createStated = (version: number, routes: Route[]): StatedConfiguration => ({
-	configuration: {
-		version, routes, services: [{name: 's', healthPath: '/', maxConnections: 10}], limits: {
-			maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-		},
-	},
-	source: JSON.stringify(routes),
-});
-
 /** Control of one instance, and entries that follow it. */
 class FollowersBench {
 	static async open(): Promise<FollowersBench> {
-		const folder = await mkdtemp(join(tmpdir(), 'mastvalve-followers-'));
-		const client = new PeerClient();
-		const address = `127.0.0.1:${firstPort}`;
-		const control = await FleetControl.open({
-			address,
-			dataFolder: folder,
-			isFirstStart: true,
-			readSeeds: () => [address],
-			voters: 1,
-			client,
-			clock: systemClock,
-			heartbeatMs: 60_000,
-			orderLeaseMs: 3000,
-			storeWindowMs: 5000,
-			engines: {sendOrder: async () => OrderOutcome.Absent, readStatus: async () => undefined},
-			onEvent: () => undefined,
-			onError: () => undefined,
-		});
-		const listening = await startPeerServer(address, new Map(control.handlers()), () => undefined);
-		void control.run();
-		return new FollowersBench(folder, client, control, listening._unsafeUnwrap());
+		return new FollowersBench(await LoneControl.open(`127.0.0.1:${firstPort}`));
 	}
 
 	entries: Entry[] = [];
 	private version = 0;
 
-	private constructor(private readonly folder: string, private readonly client: PeerClient, private readonly control: FleetControl, private readonly server: Server) {}
+	private constructor(private readonly lone: LoneControl) {}
 
 	/** Puts a configuration in force; resolves when it is committed. */
 	async configure(routes: Route[]): Promise<void> {
 		this.version += 1;
-		const stated = createStated(this.version, routes);
-		let result = await this.control.configure(stated);
+		const stated = createStated(this.version, routes, JSON.stringify(routes));
+		let result = await this.lone.control.configure(stated);
 		while (result.isErr()) {
 			// A group of one elects itself soon.
 			// eslint-disable-next-line no-await-in-loop
 			await waitFor(pollMs);
 			// eslint-disable-next-line no-await-in-loop
-			result = await this.control.configure(stated);
+			result = await this.lone.control.configure(stated);
 		}
 	}
 
@@ -127,11 +83,7 @@
 
 	async close(): Promise<void> {
 		this.end();
-		await this.control.stop();
-		this.server.close();
-		this.server.closeAllConnections();
-		this.client.close();
-		await rm(this.folder, {recursive: true, force: true});
+		await this.lone.close();
 	}
 
 	private async beginOne(port: number): Promise<Entry> {
--- a/packages/mastvalve-bench/src/planning/planning-bench.ts
+++ b/packages/mastvalve-bench/src/planning/planning-bench.ts
@@ -6,6 +6,7 @@
  * models, a long tail, and requests that wait for models and adapters which nobody holds.
  */
 
+import {configureEngines} from 'mastvalve-fakes/fleet';
 import {FleetCommandKind, FleetMachine, type EngineModel} from 'mastvalve-fleet';
 import {EngineDirector, OrderOutcome, type EnginePort} from 'mastvalve-fleet-control';
 import {createRandom, pickBelow, type Random} from 'mastvalve-utils';
@@ -41,27 +42,14 @@
 
 const createMachine = ({engines, models}: FleetSize, random: Random): FleetMachine => {
 	const machine = new FleetMachine();
-	machine.apply({
-		kind: FleetCommandKind.Configure,
-		stated: {
-			source: '',
-			configuration: {
-				version: 1,
-				routes: [],
-				limits: {
-					maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
-				},
-				services: [{
-					name: 'llm',
-					healthPath: '/',
-					maxConnections: 100,
-					engine: {
-						slots: 64, tokenCapacity: 130_000, weightCapacity: 220_000, adapterSlots: 8, storeLoadsPerSecond: engines / 5, models: Array.from({length: models}, (_, index) => createModel(index)),
-					},
-				}],
-			},
-		},
-	}, 1);
+	machine.apply(configureEngines({
+		slots: 64,
+		tokenCapacity: 130_000,
+		weightCapacity: 220_000,
+		adapterSlots: 8,
+		storeLoadsPerSecond: engines / 5,
+		models: Array.from({length: models}, (_, index) => createModel(index)),
+	}), 1);
 	Array.from({length: engines}).forEach((_, index) => {
 		const onDisk = Array.from({length: copiesPerEngine}, (__, place) => (place === 0 ? drawModel(random, models) : `model-${pickBelow(random, models)}`));
 		machine.apply({
--- a/packages/mastvalve-fleet-control/__tests__/engine-director.steps.ts
+++ b/packages/mastvalve-fleet-control/__tests__/engine-director.steps.ts
@@ -7,11 +7,11 @@
 	Given, Then, When, type World,
 } from '@cucumber/cucumber';
 import fc from 'fast-check';
+import {configureEngines} from 'mastvalve-fakes/fleet';
 import {
 	FleetCommandKind, FleetMachine, type EngineModel, type FleetCommand, type Holdings,
 } from 'mastvalve-fleet';
 import {EngineDirector} from '../src/engines/engine-director.js';
-import {configureEngines} from './__fixtures__/configure-engines.js';
 import {Answering, StandInEngine} from './__fixtures__/stand-in-engine.js';
 import {VirtualTime} from './__fixtures__/virtual-time.js';
 
--- a/packages/mastvalve-fleet-control/__tests__/first-demand.steps.ts
+++ b/packages/mastvalve-fleet-control/__tests__/first-demand.steps.ts
@@ -7,13 +7,13 @@
 	Given, Then, When, type World,
 } from '@cucumber/cucumber';
 import fc from 'fast-check';
+import {configureEngines} from 'mastvalve-fakes/fleet';
 import {
 	EndpointPhase, FleetCommandKind, FleetMachine, type EngineState, type FleetCommand, type FleetEndpoint,
 } from 'mastvalve-fleet';
 import {EngineDirector} from '../src/engines/engine-director.js';
 import {EngineRound} from '../src/engines/engine-round.js';
 import {OrderOutcome} from '../src/engines/engine-port.js';
-import {configureEngines} from './__fixtures__/configure-engines.js';
 import {StandInEngine} from './__fixtures__/stand-in-engine.js';
 import {VirtualTime} from './__fixtures__/virtual-time.js';
 
--- a/packages/mastvalve-gateway/__tests__/following.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/following.steps.ts
@@ -3,34 +3,26 @@
  */
 
 import {strict as assert} from 'node:assert';
-import {mkdtemp, rm} from 'node:fs/promises';
-import type {Server} from 'node:http';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
 import {
 	After, Given, Then, When, type World,
 } from '@cucumber/cucumber';
-import {PeerClient, startPeerServer} from 'mastvalve-cluster';
+import {PeerClient} from 'mastvalve-cluster';
 import {SlowLink} from 'mastvalve-fakes';
-import {
-	FleetCommandKind, RouteKind, type EndpointReport, type Route, type StatedConfiguration,
-} from 'mastvalve-fleet';
-import {FleetControl, OrderOutcome} from 'mastvalve-fleet-control';
-import {
-	callUntilAborted, createRandom, systemClock, waitFor,
-} from 'mastvalve-utils';
+import {createRoutes, createStated, LoneControl} from 'mastvalve-fakes/fleet';
+import {FleetCommandKind, type EndpointReport} from 'mastvalve-fleet';
+import type {FleetControl} from 'mastvalve-fleet-control';
+import {callUntilAborted, systemClock, waitFor} from 'mastvalve-utils';
 import {findFreePorts} from '../../../features/support/free-ports.js';
 import {waitUntil} from '../../../features/support/conditions.js';
 import {FleetFollower, FleetView, SourceChoice} from '../src/index.js';
 
 type FollowWorld = World & {
-	folder: string;
 	/** Where control is reached: at the link's near end. */
 	address: string;
 	/** Where it listens. */
 	listen: string;
+	lone: LoneControl;
 	control: FleetControl;
-	server: Server;
 	clients: PeerClient[];
 	slowLink: SlowLink;
 	view: FleetView;
@@ -45,65 +37,24 @@
 const kilobyte = 1000;
 const pollMs = 10;
 
-/** A route whose names differ as those of real ones do. */
-const createRoute = (index: number, random: () => number): Route => {
-	const name = Math.floor(random() * 0xFF_FF_FF_FF).toString(36);
-	return {
-		name: `r-${name}`, host: 'library.example', pathPrefix: `/${name}${index}/`, kind: RouteKind.Safe, timeoutMs: 15_000, objectiveMs: 800, patienceMs: undefined, priority: 1, targets: [{service: 's', weight: 1}], maxAttempts: 2, isResumable: false,
-	};
-};
-
-const createStated = (version: number, routeCount: number, changed = 0): StatedConfiguration => {
-	const random = createRandom(1);
-	return {
-		configuration: {
-			version,
-			routes: Array.from({length: routeCount}, (_, index) => ({...createRoute(index, random), ...(index < changed ? {timeoutMs: 1000} : {})})),
-			services: [{name: 's', healthPath: '/', maxConnections: 10}],
-			limits: {
-				maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-			},
-		},
-		source: '{}',
-	};
-};
-
 const endpoint = (sequence: number, isLeaving: boolean, id: string): EndpointReport => ({
 	id, sequence, service: 's', address: `127.0.0.1:${id === 'e' ? 1 : 2}`, failureDomain: 'a', release: 'v1', slots: 1, isLeaving, remainingMs: undefined, holds: [], inMemory: [], onDisk: [],
 });
 
 const startControl = async (world: FollowWorld): Promise<void> => {
 	const [nearPort, port] = await findFreePorts(2);
-	const client = new PeerClient();
-	world.clients = [client];
+	world.clients = [];
 	world.ending = new AbortController();
 	world.version = 0;
-	world.folder = await mkdtemp(join(tmpdir(), 'mastvalve-follow-'));
 	world.address = `127.0.0.1:${nearPort}`;
 	world.listen = `127.0.0.1:${port}`;
-	world.control = await FleetControl.open({
-		address: world.address,
-		dataFolder: world.folder,
-		isFirstStart: true,
-		readSeeds: () => [world.address],
-		voters: 1,
-		client,
-		clock: systemClock,
-		heartbeatMs: 60_000,
-		orderLeaseMs: 3000,
-		storeWindowMs: 5000,
-		engines: {sendOrder: async () => OrderOutcome.Absent, readStatus: async () => undefined},
-		onEvent: () => undefined,
-		onError: () => undefined,
-	});
-	const listening = await startPeerServer(world.listen, new Map(world.control.handlers()), () => undefined);
-	world.server = listening._unsafeUnwrap();
-	void world.control.run();
+	world.lone = await LoneControl.open(world.address, world.listen);
+	world.control = world.lone.control;
 };
 
 const configure = async (world: FollowWorld, routeCount: number, changed = 0): Promise<void> => {
 	world.version += 1;
-	const stated = createStated(world.version, routeCount, changed);
+	const stated = createStated(world.version, createRoutes(routeCount, changed));
 	await waitUntil('the configuration is in force', async () => {
 		const result = await world.control.configure(stated);
 		return result.isOk();
@@ -137,19 +88,16 @@
 };
 
 After(async function (this: FollowWorld) {
-	if (!this.control) {
+	if (!this.lone) {
 		return;
 	}
 
 	this.ending.abort();
 	this.slowLink?.close();
-	await this.control.stop();
-	this.server.close();
-	this.server.closeAllConnections();
 	this.clients.forEach(client => {
 		client.close();
 	});
-	await rm(this.folder, {recursive: true, force: true});
+	await this.lone.close();
 });
 
 Given('control with a configuration of {int} route(s)', async function (this: FollowWorld, routeCount: number) {
--- a/packages/mastvalve/src/commands/dev.ts
+++ b/packages/mastvalve/src/commands/dev.ts
@@ -87,7 +87,7 @@
 	return level;
 };
 
-const firstChat = {model: 'opis-hasla', stream: true, messages: [{role: 'user', content: 'Subject headings for a new atlas'}]};
+const firstChat = {model: 'headings', stream: true, messages: [{role: 'user', content: 'Subject headings for a new atlas'}]};
 
 /** Whether the entry answers a chat; it learns of the placements a moment after control does. */
 const answersChat = async (address: string): Promise<boolean> => {
@@ -106,7 +106,7 @@
   curl -N http://${address}/v1/chat/completions -H 'content-type: application/json' \
     -d '${JSON.stringify(firstChat)}'
 
-Models: ${devIntent.models.flatMap(model => [model.name, ...model.adapters.map(adapter => adapter.name)]).join(', ')}. Plain service: /services/lada-app/.
+Models: ${devIntent.models.flatMap(model => [model.name, ...model.adapters.map(adapter => adapter.name)]).join(', ')}. Plain service: /services/desk/.
 Ctrl-C ends it.`;
 
 /** The command. */
--- a/packages/mastvalve/src/dev/dev-deployment.ts
+++ b/packages/mastvalve/src/dev/dev-deployment.ts
@@ -31,10 +31,10 @@
 /** Names, services and places of the endpoints, before they listen. */
 export const listDevEndpoints = (): Array<Omit<DevEndpoints[number], 'url'>> => [
 	...domains.map((failureDomain, index) => ({
-		name: `opis-llm-${index + 1}`, service: 'opis-llm', failureDomain, capacity: devCapacity,
+		name: `llm-${index + 1}`, service: 'llm', failureDomain, capacity: devCapacity,
 	})),
 	...domains.slice(0, 2).map((failureDomain, index) => ({
-		name: `lada-app-${index + 1}`, service: 'lada-app', failureDomain, capacity: 0,
+		name: `desk-${index + 1}`, service: 'desk', failureDomain, capacity: 0,
 	})),
 ];
 
@@ -75,18 +75,18 @@
 /** The intent that is confirmed at the start. */
 export const devIntent: Intent = {
 	services: [
-		{name: 'opis-llm', kind: ServiceKind.Model, notRepeated: []},
-		{name: 'lada-app', kind: ServiceKind.Plain, notRepeated: ['POST /loans']},
+		{name: 'llm', kind: ServiceKind.Model, notRepeated: []},
+		{name: 'desk', kind: ServiceKind.Plain, notRepeated: ['POST /loans']},
 	],
 	models: [
 		{
-			name: 'opis-hasla', service: 'opis-llm', size: 65, adapters: [{name: 'opis-hasla-szkolne', size: 2}], minReplicas: 1,
+			name: 'headings', service: 'llm', size: 65, adapters: [{name: 'headings-schools', size: 2}], minReplicas: 1,
 		},
 		{
-			name: 'opis-streszczenia', service: 'opis-llm', size: 72, adapters: [], minReplicas: 1,
+			name: 'summaries', service: 'llm', size: 72, adapters: [], minReplicas: 1,
 		},
 		{
-			name: 'opis-pytania', service: 'opis-llm', size: 68, adapters: [], minReplicas: 1,
+			name: 'questions', service: 'llm', size: 68, adapters: [], minReplicas: 1,
 		},
 	],
 	events: [],
