Sight: lines of attempts that failed name a fingerprint of the request's content

Cause: attempts that end with an engine are logged under the request's identity, which is new at each repetition, so the logs couldn't tell whether the same content runs at each engine that ends. Change: a fingerprint over method, host, path, model and body in attempt.failed and answer.broken; nothing is decided by it.

--- a/packages/mastvalve-gateway/src/requests/caller-request.ts
+++ b/packages/mastvalve-gateway/src/requests/caller-request.ts
@@ -9,6 +9,8 @@
 /** Everything that serving needs. */
 export type CallerRequest = {
 	requestId: string;
+	/** The same for all requests with this content, whatever their identities. */
+	fingerprint: string;
 	route: Route;
 	service: string;
 	caller: CallerHeaders;
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -101,7 +101,7 @@
 	}
 
 	core.log('attempt.failed', {
-		request: request.requestId, endpoint: endpoint.id, outcome: outcome.kind, reason: outcome.reason,
+		request: request.requestId, fingerprint: request.fingerprint, endpoint: endpoint.id, outcome: outcome.kind, reason: outcome.reason,
 	});
 	return endOrRetry(core, request, reply, progress, outcome.reason);
 };
@@ -225,7 +225,7 @@
 		progress.mayHaveRun = true;
 		core.board.recordFailure(endpoint.id);
 		core.log('attempt.failed', {
-			request: request.requestId, endpoint: endpoint.id, status, reason: isForeign ? `the answer belongs to ${head.requestId}` : 'a refusal without a promise',
+			request: request.requestId, fingerprint: request.fingerprint, endpoint: endpoint.id, status, reason: isForeign ? `the answer belongs to ${head.requestId}` : 'a refusal without a promise',
 		});
 		return endOrRetry(core, request, reply, progress, `an answer with status ${status} that can't be passed on`);
 	}
@@ -275,7 +275,7 @@
 	progress.position?.dropPartial();
 	core.board.recordFailure(endpoint.id);
 	core.log('answer.broken', {
-		request: request.requestId, endpoint: endpoint.id, status, lastEvent: progress.position?.lastEventId,
+		request: request.requestId, fingerprint: request.fingerprint, endpoint: endpoint.id, status, lastEvent: progress.position?.lastEventId,
 	});
 	if (progress.position) {
 		return endOrRetry(core, request, reply, progress, 'the answer broke off');
--- a/packages/mastvalve-gateway/src/server/gateway.ts
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -11,6 +11,7 @@
 import type {MastvalveError} from 'mastvalve-types';
 import type {ActiveConfiguration} from '../fleet/active-configuration.js';
 import type {CallerRequest} from '../requests/caller-request.js';
+import {fingerprintRequest} from '../requests/request-fingerprint.js';
 import {Reply} from '../requests/reply.js';
 import {serveRequest} from '../requests/serve-request.js';
 import {onceOver} from './caller-presence.js';
@@ -197,8 +198,12 @@
 
 		const callerDeadlineAt = read.arrivedAt + Math.min(caller.remainingMs ?? maxDeadlineMs, maxDeadlineMs);
 		const deadlineAt = Math.min(callerDeadlineAt, read.arrivedAt + route.timeoutMs);
+		const method = req.method ?? 'GET';
+		const fingerprint = fingerprintRequest({
+			method, host: req.headers.host ?? '', path, caller, body: read.body,
+		});
 		const request: CallerRequest = {
-			requestId: caller.requestId, route, service, caller, method: req.method ?? 'GET', path, headers: req.headers, rawHeaders: req.rawHeaders, body: read.body, arrivedAt: read.arrivedAt, deadlineAt, callerDeadlineAt, signal: ending.signal,
+			requestId: caller.requestId, fingerprint, route, service, caller, method, path, headers: req.headers, rawHeaders: req.rawHeaders, body: read.body, arrivedAt: read.arrivedAt, deadlineAt, callerDeadlineAt, signal: ending.signal,
 		};
 		const timer = setTimeout(() => {
 			this.expire(request, reply);
