--- /dev/null
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
@@ -0,0 +1,137 @@
+/**
+ * Several entries that follow one control instance, and callers of them.
+ */
+
+import {request} from 'node:http';
+import {PeerClient} from 'mastvalve-cluster';
+import {LoneControl} from 'mastvalve-fakes/fleet';
+import {RouteKind, type Route, type StatedConfiguration} from 'mastvalve-fleet';
+import {createRandom, systemClock} from 'mastvalve-utils';
+import {waitUntil} from '../../../../features/support/conditions.js';
+import {findFreePorts} from '../../../../features/support/free-ports.js';
+import {GatewayNode} from '../../src/index.js';
+import {testDialect} from './running-gateway.js';
+
+/** A line that an entry has logged. */
+export type LoggedLine = {kind: string; fields: Record<string, unknown>};
+
+/** What a caller got; status 0 for an answer that broke off or never came. */
+export type CallResult = {status: number; retryAfter: number | undefined; tookMs: number};
+
+const createRoute = (kind: RouteKind): Route => ({
+	name: kind, host: 'h', pathPrefix: `/${kind}/`, kind, timeoutMs: 2000, objectiveMs: 500, patienceMs: undefined, priority: 1, targets: [{service: 's', weight: 1}], maxAttempts: 2, isResumable: kind === RouteKind.Stream,
+});
+
+const stated: StatedConfiguration = {
+	configuration: {
+		version: 1,
+		routes: [RouteKind.Safe, RouteKind.Unsafe, RouteKind.Stream].map(kind => createRoute(kind)),
+		services: [{name: 's', healthPath: '/', maxConnections: 100}],
+		limits: {
+			maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+		},
+	},
+	source: '{}',
+};
+
+type RunningEntry = {node: GatewayNode; address: string; client: PeerClient};
+
+/** The entries and control. */
+export class EntriesAndControl {
+	static async open(count: number): Promise<EntriesAndControl> {
+		const [port, ...ports] = await findFreePorts(count + 1);
+		const lone = await LoneControl.open(`127.0.0.1:${port}`);
+		const running = new EntriesAndControl(lone, `127.0.0.1:${port}`, ports.map(each => `127.0.0.1:${each}`));
+		await waitUntil('the configuration is in force', async () => {
+			const result = await lone.control.configure(stated);
+			return result.isOk();
+		});
+		await Promise.all(running.addresses.map(async (_, index) => running.begin(index)));
+		return running;
+	}
+
+	readonly logged: LoggedLine[] = [];
+	private readonly entries: RunningEntry[] = [];
+	private requests = 0;
+
+	private constructor(readonly lone: LoneControl, private readonly controlAddress: string, private readonly addresses: string[]) {}
+
+	get count(): number {
+		return this.addresses.length;
+	}
+
+	/** Ends an entry and starts another in its place that knows nothing. */
+	async restart(index: number): Promise<void> {
+		await this.end(index);
+		await this.begin(index);
+	}
+
+	/** Waits until every entry knows as many endpoints. */
+	async waitForEndpoints(count: number): Promise<void> {
+		await waitUntil(`all entries know ${count} endpoints`, async () => this.entries.every(({node}) => node.view.listEndpoints('s').length === count));
+	}
+
+	/** Sends a request to an entry. */
+	async call(index: number, path: string, body: string): Promise<CallResult> {
+		this.requests += 1;
+		const [host, port] = this.addresses[index]!.split(':');
+		const startedAt = systemClock.now();
+		return new Promise<CallResult>(resolve => {
+			const done = (status: number, retryAfter?: number): void => {
+				resolve({status, retryAfter, tookMs: systemClock.now() - startedAt});
+			};
+
+			const req = request({
+				host, port, path, agent: false, method: 'POST', headers: {host: 'h', 'x-id': `request-${this.requests}`},
+			}, res => {
+				const retryAfter = res.headers['retry-after'];
+				res.resume();
+				res.on('error', () => undefined);
+				res.once('end', () => {
+					done(res.complete ? res.statusCode ?? 0 : 0, retryAfter === undefined ? undefined : Number(retryAfter));
+				});
+				res.once('close', () => {
+					done(0);
+				});
+			});
+			req.once('error', () => {
+				done(0);
+			});
+			req.end(body);
+		});
+	}
+
+	async close(): Promise<void> {
+		await Promise.all(this.addresses.map(async (_, index) => this.end(index)));
+		await this.lone.close();
+	}
+
+	private async begin(index: number): Promise<void> {
+		const client = new PeerClient();
+		const node = new GatewayNode({
+			instance: `entry-${index}`,
+			failureDomain: 'a',
+			client,
+			dialect: testDialect,
+			clock: systemClock,
+			random: createRandom(index + 1),
+			log: (kind, fields) => {
+				this.logged.push({kind, fields});
+			},
+			listSources: () => [this.controlAddress],
+			distanceTo: () => 0,
+			retries: {ratio: 1, slack: 50, windowMs: 10_000},
+		});
+		const address = this.addresses[index]!;
+		const started = await node.start(address);
+		started._unsafeUnwrap();
+		this.entries[index] = {node, address, client};
+		await waitUntil('the entry is ready', async () => node.isReady);
+	}
+
+	private async end(index: number): Promise<void> {
+		const entry = this.entries[index];
+		await entry?.node.stop(0);
+		entry?.client.close();
+	}
+}
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -17,7 +17,8 @@
 
 const textOf = (value: string | string[] | undefined): string | undefined => (Array.isArray(value) ? value[0] : value);
 
-const dialect: Dialect = {
+/** The tests' dialect. */
+export const testDialect: Dialect = {
 	readCaller: headers => ({
 		requestId: textOf(headers['x-id']),
 		remainingMs: Number(textOf(headers['x-left']) ?? 5000),
@@ -76,7 +77,7 @@
 			failureDomain: 'a',
 			clock: systemClock,
 			random: createRandom(1),
-			dialect,
+			dialect: testDialect,
 			view: this.view,
 			board: new EndpointBoard(now),
 			agent: this.upstream,
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/scripted-endpoint.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/scripted-endpoint.ts
@@ -11,7 +11,7 @@
 export type Script = (socket: Socket, requestText: string, requestNumber: number) => void;
 
 /** A running endpoint; `open` counts its open connections. */
-export type ScriptedEndpoint = {address: string; requests: string[]; connections: () => number; open: () => number; close: () => void};
+export type ScriptedEndpoint = {address: string; requests: string[]; connections: () => number; open: () => number; resetConnections: () => void; close: () => void};
 
 const headEnd = '\r\n\r\n';
 
@@ -22,8 +22,8 @@
 	return at !== -1 && text.length >= at + headEnd.length + length;
 };
 
-/** Starts an endpoint on a free port. */
-export const startScriptedEndpoint = async (script: Script): Promise<ScriptedEndpoint> => {
+/** Starts an endpoint, on a free port unless one is given. */
+export const startScriptedEndpoint = async (script: Script, port = 0): Promise<ScriptedEndpoint> => {
 	const requests: string[] = [];
 	const sockets = new Set<Socket>();
 	let connections = 0;
@@ -46,13 +46,18 @@
 		});
 	});
 	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
+		server.listen(port, '127.0.0.1', resolve);
 	});
 	return {
 		address: `127.0.0.1:${assumeType<AddressInfo>(server.address()).port}`,
 		requests,
 		connections: () => connections,
 		open: () => sockets.size,
+		resetConnections() {
+			sockets.forEach(socket => {
+				socket.resetAndDestroy();
+			});
+		},
 		close() {
 			server.close();
 			sockets.forEach(socket => {
--- a/packages/mastvalve-gateway/src/index.ts
+++ b/packages/mastvalve-gateway/src/index.ts
@@ -17,6 +17,7 @@
 export * from './routing/model-demand.js';
 export * from './routing/retry-allowance.js';
 export * from './server/gateway.js';
+export * from './server/gateway-node.js';
 export type * from './server/gateway-core.js';
 export * from './server/gateway-observer.js';
 export * from './upstream/upstream-agent.js';
--- /dev/null
+++ b/packages/mastvalve-gateway/src/server/gateway-node.ts
@@ -0,0 +1,125 @@
+/**
+ * An entry with all its parts: it serves callers, follows control, and tells control's leader what it sees.
+ */
+
+import type {PeerClient} from 'mastvalve-cluster';
+import type {MastvalveError} from 'mastvalve-types';
+import type {Clock} from 'mastvalve-utils';
+import type {Result} from 'neverthrow';
+import type {Dialect} from '../dialect.js';
+import {DemandReporter} from '../fleet/demand-reporter.js';
+import {FleetFollower} from '../fleet/fleet-follower.js';
+import {FleetView} from '../fleet/fleet-view.js';
+import {EndpointBoard} from '../routing/endpoint-board.js';
+import {HeadTimes} from '../routing/head-times.js';
+import {ModelDemand} from '../routing/model-demand.js';
+import {RetryAllowance, type RetryBounds} from '../routing/retry-allowance.js';
+import {UpstreamAgent} from '../upstream/upstream-agent.js';
+import type {LogDecision} from './gateway-core.js';
+import type {GatewayObserver} from './gateway-observer.js';
+import {Gateway} from './gateway.js';
+
+/** What an entry is made from. */
+export type GatewayNodeOptions = {
+	/** Name of the instance. */
+	instance: string;
+	failureDomain: string;
+	client: PeerClient;
+	dialect: Dialect;
+	clock: Clock;
+	random: () => number;
+	log: LogDecision;
+	/** Control instances to ask besides those that an answer has named. */
+	listSources: () => string[];
+	/** Lower is nearer. */
+	distanceTo: (address: string) => number;
+	retries: RetryBounds;
+};
+
+/** The entry. */
+export class GatewayNode {
+	readonly view: FleetView;
+	readonly follower: FleetFollower;
+	private readonly gateway: Gateway;
+	private readonly reporter: DemandReporter;
+	private readonly demand: ModelDemand;
+	private readonly upstream = new UpstreamAgent();
+	private readonly ending = new AbortController();
+
+	constructor(options: GatewayNodeOptions) {
+		const {
+			instance, failureDomain, client, dialect, clock, random, log, listSources, distanceTo, retries,
+		} = options;
+		const now = (): number => clock.now();
+		this.view = new FleetView(now);
+		this.follower = new FleetFollower({
+			client,
+			view: this.view,
+			listSources,
+			distanceTo,
+			now,
+			onEvent(kind, detail) {
+				log(kind, {detail});
+			},
+		});
+		this.reporter = new DemandReporter(client, () => this.follower.leader);
+		const headTimes = new HeadTimes();
+		this.demand = new ModelDemand(instance, now, () => {
+			this.reporter.hurry();
+		}, headTimes);
+		this.gateway = new Gateway({
+			failureDomain,
+			clock,
+			random,
+			dialect,
+			view: this.view,
+			board: this.createBoard(now),
+			agent: this.upstream,
+			allowance: new RetryAllowance(retries, now),
+			headTimes,
+			demand: this.demand,
+			log,
+		});
+	}
+
+	/** Whether the balancer may send callers here. */
+	get isReady(): boolean {
+		return this.view.isSynced && this.view.configuration !== undefined && !this.gateway.isDraining;
+	}
+
+	/** Requests of callers in progress. */
+	get inFlight(): number {
+		return this.gateway.inFlight;
+	}
+
+	/** Tells an observer of all requests from now on. */
+	observe(observer: GatewayObserver): void {
+		this.gateway.observe(observer);
+	}
+
+	/** Listens for callers on `ip:port`, and begins to follow control. */
+	async start(listen: string): Promise<Result<true, MastvalveError>> {
+		const started = await this.gateway.start(listen);
+		if (started.isOk()) {
+			void this.follower.run(this.ending.signal);
+			void this.reporter.run(this.demand, this.ending.signal);
+		}
+
+		return started;
+	}
+
+	/** Takes requests for a while still, and ends when none is in progress. */
+	async stop(keepTakingMs: number): Promise<void> {
+		await this.gateway.drain(keepTakingMs);
+		this.ending.abort();
+		this.upstream.destroy();
+	}
+
+	private createBoard(now: () => number): EndpointBoard {
+		const board = new EndpointBoard(now);
+		this.view.subscribe(() => {
+			board.keepOnly(id => this.view.knows(id));
+		});
+		return board;
+	}
+}
