A request under which three endpoints have crashed is quarantined, at all entries, through the log

Cause: nothing remembered a request beyond one caller's try. Its identity is new at each repetition, and an entry's knowledge (tried endpoints, retry allowance) ends with the try or counts by service, so each repetition went to the next endpoint that looked sound. Class: evidence about a thing that comes again is kept under an identity that does not.

Change: entries notice that a request broke off and make sure that the endpoint has crashed (nobody listens any more, or control has noted its end); they tell control until it is committed. The state machine counts lives of endpoints by the fingerprint of the request, quarantines it at three and hands that to all entries in the feed that they follow. An entry that has seen enough crashes by itself needs no control. What was answered whole within a minute is never quarantined, an endpoint that had said that it leaves has not crashed; a quarantine ends after 30 minutes. A quarantined request gets 503 at once, truly not run, with the time after which it may come again.

Twins that are caught: answers forgotten, breaks taken for crashes, leaving endpoints counted.

--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -5,7 +5,7 @@
 
 import {ControlGroup, type ControlGroupOptions, type PeerHandler} from 'mastvalve-cluster';
 import {
-	FleetCommandKind, FleetMachine, isNews, type EndpointReport, type FleetCommand, type StatedConfiguration,
+	FleetCommandKind, FleetMachine, isNews, quarantineMs, type CrashReport, type EndpointReport, type FleetCommand, type StatedConfiguration,
 } from 'mastvalve-fleet';
 import {ControlUnavailableError, type MastvalveError} from 'mastvalve-types';
 import {
@@ -18,6 +18,7 @@
 import type {EnginePort} from './engines/engine-port.js';
 import type {FollowAnswer, FollowRequest} from './follow.js';
 import {createForwardedHandlers} from './forwarded-control.js';
+import {QuarantineClock} from './quarantine-clock.js';
 import {Liveness, type LivenessTimes} from './liveness.js';
 
 /** What a control instance is made from. */
@@ -62,6 +63,7 @@
 
 	readonly group: ControlGroup;
 	private readonly liveness = new Liveness();
+	private readonly quarantineClock = new QuarantineClock();
 	private readonly waiting = new Set<() => void>();
 	private readonly ending = new AbortController();
 	private readonly times: LivenessTimes;
@@ -86,6 +88,7 @@
 				this.director.hear(assumeType<DemandReport>(body));
 				return this.group.isLeading ? ok(true) : err(new ControlUnavailableError('This control instance does not lead.'));
 			}],
+			['/crashes', async body => this.takeCrashes(assumeType<CrashReport[]>(body))],
 			['/heard', async body => {
 				this.liveness.hear(assumeType<string[]>(body), this.options.clock.now());
 				return ok(true);
@@ -164,6 +167,18 @@
 		return result.map(() => true as const);
 	}
 
+	/** Takes an entry's word of endpoints that crashed. It is acknowledged once it is committed: the count must outlive a leader. */
+	private async takeCrashes(reports: CrashReport[]): Promise<Result<true, MastvalveError>> {
+		const result = await this.propose({kind: FleetCommandKind.RecordCrashes, reports});
+		if (result.isOk()) {
+			const quarantined = assumeType<string[]>(result.value);
+			const crashed = reports.map(({endpointId, fingerprints}) => `${endpointId} under ${fingerprints.length} requests`).join(', ');
+			this.options.onEvent('endpoint.crashed', `${crashed}; quarantined: ${quarantined.join(', ') || 'none'}`);
+		}
+
+		return result.map(() => true as const);
+	}
+
 	private createDirector(): EngineDirector {
 		const {options, machine, group} = this;
 		return new EngineDirector({
@@ -254,6 +269,7 @@
 		if (!this.wasLeading) {
 			this.wasLeading = true;
 			this.liveness.reset();
+			this.quarantineClock.reset();
 		}
 
 		const now = this.options.clock.now();
@@ -264,6 +280,12 @@
 			this.options.onEvent('endpoint.silent', `no heartbeat for ${this.times.silentAfterMs} ms: ${silent.join(', ')}`);
 		}
 
+		const expired = this.quarantineClock.listExpired(this.machine.listQuarantined(), now);
+		if (expired.length > 0) {
+			await this.propose({kind: FleetCommandKind.ReleaseQuarantine, fingerprints: expired});
+			this.options.onEvent('quarantine.ended', `after ${quarantineMs} ms: ${expired.join(', ')}`);
+		}
+
 		const forgettable = this.liveness.listForgettable(endpoints, now, this.times);
 		if (forgettable.length > 0) {
 			await this.propose({kind: FleetCommandKind.Forget, ids: forgettable});
--- a/packages/mastvalve-fleet-control/src/fleet-metrics.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-metrics.ts
@@ -17,6 +17,7 @@
 		{name: 'mastvalve_fleet_revision', help: 'Log index of the last change of the fleet', read: control => control.machine.revision},
 		{name: 'mastvalve_configuration_version', help: 'Version of the configuration in force', read: control => control.machine.configuration?.configuration.version ?? 0},
 		{name: 'mastvalve_endpoints', help: 'Endpoints that are remembered', read: control => control.machine.list().length},
+		{name: 'mastvalve_quarantined_requests', help: 'Requests that are handed to no endpoint, since several crashed under them', read: control => control.machine.listQuarantined().length},
 	];
 	gauges.forEach(({name, help, read}) => {
 		const gauge = new Gauge({
--- a/packages/mastvalve-fleet/__tests__/fleet.steps.ts
+++ b/packages/mastvalve-fleet/__tests__/fleet.steps.ts
@@ -119,6 +119,9 @@
 	ids.map((id): FleetCommand => ({kind: FleetCommandKind.MarkSilent, ids: [id]})),
 	fc.record({version: fc.nat(30), paths: fc.uniqueArray(fc.constantFrom('a', 'b', 'c', 'd'), {maxLength: 4}), timeoutMs: fc.constantFrom(1, 2)})
 		.map(({version, paths, timeoutMs}): FleetCommand => ({kind: FleetCommandKind.Configure, stated: stated(version, `v${version}`, paths.map(path => createRoute(path, timeoutMs)))})),
+	fc.record({endpointId: ids, fingerprints: fc.uniqueArray(fc.constantFrom('f', 'g'), {minLength: 1})})
+		.map((crash): FleetCommand => ({kind: FleetCommandKind.RecordCrashes, reports: [crash]})),
+	fc.constantFrom('f', 'g').map((fingerprint): FleetCommand => ({kind: FleetCommandKind.ReleaseQuarantine, fingerprints: [fingerprint]})),
 ), {minLength: 1, maxLength: 40});
 
 /** Plain data as a snapshot is stored. */
@@ -136,6 +139,7 @@
 	version: machine.configuration?.configuration.version,
 	routes: sortBy(machine.configuration?.configuration.routes ?? [], keyOfRoute),
 	endpoints: listLiving(machine.list()),
+	quarantined: machine.listQuarantined().toSorted(),
 });
 
 /** A follower that asks after each command with a chance of one half, and at last until nothing follows. */
@@ -143,10 +147,11 @@
 	const machine = new FleetMachine();
 	const held = new Map<string, FleetEndpoint>();
 	const routes = new Map<string, Route>();
+	const quarantined = new Set<string>();
 	let place: FleetPlace = {};
 	let version: number | undefined;
 	const ask = (): void => {
-		const {endpoints, configuration} = machine.changesSince(place);
+		const {endpoints, configuration, quarantine} = machine.changesSince(place);
 		if (endpoints.isWhole) {
 			held.clear();
 		}
@@ -169,7 +174,18 @@
 
 			version = change.kind === ConfigurationChangeKind.Version ? change.version : version;
 		});
-		place = {endpoints: endpoints.cursor, configuration: configuration.cursor};
+		if (quarantine.isWhole) {
+			quarantined.clear();
+		}
+
+		quarantine.changes.forEach(({fingerprint, isQuarantined}) => {
+			if (isQuarantined) {
+				quarantined.add(fingerprint);
+			} else {
+				quarantined.delete(fingerprint);
+			}
+		});
+		place = {endpoints: endpoints.cursor, configuration: configuration.cursor, quarantine: quarantine.cursor};
 	};
 
 	series.forEach((command, index) => {
@@ -182,7 +198,11 @@
 		ask();
 	}
 
-	return {machine, followed: {version, routes: sortBy([...routes.values()], keyOfRoute), endpoints: listLiving([...held.values()])}};
+	return {
+		machine, followed: {
+			version, routes: sortBy([...routes.values()], keyOfRoute), endpoints: listLiving([...held.values()]), quarantined: [...quarantined].toSorted(),
+		},
+	};
 };
 
 Then('200 random series of commands give followers that ask at any time the state itself', () => {
--- a/packages/mastvalve-fleet/src/state/fleet-command.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-command.ts
@@ -2,6 +2,7 @@
  * Commands of the fleet's state machine.
  */
 
+import type {CrashReport} from '../quarantine/crash-report.js';
 import type {StatedConfiguration} from '../configuration/serving-configuration.js';
 import type {EndpointReport, ExpectedLoad} from './fleet-endpoint.js';
 
@@ -14,6 +15,8 @@
 	Forget = 'forget',
 	RecordHoldings = 'record-holdings',
 	ClaimOrders = 'claim-orders',
+	RecordCrashes = 'record-crashes',
+	ReleaseQuarantine = 'release-quarantine',
 }
 
 /** What orders have changed at an engine, or are about to change. */
@@ -37,4 +40,6 @@
 		| {kind: FleetCommandKind.MarkSilent; ids: string[]}
 		| {kind: FleetCommandKind.Forget; ids: string[]}
 		| {kind: FleetCommandKind.RecordHoldings; holdings: Holdings}
-		| {kind: FleetCommandKind.ClaimOrders; holder: string};
+		| {kind: FleetCommandKind.ClaimOrders; holder: string}
+		| {kind: FleetCommandKind.RecordCrashes; reports: CrashReport[]}
+		| {kind: FleetCommandKind.ReleaseQuarantine; fingerprints: string[]};
--- a/packages/mastvalve-fleet/src/state/fleet-machine.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-machine.ts
@@ -8,6 +8,8 @@
 import {assumeType} from 'mastvalve-utils';
 import {ConfigurationHistory, type HistorySnapshot} from '../configuration/configuration-history.js';
 import type {StatedConfiguration} from '../configuration/serving-configuration.js';
+import {CrashHistory, type CrashSnapshot} from '../quarantine/crash-history.js';
+import type {CrashReport} from '../quarantine/crash-report.js';
 import {applyHoldings, applyReport} from './apply-report.js';
 import {ChangeFeed, type FeedPlace} from './change-feed.js';
 import {FleetCommandKind, type FleetCommand} from './fleet-command.js';
@@ -24,6 +26,8 @@
 	forgotten?: FeedPlace;
 	endpoints: FleetEndpoint[];
 	orderHolder: string | undefined;
+	/** Missing in snapshots of earlier versions. */
+	crashes?: CrashSnapshot;
 };
 
 /** An endpoint in JSON without its lists, a model that it holds, an adapter or a copy of weights, bytes. */
@@ -47,6 +51,7 @@
 	private readonly endpoints = new Map<string, FleetEndpoint>();
 	private changes = new ChangeFeed<FleetEndpoint>(estimateEndpoint);
 	private history = new ConfigurationHistory();
+	private crashes = new CrashHistory();
 
 	constructor(private readonly onChange: () => void = () => undefined) {}
 
@@ -63,7 +68,12 @@
 		return this.endpoints.get(id);
 	}
 
-	/** Applies a command. The result is the version held, for a configuration. */
+	/** Requests that are not handed to any endpoint, by their fingerprints. */
+	listQuarantined(): string[] {
+		return this.crashes.listQuarantined();
+	}
+
+	/** Applies a command. The result is the version held for a configuration, and what is quarantined for crashes. */
 	apply(command: unknown, index: number): unknown {
 		const before = this.revision;
 		const result = this.applyCommand(assumeType<FleetCommand>(command), index);
@@ -76,7 +86,7 @@
 
 	takeSnapshot(): FleetSnapshot {
 		return {
-			stated: this.stated, configuredAt: this.configuredAt, history: this.history.takeSnapshot(), forgotten: this.changes.forgottenUpTo, endpoints: this.list(), orderHolder: this.orderHolder,
+			stated: this.stated, configuredAt: this.configuredAt, history: this.history.takeSnapshot(), forgotten: this.changes.forgottenUpTo, endpoints: this.list(), orderHolder: this.orderHolder, crashes: this.crashes.takeSnapshot(),
 		};
 	}
 
@@ -86,6 +96,7 @@
 		this.configuredAt = snapshot.configuredAt;
 		this.history = ConfigurationHistory.restore(snapshot.stated?.configuration, snapshot.configuredAt, snapshot.history);
 		this.orderHolder = snapshot.orderHolder;
+		this.crashes = CrashHistory.restore(snapshot.crashes);
 		this.endpoints.clear();
 		this.changes = new ChangeFeed(estimateEndpoint, snapshot.forgotten);
 		snapshot.endpoints.forEach(endpoint => {
@@ -104,17 +115,18 @@
 			revision: this.revision,
 			endpoints: this.changes.readAfter(place.endpoints),
 			configuration: this.history.feed.readAfter(place.configuration),
+			quarantine: this.crashes.feed.readAfter(place.quarantine),
 		};
 	}
 
 	/** Whether there are changes behind a follower's place. */
 	hasChangesSince(place: FleetPlace): boolean {
-		return this.changes.hasMore(place.endpoints) || this.history.feed.hasMore(place.configuration);
+		return this.changes.hasMore(place.endpoints) || this.history.feed.hasMore(place.configuration) || this.crashes.feed.hasMore(place.quarantine);
 	}
 
 	/** Whether a follower has read changes that this copy of the state lacks yet. */
 	isBehind(place: FleetPlace): boolean {
-		return Math.max(place.endpoints?.revision ?? 0, place.configuration?.revision ?? 0) > this.revision;
+		return Math.max(place.endpoints?.revision ?? 0, place.configuration?.revision ?? 0, place.quarantine?.revision ?? 0) > this.revision;
 	}
 
 	private applyCommand(command: FleetCommand, index: number): unknown {
@@ -128,7 +140,7 @@
 			}
 
 			case FleetCommandKind.Leave: {
-				return this.setPhase(command.id, EndpointPhase.Gone, index);
+				return this.leave(command.id, index);
 			}
 
 			case FleetCommandKind.MarkSilent: {
@@ -153,6 +165,14 @@
 				this.orderHolder = command.holder;
 				return former;
 			}
+
+			case FleetCommandKind.RecordCrashes: {
+				return this.recordCrashes(command.reports, index);
+			}
+
+			case FleetCommandKind.ReleaseQuarantine: {
+				return this.touch(this.crashes.release(command.fingerprints, index), index);
+			}
 		}
 	}
 
@@ -183,6 +203,30 @@
 		return this.replace(applyReport(this.endpoints.get(report.id), report, index), index);
 	}
 
+	/** An endpoint has told that it ends, so what it cut off then is no crash. */
+	private leave(id: string, index: number): boolean {
+		const known = this.endpoints.get(id);
+		return known
+			? this.replace({
+				...known, phase: EndpointPhase.Gone, isLeaving: true, revision: index,
+			}, index)
+			: false;
+	}
+
+	/** What ran at endpoints that crashed is under suspicion. An endpoint that had told that it leaves did not crash. */
+	private recordCrashes(reports: readonly CrashReport[], index: number): string[] {
+		const quarantined = reports
+			.filter(({endpointId}) => this.endpoints.get(endpointId)?.isLeaving === false)
+			.flatMap(report => this.crashes.record(report, index));
+		this.touch(quarantined.length > 0, index);
+		return quarantined;
+	}
+
+	private touch(isChanged: boolean, index: number): boolean {
+		this.revision = isChanged ? index : this.revision;
+		return isChanged;
+	}
+
 	private setPhase(id: string, phase: EndpointPhase, index: number): boolean {
 		const known = this.endpoints.get(id);
 		return known ? this.replace({...known, phase, revision: index}, index) : false;
--- a/packages/mastvalve-fleet/src/state/fleet-update.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-update.ts
@@ -3,16 +3,18 @@
  */
 
 import type {ConfigurationChange} from '../configuration/configuration-change.js';
+import type {QuarantineChange} from '../quarantine/quarantine-change.js';
 import type {FeedCursor, FeedPart} from './change-feed.js';
 import type {FleetEndpoint} from './fleet-endpoint.js';
 
 /** How far a follower has read; nothing of what it hasn't begun. */
-export type FleetPlace = {endpoints?: FeedCursor; configuration?: FeedCursor};
+export type FleetPlace = {endpoints?: FeedCursor; configuration?: FeedCursor; quarantine?: FeedCursor};
 
-/** The changes behind a follower's place, or the first part of them. Neither waits for the other. */
+/** The changes behind a follower's place, or the first part of them. None waits for the others. */
 export type FleetUpdate = {
 	/** Revision of the state that this part was taken from. */
 	revision: number;
 	endpoints: FeedPart<FleetEndpoint>;
 	configuration: FeedPart<ConfigurationChange>;
+	quarantine: FeedPart<QuarantineChange>;
 };
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/crashing-engines.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/crashing-engines.ts
@@ -30,6 +30,10 @@
 
 	constructor(private readonly control: FleetControl, private readonly backAfterMs: number) {}
 
+	get count(): number {
+		return this.lives.length;
+	}
+
 	/** Starts as many. */
 	async start(count: number): Promise<void> {
 		await Promise.all(Array.from({length: count}, async (_, index) => this.begin(index)));
@@ -44,15 +48,19 @@
 		}, this.backAfterMs);
 	}
 
-	/** Resets all connections to one; it goes on. */
-	reset(index: number): void {
-		this.lives[index]?.endpoint.resetConnections();
+	/** Resets all connections to all of them; they go on. */
+	resetAll(): void {
+		this.lives.forEach(({endpoint}) => {
+			endpoint.resetConnections();
+		});
 	}
 
-	/** One tells that it leaves. */
-	async announceLeaving(index: number): Promise<void> {
-		const {report} = this.lives[index]!;
-		await this.tell({...report, sequence: report.sequence + 1, isLeaving: true});
+	/** All tell that they leave, and end then whatever they run; others come later in their places. */
+	async leaveAll(): Promise<void> {
+		await Promise.all(this.lives.map(async ({report}) => this.tell({...report, sequence: report.sequence + 1, isLeaving: true})));
+		this.lives.forEach((_, index) => {
+			this.crash(index);
+		});
 	}
 
 	close(): void {
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -12,7 +12,7 @@
 import {createRandom, systemClock} from 'mastvalve-utils';
 import {findFreePorts} from '../../../../features/support/free-ports.js';
 import {
-	EndpointBoard, FieldOwner, FleetView, Gateway, HeadTimes, ModelDemand, RetryAllowance, UpstreamAgent, type Dialect,
+	CrashWatch, EndpointBoard, FieldOwner, FleetView, Gateway, HeadTimes, ModelDemand, probeListener, RequestQuarantine, RetryAllowance, UpstreamAgent, type Dialect,
 } from '../../src/index.js';
 
 const textOf = (value: string | string[] | undefined): string | undefined => (Array.isArray(value) ? value[0] : value);
@@ -73,6 +73,7 @@
 
 	constructor() {
 		const now = (): number => systemClock.now();
+		const quarantine = new RequestQuarantine(this.view, now);
 		this.gateway = new Gateway({
 			failureDomain: 'a',
 			clock: systemClock,
@@ -84,6 +85,16 @@
 			allowance: new RetryAllowance({ratio: 1, slack: 5, windowMs: 10_000}, now),
 			headTimes: this.headTimes,
 			demand: this.demand,
+			quarantine,
+			crashes: new CrashWatch({
+				now,
+				probe: probeListener,
+				isAlive: () => true,
+				isHarmless: () => false,
+				onCrash(report) {
+					quarantine.recordCrash(report);
+				},
+			}),
 			log: kind => {
 				this.logged.push(kind);
 			},
@@ -139,6 +150,9 @@
 			endpoints: {
 				isWhole: true, changes: endpoints, cursor, isLast: true,
 			},
+			quarantine: {
+				isWhole: true, changes: [], cursor, isLast: true,
+			},
 		}, true);
 	}
 
--- a/packages/mastvalve-gateway/src/fleet/fleet-view.ts
+++ b/packages/mastvalve-gateway/src/fleet/fleet-view.ts
@@ -26,8 +26,12 @@
 	isSynced = false;
 	/** How far the changes are known. */
 	place: FleetPlace = {};
+	/** Whether all endpoints of some moment are known, and not just the first part of them. */
+	hasAllEndpoints = false;
 	private readonly draft = new ConfigurationDraft();
 	private readonly endpoints = new Map<string, FleetEndpoint>();
+	/** When this entry learned that a request is quarantined, by fingerprint; monotonic ms. */
+	private readonly quarantined = new Map<string, number>();
 	private byService = new Map<string, FleetEndpoint[]>();
 	/** When loads are expected to end, by endpoint; monotonic ms. */
 	private readonly loadEnds = new Map<string, {model: string; at: number}>();
@@ -39,14 +43,15 @@
 	 * Takes in what follows the view's place. `isNewest` says that it was taken from the newest state; the view is synced
 	 * once it has all of one such.
 	 */
-	apply({revision, endpoints, configuration}: FleetUpdate, isNewest = false): void {
-		const isNews = endpoints.isWhole || configuration.isWhole || endpoints.changes.length > 0 || configuration.changes.length > 0;
+	apply({revision, endpoints, configuration, quarantine}: FleetUpdate, isNewest = false): void {
+		const isNews = [endpoints, configuration, quarantine].some(part => part.isWhole || part.changes.length > 0);
 		this.revision = revision;
-		this.place = {endpoints: endpoints.cursor, configuration: configuration.cursor};
+		this.place = {endpoints: endpoints.cursor, configuration: configuration.cursor, quarantine: quarantine.cursor};
 		this.applyEndpoints(endpoints);
+		this.applyQuarantine(quarantine);
 		this.configuration = this.draft.take(configuration) ?? this.configuration;
 		const wasSynced = this.isSynced;
-		this.isSynced ||= isNewest && endpoints.isLast && configuration.isLast;
+		this.isSynced ||= isNewest && endpoints.isLast && configuration.isLast && quarantine.isLast;
 		if (isNews || this.isSynced !== wasSynced) {
 			[...this.listeners].forEach(listener => {
 				listener();
@@ -73,6 +78,11 @@
 		return this.endpoints.has(id);
 	}
 
+	/** When this entry learned that a request is quarantined; monotonic ms. Undefined when it isn't. */
+	quarantinedAt(fingerprint: string): number | undefined {
+		return this.quarantined.get(fingerprint);
+	}
+
 	/** Calls back on news until the returned function is called. */
 	subscribe(listener: () => void): () => void {
 		this.listeners.add(listener);
@@ -81,7 +91,22 @@
 		};
 	}
 
-	private applyEndpoints({isWhole, changes}: FleetUpdate['endpoints']): void {
+	private applyQuarantine({isWhole, changes}: FleetUpdate['quarantine']): void {
+		if (isWhole) {
+			this.quarantined.clear();
+		}
+
+		changes.forEach(({fingerprint, isQuarantined}) => {
+			if (isQuarantined) {
+				this.quarantined.set(fingerprint, this.now());
+			} else {
+				this.quarantined.delete(fingerprint);
+			}
+		});
+	}
+
+	private applyEndpoints({isWhole, changes, isLast}: FleetUpdate['endpoints']): void {
+		this.hasAllEndpoints = isLast;
 		if (isWhole) {
 			this.endpoints.clear();
 			this.loadEnds.clear();
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -44,6 +44,10 @@
 		progress.position.lastEventId = caller.resumeAfter;
 	}
 
+	if (refuseQuarantined(core, request, reply, progress)) {
+		return;
+	}
+
 	core.allowance.recordRequest(request.service);
 	if (caller.model !== undefined) {
 		core.demand.recordRequest(caller.model, caller.adapter, hasTimeForSwap(core, request, caller.model));
@@ -60,6 +64,11 @@
 /** One attempt; true when the request is over. */
 const tryOnce = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress): Promise<boolean> => {
 	const endpoint = await waitForEndpoint(core, request, progress);
+	// It may have come under quarantine while it waited, or by the try before this one.
+	if (refuseQuarantined(core, request, reply, progress)) {
+		return true;
+	}
+
 	if ('reason' in endpoint) {
 		giveUp(core, request, reply, progress, endpoint.reason, endpoint.retryAfterMs);
 		return true;
@@ -95,6 +104,10 @@
 		return true;
 	}
 
+	if (outcome.kind === ExchangeKind.Lost) {
+		core.crashes.suspect(endpoint, request.fingerprint);
+	}
+
 	core.board.recordFailure(endpoint.id);
 	if (outcome.isRefused) {
 		core.demand.recordAbsent(endpoint.id);
@@ -129,6 +142,20 @@
 	return true;
 };
 
+/**
+ * Refuses a request under which several endpoints have crashed: handed to another one it would end that too, with
+ * all that runs there. True when it was refused.
+ */
+const refuseQuarantined = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress): boolean => {
+	const remainingMs = core.quarantine.remainingMs(request.fingerprint);
+	if (remainingMs === undefined) {
+		return false;
+	}
+
+	giveUp(core, request, reply, progress, `quarantined, since endpoints have crashed under requests with this content (fingerprint ${request.fingerprint})`, remainingMs);
+	return true;
+};
+
 const giveUp = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, reason: string, retryAfterMs = defaultRetryAfterMs): void => {
 	if (request.signal.aborted) {
 		return;
@@ -260,6 +287,10 @@
 	const headAt = core.clock.now();
 	const isWhole = await relayBody(res, reply, progress.position, isBroken);
 	if (isWhole) {
+		if (status === okStatus) {
+			core.quarantine.recordAnswered(request.fingerprint);
+		}
+
 		logAnswer(core, request, progress, {
 			endpoint: endpoint.id, status, headAt,
 		});
@@ -273,6 +304,7 @@
 	}
 
 	progress.position?.dropPartial();
+	core.crashes.suspect(endpoint, request.fingerprint);
 	core.board.recordFailure(endpoint.id);
 	core.log('answer.broken', {
 		request: request.requestId, fingerprint: request.fingerprint, endpoint: endpoint.id, status, lastEvent: progress.position?.lastEventId,
--- a/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
@@ -133,6 +133,11 @@
 		};
 
 		const unsubscribe = core.view.subscribe(() => {
+			if (core.quarantine.remainingMs(request.fingerprint) !== undefined) {
+				giveUp();
+				return;
+			}
+
 			const endpoint = chooseNow(core, request, tried);
 			if (endpoint) {
 				done(endpoint);
--- a/packages/mastvalve-gateway/src/server/gateway-core.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-core.ts
@@ -5,6 +5,8 @@
 import type {Clock} from 'mastvalve-utils';
 import type {Dialect} from '../dialect.js';
 import type {FleetView} from '../fleet/fleet-view.js';
+import type {CrashWatch} from '../quarantine/crash-watch.js';
+import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
 import type {EndpointBoard} from '../routing/endpoint-board.js';
 import type {RetryAllowance} from '../routing/retry-allowance.js';
 import type {HeadTimes} from '../routing/head-times.js';
@@ -27,6 +29,8 @@
 	allowance: RetryAllowance;
 	headTimes: HeadTimes;
 	demand: ModelDemand;
+	quarantine: RequestQuarantine;
+	crashes: CrashWatch;
 	log: LogDecision;
 	observer: GatewayObserver;
 	/** Whether this entry is about to stop. */
--- a/packages/mastvalve-gateway/src/server/gateway-node.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-node.ts
@@ -10,6 +10,10 @@
 import {DemandReporter} from '../fleet/demand-reporter.js';
 import {FleetFollower} from '../fleet/fleet-follower.js';
 import {FleetView} from '../fleet/fleet-view.js';
+import {CrashReporter} from '../quarantine/crash-reporter.js';
+import {CrashWatch} from '../quarantine/crash-watch.js';
+import {probeListener} from '../quarantine/probe-listener.js';
+import {RequestQuarantine} from '../quarantine/request-quarantine.js';
 import {EndpointBoard} from '../routing/endpoint-board.js';
 import {HeadTimes} from '../routing/head-times.js';
 import {ModelDemand} from '../routing/model-demand.js';
@@ -43,6 +47,7 @@
 	private readonly gateway: Gateway;
 	private readonly reporter: DemandReporter;
 	private readonly demand: ModelDemand;
+	private readonly crashReporter: CrashReporter;
 	private readonly upstream = new UpstreamAgent();
 	private readonly ending = new AbortController();
 
@@ -67,6 +72,8 @@
 		this.demand = new ModelDemand(instance, now, () => {
 			this.reporter.hurry();
 		}, headTimes);
+		this.crashReporter = new CrashReporter({client, listTargets: () => this.listControl()});
+		const quarantine = new RequestQuarantine(this.view, now);
 		this.gateway = new Gateway({
 			failureDomain,
 			clock,
@@ -78,6 +85,8 @@
 			allowance: new RetryAllowance(retries, now),
 			headTimes,
 			demand: this.demand,
+			quarantine,
+			crashes: this.createCrashWatch(quarantine, now, log),
 			log,
 		});
 	}
@@ -103,6 +112,7 @@
 		if (started.isOk()) {
 			void this.follower.run(this.ending.signal);
 			void this.reporter.run(this.demand, this.ending.signal);
+			void this.crashReporter.run(this.ending.signal);
 		}
 
 		return started;
@@ -115,6 +125,31 @@
 		this.upstream.destroy();
 	}
 
+	/** Control instances, the leader first. */
+	private listControl(): string[] {
+		const {leader} = this.follower;
+		return [...new Set([...(leader === undefined ? [] : [leader]), ...this.follower.listMembers()])];
+	}
+
+	private createCrashWatch(quarantine: RequestQuarantine, now: () => number, log: LogDecision): CrashWatch {
+		const watch = new CrashWatch({
+			now,
+			probe: probeListener,
+			isAlive: id => !this.view.hasAllEndpoints || this.view.knows(id),
+			isHarmless: fingerprint => quarantine.isHarmless(fingerprint),
+			onCrash: report => {
+				log('endpoint.crashed', {endpoint: report.endpointId, fingerprints: report.fingerprints});
+				quarantine.recordCrash(report);
+				this.crashReporter.add(report);
+				this.demand.recordAbsent(report.endpointId);
+			},
+		});
+		this.view.subscribe(() => {
+			watch.review();
+		});
+		return watch;
+	}
+
 	private createBoard(now: () => number): EndpointBoard {
 		const board = new EndpointBoard(now);
 		this.view.subscribe(() => {
--- a/packages/mastvalve-utils/src/index.ts
+++ b/packages/mastvalve-utils/src/index.ts
@@ -3,6 +3,7 @@
  */
 
 export * from './assume-type.js';
+export * from './bounded-map.js';
 export * from './canonical.js';
 export * from './clock.js';
 export * from './collect-text.js';
