Endpoints are known by their lives; a heartbeat that doesn't fit names no endpoint

Cause: state was kept by an endpoint's name and its heartbeats were ordered by a count, both of which go over to the next life; bodies from outside were taken as told. Ruled out: ordering by address (a new life may come at another one) and by arrival (late words of the former life).

Leave ends the newest life. A service that no configuration names, or an earlier life, changes nothing and isn't heard.

--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -5,9 +5,9 @@
 
 import {ControlGroup, type ControlGroupOptions, type PeerHandler} from 'mastvalve-cluster';
 import {
-	FleetCommandKind, FleetMachine, isNews, quarantineMs, type CrashReport, type EndpointReport, type FleetCommand, type StatedConfiguration,
+	FleetCommandKind, FleetMachine, quarantineMs, type CrashReport, type EndpointReport, type FleetCommand, type StatedConfiguration,
 } from 'mastvalve-fleet';
-import {ControlUnavailableError, type MastvalveError} from 'mastvalve-types';
+import {ControlUnavailableError, UnknownEndpointError, type MastvalveError} from 'mastvalve-types';
 import {
 	assumeType, describeError, repeatUntilAborted, waitFor,
 } from 'mastvalve-utils';
@@ -151,8 +151,13 @@
 
 	/** Takes a heartbeat. It is acknowledged once all that is new in it is committed. */
 	async report(report: EndpointReport): Promise<Result<true, MastvalveError>> {
+		if (this.group.isCurrent && !this.machine.mayTake(report)) {
+			this.options.onEvent('endpoint.refused', `${report.id} at ${report.address}: a later life is known, or no configuration names the service ${report.service}`);
+			return err(new UnknownEndpointError(report.id));
+		}
+
 		this.liveness.hear([report.id], this.options.clock.now());
-		if (this.group.isCurrent && !isNews(this.machine.find(report.id), report)) {
+		if (this.group.isCurrent && !this.machine.isNews(report)) {
 			return ok(true);
 		}
 
--- a/packages/mastvalve-fleet/src/state/apply-report.ts
+++ b/packages/mastvalve-fleet/src/state/apply-report.ts
@@ -19,15 +19,25 @@
 const keepAdapters = (known: FleetEndpoint | undefined, report: EndpointReport): HeldModel[] =>
 	report.holds.map(held => known?.holds.find(({name}) => name === held.name) ?? held);
 
-/** Takes a heartbeat in; a late one, or one of an endpoint that has left, changes nothing. */
-export const applyReport = (known: FleetEndpoint | undefined, report: EndpointReport, revision: number): FleetEndpoint | undefined => {
+/**
+ * Takes a heartbeat in; a late one, or one of an endpoint that has left, changes nothing. What was ordered of the former life
+ * of a new one may still come to it, since orders name the endpoint and not the life.
+ */
+export const applyReport = (known: FleetEndpoint | undefined, report: EndpointReport, revision: number, former?: FleetEndpoint): FleetEndpoint | undefined => {
 	const isLate = known !== undefined && report.sequence <= known.sequence;
 	if (known?.phase === EndpointPhase.Gone || isLate) {
 		return known;
 	}
 
 	return {
-		...report, holds: keepAdapters(known, report), phase: phaseAfter(known, report), retiring: known?.retiring, loading: known?.loading, isOrdering: known?.isOrdering ?? false, orderedAt: known?.orderedAt ?? 0, revision,
+		...report,
+		holds: keepAdapters(known, report),
+		phase: phaseAfter(known, report),
+		retiring: known?.retiring,
+		loading: known?.loading,
+		isOrdering: (known ?? former)?.isOrdering ?? false,
+		orderedAt: known?.orderedAt ?? 0,
+		revision,
 	};
 };
 
--- a/packages/mastvalve-fleet/src/state/fleet-command.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-command.ts
@@ -36,6 +36,7 @@
 export type FleetCommand
 	= | {kind: FleetCommandKind.Configure; stated: StatedConfiguration}
 		| {kind: FleetCommandKind.Report; report: EndpointReport}
+		/** The endpoint's name; its newest life ends. */
 		| {kind: FleetCommandKind.Leave; id: string}
 		| {kind: FleetCommandKind.MarkSilent; ids: string[]}
 		| {kind: FleetCommandKind.Forget; ids: string[]}
--- a/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
@@ -20,9 +20,9 @@
 
 /** What an endpoint says of itself in a heartbeat. */
 export type EndpointReport = {
-	/** Identity of one start of the endpoint; a restart brings a new one. */
+	/** Identity of one life of the endpoint (`endpoint-life.ts`); a restart brings a new one. */
 	id: string;
-	/** Rises with every report of one identity. */
+	/** Rises with every report of one life. */
 	sequence: number;
 	service: string;
 	/** `ip:port`. */
--- a/packages/mastvalve-fleet/src/state/fleet-machine.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-machine.ts
@@ -10,10 +10,11 @@
 import type {StatedConfiguration} from '../configuration/serving-configuration.js';
 import {CrashHistory, type CrashSnapshot} from '../quarantine/crash-history.js';
 import type {CrashReport} from '../quarantine/crash-report.js';
-import {applyHoldings, applyReport} from './apply-report.js';
+import {applyHoldings, applyReport, isNews} from './apply-report.js';
 import {ChangeFeed, type FeedPlace} from './change-feed.js';
 import {FleetCommandKind, type FleetCommand} from './fleet-command.js';
 import {EndpointPhase, type EndpointReport, type FleetEndpoint} from './fleet-endpoint.js';
+import {isEarlierLife, parseLife} from './endpoint-life.js';
 import type {FleetPlace, FleetUpdate} from './fleet-update.js';
 
 /** The state as plain data. */
@@ -49,6 +50,8 @@
 	/** The control instance that gives orders to engines. */
 	private orderHolder: string | undefined;
 	private readonly endpoints = new Map<string, FleetEndpoint>();
+	/** Identity of the newest life, by the endpoint's name. */
+	private readonly newest = new Map<string, string>();
 	private changes = new ChangeFeed<FleetEndpoint>(estimateEndpoint);
 	private history = new ConfigurationHistory();
 	private crashes = new CrashHistory();
@@ -68,6 +71,22 @@
 		return this.endpoints.get(id);
 	}
 
+	/**
+	 * Whether a heartbeat is of an endpoint to use: not the late word of an earlier life, and of a service that the configuration
+	 * names. A stranger at the address of an endpoint ends nobody.
+	 */
+	mayTake({id, service}: EndpointReport): boolean {
+		const services = this.stated?.configuration.services;
+		const isServed = services === undefined || services.some(({name}) => name === service);
+		const newest = this.newest.get(parseLife(id).name);
+		return isServed && (newest === undefined || !isEarlierLife(id, newest));
+	}
+
+	/** Whether a heartbeat says anything that the state doesn't; only then it needs the log. */
+	isNews(report: EndpointReport): boolean {
+		return this.mayTake(report) && isNews(this.endpoints.get(report.id), report);
+	}
+
 	/** Requests that are not handed to any endpoint, by their fingerprints. */
 	listQuarantined(): string[] {
 		return this.crashes.listQuarantined();
@@ -99,8 +118,9 @@
 		this.crashes = CrashHistory.restore(snapshot.crashes);
 		this.endpoints.clear();
 		this.changes = new ChangeFeed(estimateEndpoint, snapshot.forgotten);
+		this.newest.clear();
 		snapshot.endpoints.forEach(endpoint => {
-			this.endpoints.set(endpoint.id, endpoint);
+			this.keep(endpoint);
 		});
 		snapshot.endpoints.toSorted((a, b) => a.revision - b.revision).forEach(endpoint => {
 			this.changes.put(endpoint.id, endpoint, endpoint.revision);
@@ -190,22 +210,45 @@
 		return version;
 	}
 
-	/** A new identity at an address tells that the former one has ended. */
+	/** A new life at an address, or of a name, tells that the former one has ended. */
 	private report(report: EndpointReport, index: number): boolean {
-		if (!this.endpoints.has(report.id)) {
-			this.list()
-				.filter(({address, phase}) => address === report.address && phase !== EndpointPhase.Gone)
-				.forEach(({id}) => {
-					this.setPhase(id, EndpointPhase.Gone, index);
-				});
+		if (!this.mayTake(report)) {
+			return false;
 		}
 
-		return this.replace(applyReport(this.endpoints.get(report.id), report, index), index);
+		const known = this.endpoints.get(report.id);
+		const former = known ? [] : this.listReplaced(report);
+		former.filter(({phase}) => phase !== EndpointPhase.Gone).forEach(({id}) => {
+			this.setPhase(id, EndpointPhase.Gone, index);
+		});
+		return this.replace(applyReport(known, report, index, former.find(({id}) => isEarlierLife(id, report.id))), index);
+	}
+
+	/** Endpoints whose end the first heartbeat of a new life shows: the ones at its address, and earlier lives of it. */
+	private listReplaced({id, address}: EndpointReport): FleetEndpoint[] {
+		return this.list().filter(other => (other.address === address && other.phase !== EndpointPhase.Gone) || isEarlierLife(other.id, id));
+	}
+
+	private keep(endpoint: FleetEndpoint): void {
+		this.endpoints.set(endpoint.id, endpoint);
+		const {name} = parseLife(endpoint.id);
+		const newest = this.newest.get(name);
+		if (newest === undefined || isEarlierLife(newest, endpoint.id)) {
+			this.newest.set(name, endpoint.id);
+		}
+	}
+
+	private drop(id: string): void {
+		this.endpoints.delete(id);
+		const {name} = parseLife(id);
+		if (this.newest.get(name) === id) {
+			this.newest.delete(name);
+		}
 	}
 
 	/** An endpoint has told that it ends, so what it cut off then is no crash. */
-	private leave(id: string, index: number): boolean {
-		const known = this.endpoints.get(id);
+	private leave(name: string, index: number): boolean {
+		const known = this.endpoints.get(this.newest.get(name) ?? name);
 		return known
 			? this.replace({
 				...known, phase: EndpointPhase.Gone, isLeaving: true, revision: index,
@@ -237,7 +280,7 @@
 			return false;
 		}
 
-		this.endpoints.set(endpoint.id, endpoint);
+		this.keep(endpoint);
 		this.changes.put(endpoint.id, endpoint, index);
 		this.revision = index;
 		return true;
@@ -251,7 +294,7 @@
 		const known = ids.flatMap(id => this.endpoints.get(id) ?? []);
 		known.forEach(({id, phase}) => {
 			if (phase === EndpointPhase.Gone) {
-				this.endpoints.delete(id);
+				this.drop(id);
 				this.changes.forget(id);
 			} else {
 				this.setPhase(id, EndpointPhase.Gone, index);
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -35,7 +35,7 @@
 		...(bodyLength === undefined ? [] : ['content-length', String(bodyLength)]),
 	],
 	readAnswer: (_status, headers) => ({
-		requestId: textOf(headers['x-id']), endpointId: textOf(headers['x-endpoint']), isNotRun: headers['x-not-run'] !== undefined, isMisdirected: headers['x-misdirected'] !== undefined, load: undefined,
+		requestId: textOf(headers['x-id']), endpointName: textOf(headers['x-endpoint']), isNotRun: headers['x-not-run'] !== undefined, isMisdirected: headers['x-misdirected'] !== undefined, load: undefined,
 	}),
 };
 
--- a/packages/mastvalve-gateway/src/dialect.ts
+++ b/packages/mastvalve-gateway/src/dialect.ts
@@ -27,6 +27,7 @@
 /** What goes to an endpoint besides the caller's own headers. */
 export type EndpointHeaders = {
 	remainingMs: number;
+	/** Identity of the life that is meant. */
 	endpointId: string;
 	/** 0 is the most urgent. */
 	priority: number;
@@ -38,8 +39,8 @@
 /** What the head of an endpoint's answer says. */
 export type AnswerHeaders = {
 	requestId: string | undefined;
-	/** Identity of the endpoint that answered, if it tells. */
-	endpointId: string | undefined;
+	/** Name of the endpoint that answered, if it tells; it may be another life than the one that was meant. */
+	endpointName: string | undefined;
 	/** The endpoint states that the request was not run. */
 	isNotRun: boolean;
 	/** The endpoint at the address is another one, or it lacks the model. */
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -3,7 +3,7 @@
  * do no harm, and refuses as "not run" only what was handed to nobody or what its endpoint says it did not run.
  */
 
-import type {FleetEndpoint} from 'mastvalve-fleet';
+import {parseLife, type FleetEndpoint} from 'mastvalve-fleet';
 import type {AnswerHeaders} from '../dialect.js';
 import {createEndpointHeaders} from '../endpoint-headers.js';
 import {formatModel} from '../routing/model-demand.js';
@@ -216,7 +216,7 @@
 		return;
 	}
 
-	if (head.endpointId !== undefined && head.endpointId !== endpoint.id) {
+	if (head.endpointName !== undefined && head.endpointName !== parseLife(endpoint.id).name) {
 		core.board.recordReplaced(endpoint.id);
 		return;
 	}
--- a/packages/mastvalve-types/src/coordination-errors.ts
+++ b/packages/mastvalve-types/src/coordination-errors.ts
@@ -24,6 +24,14 @@
 	}
 }
 
+/** A heartbeat comes from an earlier life of an endpoint, or from one of a service that no configuration names. */
+export class UnknownEndpointError extends MastvalveError {
+	constructor(id: string) {
+		super('unknown-endpoint', `${id} is no endpoint that requests go to.`, {status: 400});
+		this.name = 'UnknownEndpointError';
+	}
+}
+
 /** Stored state is damaged or belongs to somebody else. */
 export class StorageError extends MastvalveError {
 	constructor(message: string, cause?: unknown) {
