--- a/packages/mastvalve-cluster/src/membership/control-group.ts
+++ b/packages/mastvalve-cluster/src/membership/control-group.ts
@@ -121,8 +121,7 @@
 
 	/** The term in which this one leads with a valid lease, whether or not it has applied all; undefined when it doesn't. */
 	get leadingTerm(): number | undefined {
-		const replica = this.node?.replica;
-		return replica?.isFresh(this.options.clock.now()) ? replica.term : undefined;
+		return this.node?.isLeading() ? this.node.replica.term : undefined;
 	}
 
 	get term(): number {
@@ -145,7 +144,7 @@
 	 */
 	get isCurrent(): boolean {
 		const now = this.options.clock.now();
-		const heardAt = this.node?.replica.leaderHeardAt(now);
+		const heardAt = this.node?.leaderHeardAt();
 		return heardAt !== undefined && now - heardAt < staleAfterMs;
 	}
 
@@ -153,7 +152,7 @@
 	describeAge(): string {
 		const {clock} = this.options;
 		const now = clock.now();
-		const heardAt = this.node?.replica.leaderHeardAt(now);
+		const heardAt = this.node?.leaderHeardAt();
 		const heard = heardAt === undefined ? 'no leader heard' : `leader heard ${Math.round(now - heardAt)} ms ago`;
 		return `${heard}, applied ${this.node?.appliedIndex ?? 0} of ${this.node?.replica.commitIndex ?? 0} committed entries`;
 	}
--- a/packages/mastvalve-replication/src/log-node.ts
+++ b/packages/mastvalve-replication/src/log-node.ts
@@ -82,6 +82,16 @@
 		return !this.stopped && replica.isFresh(clock.now()) && this.appliedIndex >= replica.commitIndex;
 	}
 
+	/** Whether this one leads with a valid lease, whether or not it has applied all. */
+	isLeading(): boolean {
+		return this.options.replica.isFresh(this.options.clock.now());
+	}
+
+	/** When this one last heard from the leader, in the clock's ms; undefined without one. */
+	leaderHeardAt(): number | undefined {
+		return this.options.replica.leaderHeardAt(this.options.clock.now());
+	}
+
 	/** Proposes a command and waits until it is applied. */
 	async propose(command: unknown): Promise<Result<unknown, MastvalveError>> {
 		return this.proposeWith(() => this.options.replica.propose(command));
