Leases and hearsay begin anew when time has gone by that the steady clock did not count

Cause: leases were measured by the steady clock alone, which stands still while an instance is suspended. Ruled out: os.uptime() (a file with a resolution of 10 ms, read at each turn), and moving the whole program to the time of day (a step of 2 s would end requests that have time left).

Membership and elections go on as they were. A follower's followers wait up to 165 ms for it to hear its leader again. What remains: a suspension between the check and what is done in the same turn.

--- a/packages/mastvalve-cluster/__tests__/__fixtures__/virtual-group.ts
+++ b/packages/mastvalve-cluster/__tests__/__fixtures__/virtual-group.ts
@@ -7,7 +7,7 @@
 import {
 	defaultReplicaRules, formatReplicaId, LogNode, Replica, type Message,
 } from 'mastvalve-replication';
-import {createRandom, type Clock} from 'mastvalve-utils';
+import {createRandom, toMastvalveError, type Clock} from 'mastvalve-utils';
 import {groupTimes} from '../../src/index.js';
 
 /** Time between two turns, and from one member to another, ms. */
@@ -110,7 +110,7 @@
 				this.onTheWay.push(message);
 			},
 			onFailure(thrown) {
-				throw thrown as Error;
+				throw toMastvalveError(thrown);
 			},
 		});
 	}
--- a/packages/mastvalve-cluster/__tests__/suspension.steps.ts
+++ b/packages/mastvalve-cluster/__tests__/suspension.steps.ts
@@ -8,6 +8,7 @@
 } from '@cucumber/cucumber';
 import {VirtualGroup} from './__fixtures__/virtual-group.js';
 
+/** `suspended` is the one that something happens to. */
 type SuspensionWorld = World & {virtualGroup: VirtualGroup; suspended: number; term: number};
 
 const electionLimitMs = 3000;
@@ -60,13 +61,13 @@
 });
 
 When('the time of day of the leader steps by {int} ms', function (this: SuspensionWorld, ms: number) {
-	this.virtualGroup.stepTimeOfDay(this.virtualGroup.leader!, ms);
+	this.suspended = this.virtualGroup.leader!;
+	this.virtualGroup.stepTimeOfDay(this.suspended, ms);
 });
 
 Then('it has its lease again within {int} ms', async function (this: SuspensionWorld, ms: number) {
-	const index = this.virtualGroup.leader!;
 	await this.virtualGroup.run(ms);
-	assert.equal(this.virtualGroup.nodes[index]!.isFresh(), true);
+	assert.equal(this.virtualGroup.nodes[this.suspended]!.isFresh(), true);
 });
 
 Then('it has led without a break in one term', function (this: SuspensionWorld) {
--- a/packages/mastvalve-cluster/src/membership/control-group.ts
+++ b/packages/mastvalve-cluster/src/membership/control-group.ts
@@ -309,6 +309,9 @@
 			onFailure(thrown) {
 				onError(`the log stopped, this instance takes no further part: ${describeError(thrown)}`);
 			},
+			onSuspended() {
+				onEvent('replica.suspended', 'time has gone by that the steady clock did not count, or the time of day was set: leases begin anew');
+			},
 			onRoleChange(role, term, leader) {
 				onEvent('replica.changed-role', `${role} in term ${term}, leader ${leader ?? 'unknown'}`);
 			},
--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -41,6 +41,8 @@
 const directPauseMs = 100;
 /** Longest wait for a change, ms: well below the time in which a follower must notice that this instance is cut off. */
 const maxFollowWaitMs = 500;
+/** Time in which an instance that follows a leader hears of it again: a heartbeat and a half, ms. */
+const rehearMs = 165;
 /** How often a question that waits for a leader looks for one, ms. */
 const leaderPollMs = 15;
 /** An incomplete group takes the first changes after this long all the same, ms. */
@@ -221,6 +223,7 @@
 			await this.waitForChange(Math.min(waitMs, maxFollowWaitMs), signal);
 		}
 
+		await this.waitUntilCurrent(signal);
 		if (!this.group.isCurrent || this.ending.signal.aborted) {
 			return err(new ControlUnavailableError(`This control instance may not know the newest state: ${this.group.describeAge()}.`));
 		}
@@ -244,6 +247,15 @@
 		return fresh;
 	}
 
+	/** An instance whose clocks have jumped hears its leader again within a heartbeat; sending its followers away would cost more. */
+	private async waitUntilCurrent(signal: AbortSignal): Promise<void> {
+		const endAt = this.options.clock.now() + rehearMs;
+		while (!this.group.isCurrent && this.options.clock.now() < endAt && !signal.aborted) {
+			// eslint-disable-next-line no-await-in-loop
+			await waitFor(leaderPollMs, signal);
+		}
+	}
+
 	private async waitForChange(ms: number, signal: AbortSignal): Promise<void> {
 		await new Promise<void>(resolve => {
 			const done = () => {
--- a/packages/mastvalve-replication/src/log-node.ts
+++ b/packages/mastvalve-replication/src/log-node.ts
@@ -14,6 +14,7 @@
 import type {Message} from './message.js';
 import type {Replica} from './replica.js';
 import {Role} from './replica-core.js';
+import {SuspensionWatch} from './suspension-watch.js';
 
 /** The state machine that the log drives; deterministic. */
 export type StateMachine = {
@@ -37,6 +38,8 @@
 	isStorageLarge?: () => boolean;
 	/** Called once when storage failed; the node takes no further part. */
 	onFailure: (thrown: unknown) => void;
+	/** Called when the instance seems to have been suspended, or its time of day was set forward. */
+	onSuspended?: () => void;
 	/** Called when role, term or leader changed. */
 	onRoleChange?: (role: Role, term: number, leader: string | undefined) => void;
 };
@@ -60,10 +63,12 @@
 	private stopped = false;
 	private snapshotIndex: number;
 	private lastRole = '';
+	private readonly suspension: SuspensionWatch;
 
 	constructor(private readonly options: LogNodeOptions) {
 		this.appliedIndex = options.replica.commitIndex;
 		this.snapshotIndex = this.appliedIndex;
+		this.suspension = new SuspensionWatch(options.clock);
 	}
 
 	get replica(): Replica {
@@ -78,18 +83,17 @@
 
 	/** Whether the applied state may be read as linearizable at this moment. */
 	isFresh(): boolean {
-		const {replica, clock} = this.options;
-		return !this.stopped && replica.isFresh(clock.now()) && this.appliedIndex >= replica.commitIndex;
+		return !this.stopped && this.isLeading() && this.appliedIndex >= this.options.replica.commitIndex;
 	}
 
 	/** Whether this one leads with a valid lease, whether or not it has applied all. */
 	isLeading(): boolean {
-		return this.options.replica.isFresh(this.options.clock.now());
+		return this.options.replica.isFresh(this.readClock());
 	}
 
 	/** When this one last heard from the leader, in the clock's ms; undefined without one. */
 	leaderHeardAt(): number | undefined {
-		return this.options.replica.leaderHeardAt(this.options.clock.now());
+		return this.options.replica.leaderHeardAt(this.readClock());
 	}
 
 	/** Proposes a command and waits until it is applied. */
@@ -110,7 +114,7 @@
 
 	/** Time goes on; costs next to nothing when no timer of the replica is due. */
 	tick(): void {
-		if (this.options.clock.now() < this.options.replica.nextTimerAt) {
+		if (this.readClock() < this.options.replica.nextTimerAt) {
 			return;
 		}
 
@@ -132,6 +136,21 @@
 		this.failWaiters();
 	}
 
+	/**
+	 * The time. Whoever uses a lease or answers for the newest state asks here first: a leader that was suspended for longer than
+	 * its lease would believe in it on waking, since no time has gone by on its steady clock.
+	 */
+	private readClock(): number {
+		const {clock, replica, onSuspended} = this.options;
+		const now = clock.now();
+		if (this.suspension.hasJumped()) {
+			replica.distrustPast(now);
+			onSuspended?.();
+		}
+
+		return now;
+	}
+
 	private async proposeWith(append: () => {index: number; term: number} | undefined): Promise<Result<unknown, MastvalveError>> {
 		return new Promise(resolve => {
 			if (this.stopped) {
--- a/packages/mastvalve-replication/src/replica-core.ts
+++ b/packages/mastvalve-replication/src/replica-core.ts
@@ -57,6 +57,8 @@
 	heartbeatAt = 0;
 	/** No vote is given before this time: a leader may hold a lease on our silence. */
 	quietUntil: number;
+	/** What was heard before doesn't count for leases, in the clock given to the core. */
+	trustedFrom = Number.NEGATIVE_INFINITY;
 	votes = new Set<ReplicaId>();
 	progress = new Map<ReplicaId, Progress>();
 	termStartIndex = 0;
--- a/packages/mastvalve-replication/src/replica-leadership.ts
+++ b/packages/mastvalve-replication/src/replica-leadership.ts
@@ -49,7 +49,10 @@
 
 /** Until when no other replica can lead, in the clock given to the core. */
 export const leaseEnd = (core: ReplicaCore, now: number): number => {
-	const acknowledgedAt = quorumValue(core.membership, id => (id === core.id ? now : core.progressOf(id).acknowledgedAt));
+	const acknowledgedAt = quorumValue(core.membership, id => {
+		const at = id === core.id ? now : core.progressOf(id).acknowledgedAt;
+		return at < core.trustedFrom ? Number.NEGATIVE_INFINITY : at;
+	});
 	return core.rules.leaseEnd(acknowledgedAt, core.times);
 };
 
--- a/packages/mastvalve-replication/src/replica.ts
+++ b/packages/mastvalve-replication/src/replica.ts
@@ -100,7 +100,14 @@
 			return this.isFresh(now) ? now : undefined;
 		}
 
-		return this.core.leader === undefined ? undefined : this.core.quietUntil - this.core.times.electionTimeoutMs;
+		const heardAt = this.core.quietUntil - this.core.times.electionTimeoutMs;
+		return this.core.leader === undefined || heardAt < this.core.trustedFrom ? undefined : heardAt;
+	}
+
+	/** What was heard before `now` may be older than the clock says: leases and hearsay begin anew. */
+	distrustPast(now: number): void {
+		this.core.trustedFrom = now;
+		this.core.heartbeatAt = Math.min(this.core.heartbeatAt, now);
 	}
 
 	/** When another replica last answered this leader; 0 or less when it never did. */
