Where nobody listens, no further request is tried until control has noted the end

Change: its life gets nothing for 5 s (a heartbeat or the next life's first one tells control before). Before: the new scenario red (503 at once); after: the second request waits and is served when the model is loaded elsewhere; 45 scenarios of the gateway pass.

--- a/packages/mastvalve-gateway/__tests__/gateway.feature
+++ b/packages/mastvalve-gateway/__tests__/gateway.feature
@@ -89,6 +89,14 @@
     Then it gets status 200 with the body "whole" whole
     And control was told which endpoint is absent
 
+  Scenario: Where nobody listens any more no further request is tried; it waits for its model elsewhere
+    Given an endpoint that answers "whole"
+    And an endpoint where nobody listens any more
+    And an endpoint where nobody listens any more
+    And an endpoint where nobody listens any more
+    When a caller has found that nobody listens at the last three, which alone hold its model, and another one asks for it
+    Then the other one waits, and gets status 200 when the model is loaded elsewhere
+
   Scenario: A caller with time for a load from the store waits for it
     Given an endpoint that answers "whole"
     When a caller with 60000 ms left asks for a model that takes 9000 ms to load, and it is loaded after the time of decision
--- a/packages/mastvalve-gateway/__tests__/gateway.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/gateway.steps.ts
@@ -330,6 +330,23 @@
 	this.received.push(await call);
 });
 
+When('a caller has found that nobody listens at the last three, which alone hold its model, and another one asks for it', async function (this: GatewayWorld) {
+	await start(this);
+	const addresses = this.scripted.map(({address}) => address);
+	this.gatewayRun.setHoldings(addresses, [['m'], ['rare'], ['rare'], ['rare']]);
+	const ask = {body: 'body', headers: {'x-model': 'rare', 'x-left': '60000'}};
+	await this.gatewayRun.call('/patient/x', ask);
+	const other = this.gatewayRun.call('/patient/x', ask);
+	await waitFor(settleMs);
+	this.gatewayRun.setHoldings(addresses, [['m', 'rare'], ['rare'], ['rare'], ['rare']]);
+	this.received.push(await other);
+});
+
+Then('the other one waits, and gets status {int} when the model is loaded elsewhere', function (this: GatewayWorld, status: number) {
+	assert.deepEqual(this.received.map(received => received.status), [status]);
+	assert.equal(this.gatewayRun.logged.includes('request.waits'), true);
+});
+
 Then('control was told which endpoint is absent', function (this: GatewayWorld) {
 	assert.deepEqual(this.gatewayRun.demand.take().absent, ['e1']);
 });
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -110,6 +110,7 @@
 
 	core.board.recordFailure(endpoint.id);
 	if (outcome.isRefused) {
+		core.board.recordAbsent(endpoint.id);
 		core.demand.recordAbsent(endpoint.id);
 	}
 
--- a/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
+++ b/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
@@ -59,9 +59,9 @@
 	return (unreadTokens * msPerToken) + ((inFlight + others) * headMs * runningShare) + (othersUnread * headMs) + lateness;
 };
 
-/** Whether an endpoint said itself that it can't take a request for this model. */
-const hasDeclined = (endpoint: FleetEndpoint, {isReplaced, lacks}: EndpointKnowledge, name: string): boolean =>
-	isReplaced || lacks.get(name) === endpoint.revision;
+/** Whether an endpoint said itself that it can't take a request for this model, or has ended. */
+const hasDeclined = (endpoint: FleetEndpoint, {isReplaced, absentUntil, lacks}: EndpointKnowledge, name: string, now: number): boolean =>
+	isReplaced || now < absentUntil || lacks.get(name) === endpoint.revision;
 
 /** Whether others are to be preferred: it failed lately, sends nothing, or control hears nothing of it and neither does this entry. */
 const isDoubtful = (endpoint: FleetEndpoint, {suspectUntil, inFlight, heardAt, busySince}: EndpointKnowledge, now: number): boolean => {
@@ -74,7 +74,7 @@
 export const chooseEndpoint = (input: EndpointChoiceInput): FleetEndpoint | undefined => {
 	const {endpoints, model, adapter, failureDomain, tried, now, knowledgeOf, random} = input;
 	const candidates = endpoints
-		.filter(endpoint => !tried.has(endpoint.id) && holdsModel(endpoint, model, adapter) && !hasDeclined(endpoint, knowledgeOf(endpoint.id), formatModel(model ?? '', adapter)))
+		.filter(endpoint => !tried.has(endpoint.id) && holdsModel(endpoint, model, adapter) && !hasDeclined(endpoint, knowledgeOf(endpoint.id), formatModel(model ?? '', adapter), now))
 		.map(endpoint => {
 			const knowledge = knowledgeOf(endpoint.id);
 			const domainMs = endpoint.failureDomain === failureDomain ? 0 : otherDomainMs;
--- a/packages/mastvalve-gateway/src/routing/endpoint-board.ts
+++ b/packages/mastvalve-gateway/src/routing/endpoint-board.ts
@@ -22,6 +22,8 @@
 	/** Others are preferred until then, ms. */
 	suspectUntil: number;
 	failures: number;
+	/** Nobody listened at its address; it gets nothing until then, ms. */
+	absentUntil: number;
 	/** When it last sent a byte of an answer that it has run, ms. */
 	heardAt: number;
 	/** Since when own requests are there without a pause, ms. */
@@ -36,6 +38,12 @@
 const firstSuspicionMs = 400;
 const maxSuspicionMs = 6000;
 
+/**
+ * A process that does not listen has ended, and control notes it within this time by missing heartbeats or the next life's first one, ms. Trying
+ * three such endpoints refused a request after 11 ms, though a load elsewhere was under way.
+ */
+const absentMs = 5000;
+
 /** Weight of the newest answer's delay. */
 const delayWeight = 0.4;
 
@@ -47,7 +55,7 @@
 
 	find(id: string): EndpointKnowledge {
 		const knowledge = this.known.get(id) ?? {
-			inFlight: 0, unread: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, delay: 0, delayAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, heardAt: Number.NEGATIVE_INFINITY, busySince: 0, lacks: new Map<string, number>(), isReplaced: false,
+			inFlight: 0, unread: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, delay: 0, delayAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, absentUntil: 0, heardAt: Number.NEGATIVE_INFINITY, busySince: 0, lacks: new Map<string, number>(), isReplaced: false,
 		};
 		this.known.set(id, knowledge);
 		return knowledge;
@@ -116,6 +124,11 @@
 		knowledge.suspectUntil = 0;
 	}
 
+	/** Nobody listens at its address. */
+	recordAbsent(id: string): void {
+		this.find(id).absentUntil = this.now() + absentMs;
+	}
+
 	/** It failed or did not answer: for a while others are tried first. */
 	recordFailure(id: string): void {
 		const knowledge = this.find(id);
--- a/packages/mastvalve-gateway/src/server/gateway-node.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-node.ts
@@ -74,19 +74,20 @@
 		}, headTimes);
 		this.crashReporter = new CrashReporter({client, listTargets: () => this.listControl()});
 		const quarantine = new RequestQuarantine(this.view, now);
+		const board = this.createBoard(now);
 		this.gateway = new Gateway({
 			failureDomain,
 			clock,
 			random,
 			dialect,
 			view: this.view,
-			board: this.createBoard(now),
+			board,
 			agent: this.upstream,
 			allowance: new RetryAllowance(retries, now),
 			headTimes,
 			demand: this.demand,
 			quarantine,
-			crashes: this.createCrashWatch(quarantine, now, log),
+			crashes: this.createCrashWatch(quarantine, board, now, log),
 			log,
 		});
 	}
@@ -131,7 +132,7 @@
 		return [...new Set([...(leader === undefined ? [] : [leader]), ...this.follower.listMembers()])];
 	}
 
-	private createCrashWatch(quarantine: RequestQuarantine, now: () => number, log: LogDecision): CrashWatch {
+	private createCrashWatch(quarantine: RequestQuarantine, board: EndpointBoard, now: () => number, log: LogDecision): CrashWatch {
 		const watch = new CrashWatch({
 			now,
 			probe: probeListener,
@@ -141,6 +142,7 @@
 				log('endpoint.crashed', {endpoint: report.endpointId, fingerprints: report.fingerprints});
 				quarantine.recordCrash(report);
 				this.crashReporter.add(report);
+				board.recordAbsent(report.endpointId);
 				this.demand.recordAbsent(report.endpointId);
 			},
 		});
