serve-request.ts, control-group.ts and fleet-machine.ts taken apart

A quarantined request is refused with the code "quarantined" in place of "overloaded"; nothing else is decided otherwise. 156 scenarios of the five packages pass.

--- a/packages/mastvalve-cluster/src/index.ts
+++ b/packages/mastvalve-cluster/src/index.ts
@@ -5,6 +5,7 @@
 export * from './membership/control-directory.js';
 export * from './membership/control-group.js';
 export * from './membership/formation.js';
+export * from './membership/group-times.js';
 export type * from './membership/identity.js';
 export * from './peer/peer-client.js';
 export * from './peer/peer-server.js';
--- a/packages/mastvalve-cluster/src/membership/control-group.ts
+++ b/packages/mastvalve-cluster/src/membership/control-group.ts
@@ -9,20 +9,21 @@
 	assumeType, callUntilAborted, type Clock, describeError, repeatUntilAborted, waitFor,
 } from 'mastvalve-utils';
 import {
-	createFileSystem, defaultReplicaRules, formatReplicaId, Journal, journalFormat, LogNode, nameOfReplica,
-	Replica, type Message, type ReplicaId, type ReplicaTimes, type StateMachine,
+	createFileSystem, formatReplicaId, Journal, journalFormat, nameOfReplica,
+	type LogNode, type Message, type ReplicaId, type ReplicaTimes, type StateMachine,
 } from 'mastvalve-replication';
 import {ok, type Result} from 'neverthrow';
 import {LogTransport} from '../peer/log-transport.js';
 import type {PeerClient} from '../peer/peer-client.js';
 import type {PeerHandler} from '../peer/peer-server.js';
+import {groupTimes} from './group-times.js';
 import {Announcements, type Announcement} from './announcements.js';
 import {decideFormation} from './formation.js';
 import type {Identity} from './identity.js';
 import {LeaderAccess} from './leader-access.js';
 import {MembershipDuty} from './membership-duty.js';
 import {PeerSearch} from './peer-search.js';
-import {persistUntilTaken} from './persist-until-taken.js';
+import {startLogNode} from './start-log-node.js';
 
 /** What a member of the group is made from. */
 export type ControlGroupOptions = {
@@ -48,12 +49,6 @@
 	onError: (message: string) => void;
 };
 
-/**
- * Heartbeats well below the shortest bound for configurations (2 s), elections above a TCP retransmission (0.2 to
- * 0.4 s), so that a lost packet alone moves no leader.
- */
-export const groupTimes: ReplicaTimes = {electionTimeoutMs: 550, heartbeatMs: 110, maxClockDrift: 0.1};
-
 const diskIdBytes = 6;
 const tickMs = 20;
 const formationPauseMs = 60;
@@ -61,9 +56,6 @@
 const membershipPauseMs = 80;
 /** An instance that heard no leader for this long can't tell whether what it holds is the newest, ms. Half of the shortest bound for configurations. */
 export const staleAfterMs = 1000;
-/** Entries between snapshots. */
-const snapshotEvery = 400;
-
 /** A member of the group. */
 export class ControlGroup {
 	static async open(options: ControlGroupOptions): Promise<ControlGroup> {
@@ -183,7 +175,9 @@
 			return;
 		}
 
-		const node = this.startNode();
+		const node = startLogNode(this.options, {
+			id: this.ownId, journal: this.journal, transport: this.transport, signal,
+		});
 		this.node = node;
 		const duty = this.createDuty(node);
 		callUntilAborted(signal, tickMs, () => {
@@ -276,45 +270,4 @@
 			ownId: this.ownId, node, search: this.search, announcements: this.announcements, clock, voters, isCurrent: () => this.isCurrent, listMembers: () => this.members, onEvent,
 		});
 	}
-
-	private startNode(): LogNode {
-		const {machine, clock, times, processStartedAt, onEvent, onError} = this.options;
-		const {header, restored} = this.journal;
-		if (restored.snapshot) {
-			machine.restoreSnapshot(restored.snapshot.data, restored.snapshot.index);
-		}
-
-		const replica = new Replica({
-			id: this.ownId,
-			initialMembership: {voters: header.initialVoters, learners: []},
-			restored,
-			times: times ?? groupTimes,
-			rules: defaultReplicaRules,
-			random: Math.random,
-			now: clock.now(),
-			quietSince: processStartedAt,
-		});
-		return new LogNode({
-			replica,
-			machine,
-			clock,
-			snapshotEvery,
-			isStorageLarge: () => this.journal.isLarge,
-			send: message => {
-				this.transport.send(message);
-			},
-			persist: async write => persistUntilTaken({
-				journal: this.journal, write, signal: this.ending.signal, onError,
-			}),
-			onFailure(thrown) {
-				onError(`the log stopped, this instance takes no further part: ${describeError(thrown)}`);
-			},
-			onSuspended() {
-				onEvent('replica.suspended', 'time has gone by that the steady clock did not count, or the time of day was set: leases begin anew');
-			},
-			onRoleChange(role, term, leader) {
-				onEvent('replica.changed-role', `${role} in term ${term}, leader ${leader ?? 'unknown'}`);
-			},
-		});
-	}
 }
--- a/packages/mastvalve-fleet/src/state/fleet-machine.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-machine.ts
@@ -15,6 +15,7 @@
 import {FleetCommandKind, type FleetCommand} from './fleet-command.js';
 import {EndpointPhase, type EndpointReport, type FleetEndpoint} from './fleet-endpoint.js';
 import {isEarlierLife, parseLife} from './endpoint-life.js';
+import {EndpointStore} from './endpoint-store.js';
 import type {FleetPlace, FleetUpdate} from './fleet-update.js';
 
 /** The state as plain data. */
@@ -49,9 +50,7 @@
 	private configuredAt = 0;
 	/** The control instance that gives orders to engines. */
 	private orderHolder: string | undefined;
-	private readonly endpoints = new Map<string, FleetEndpoint>();
-	/** Identity of the newest life, by the endpoint's name. */
-	private readonly newest = new Map<string, string>();
+	private readonly endpoints = new EndpointStore();
 	private changes = new ChangeFeed<FleetEndpoint>(estimateEndpoint);
 	private history = new ConfigurationHistory();
 	private crashes = new CrashHistory();
@@ -64,11 +63,11 @@
 
 	/** All endpoints that are not forgotten. */
 	list(): FleetEndpoint[] {
-		return [...this.endpoints.values()];
+		return this.endpoints.list();
 	}
 
 	find(id: string): FleetEndpoint | undefined {
-		return this.endpoints.get(id);
+		return this.endpoints.find(id);
 	}
 
 	/**
@@ -78,13 +77,13 @@
 	mayTake({id, service}: EndpointReport): boolean {
 		const services = this.stated?.configuration.services;
 		const isServed = services === undefined || services.some(({name}) => name === service);
-		const newest = this.newest.get(parseLife(id).name);
+		const newest = this.endpoints.newestOf(parseLife(id).name);
 		return isServed && (newest === undefined || !isEarlierLife(id, newest));
 	}
 
 	/** Whether a heartbeat says anything that the state doesn't; only then it needs the log. */
 	isNews(report: EndpointReport): boolean {
-		return this.mayTake(report) && isNews(this.endpoints.get(report.id), report);
+		return this.mayTake(report) && isNews(this.endpoints.find(report.id), report);
 	}
 
 	/** Requests that are not handed to any endpoint, by their fingerprints. */
@@ -118,9 +117,8 @@
 		this.crashes = CrashHistory.restore(snapshot.crashes);
 		this.endpoints.clear();
 		this.changes = new ChangeFeed(estimateEndpoint, snapshot.forgotten);
-		this.newest.clear();
 		snapshot.endpoints.forEach(endpoint => {
-			this.keep(endpoint);
+			this.endpoints.put(endpoint);
 		});
 		snapshot.endpoints.toSorted((a, b) => a.revision - b.revision).forEach(endpoint => {
 			this.changes.put(endpoint.id, endpoint, endpoint.revision);
@@ -165,7 +163,7 @@
 
 			case FleetCommandKind.MarkSilent: {
 				command.ids
-					.filter(id => this.endpoints.get(id)?.phase === EndpointPhase.Ready)
+					.filter(id => this.endpoints.find(id)?.phase === EndpointPhase.Ready)
 					.forEach(id => {
 						this.setPhase(id, EndpointPhase.Silent, index);
 					});
@@ -177,7 +175,7 @@
 			}
 
 			case FleetCommandKind.RecordHoldings: {
-				return this.replace(applyHoldings(this.endpoints.get(command.holdings.id), command.holdings, index), index);
+				return this.replace(applyHoldings(this.endpoints.find(command.holdings.id), command.holdings, index), index);
 			}
 
 			case FleetCommandKind.ClaimOrders: {
@@ -216,7 +214,7 @@
 			return false;
 		}
 
-		const known = this.endpoints.get(report.id);
+		const known = this.endpoints.find(report.id);
 		const former = known ? [] : this.listReplaced(report);
 		former.filter(({phase}) => phase !== EndpointPhase.Gone).forEach(({id}) => {
 			this.setPhase(id, EndpointPhase.Gone, index);
@@ -229,26 +227,9 @@
 		return this.list().filter(other => (other.address === address && other.phase !== EndpointPhase.Gone) || isEarlierLife(other.id, id));
 	}
 
-	private keep(endpoint: FleetEndpoint): void {
-		this.endpoints.set(endpoint.id, endpoint);
-		const {name} = parseLife(endpoint.id);
-		const newest = this.newest.get(name);
-		if (newest === undefined || isEarlierLife(newest, endpoint.id)) {
-			this.newest.set(name, endpoint.id);
-		}
-	}
-
-	private drop(id: string): void {
-		this.endpoints.delete(id);
-		const {name} = parseLife(id);
-		if (this.newest.get(name) === id) {
-			this.newest.delete(name);
-		}
-	}
-
 	/** An endpoint has told that it ends, so what it cut off then is no crash. */
 	private leave(name: string, index: number): boolean {
-		const known = this.endpoints.get(this.newest.get(name) ?? name);
+		const known = this.endpoints.find(this.endpoints.newestOf(name) ?? name);
 		return known
 			? this.replace({
 				...known, phase: EndpointPhase.Gone, isLeaving: true, revision: index,
@@ -259,7 +240,7 @@
 	/** What ran at endpoints that crashed is under suspicion. An endpoint that had told that it leaves did not crash. */
 	private recordCrashes(reports: readonly CrashReport[], index: number): string[] {
 		const quarantined = reports
-			.filter(({endpointId}) => this.endpoints.get(endpointId)?.isLeaving === false)
+			.filter(({endpointId}) => this.endpoints.find(endpointId)?.isLeaving === false)
 			.flatMap(report => this.crashes.record(report, index));
 		this.touch(quarantined.length > 0, index);
 		return quarantined;
@@ -271,16 +252,16 @@
 	}
 
 	private setPhase(id: string, phase: EndpointPhase, index: number): boolean {
-		const known = this.endpoints.get(id);
+		const known = this.endpoints.find(id);
 		return known ? this.replace({...known, phase, revision: index}, index) : false;
 	}
 
 	private replace(endpoint: FleetEndpoint | undefined, index: number): boolean {
-		if (!endpoint || endpoint === this.endpoints.get(endpoint.id)) {
+		if (!endpoint || endpoint === this.endpoints.find(endpoint.id)) {
 			return false;
 		}
 
-		this.keep(endpoint);
+		this.endpoints.put(endpoint);
 		this.changes.put(endpoint.id, endpoint, index);
 		this.revision = index;
 		return true;
@@ -291,10 +272,10 @@
 	 * sent again to them.
 	 */
 	private forget(ids: readonly string[], index: number): boolean {
-		const known = ids.flatMap(id => this.endpoints.get(id) ?? []);
+		const known = ids.flatMap(id => this.endpoints.find(id) ?? []);
 		known.forEach(({id, phase}) => {
 			if (phase === EndpointPhase.Gone) {
-				this.drop(id);
+				this.endpoints.drop(id);
 				this.changes.forget(id);
 			} else {
 				this.setPhase(id, EndpointPhase.Gone, index);
--- /dev/null
+++ b/packages/mastvalve-gateway/src/requests/give-up.ts
@@ -0,0 +1,75 @@
+/**
+ * The end of a request that no endpoint has answered: when to try on, and what its caller is told. "Not run" is said only of what was
+ * handed to nobody, or what its endpoint says it did not run.
+ */
+
+import type {GatewayCore} from '../server/gateway-core.js';
+import {isRepeatable, type CallerRequest} from './caller-request.js';
+import type {Progress} from './progress.js';
+import type {Reply} from './reply.js';
+
+/** Endpoints that may be out of reach before a request is given up; nothing was handed to them. */
+const maxUnsent = 3;
+/** What is left of the time must be worth an attempt, ms. */
+const minRemainingMs = 20;
+/** Pause of a caller after a refusal that says nothing else, ms. */
+const defaultRetryAfterMs = 100;
+
+/** Why a request is given up, and what its caller learns when it was not run. */
+export type GivenUp = {
+	reason: string;
+	/** When it may come again, ms. */
+	retryAfterMs?: number;
+	code?: string;
+};
+
+/** Whether there is time for another attempt. */
+export const hasTimeLeft = ({clock}: GatewayCore, {deadlineAt}: CallerRequest): boolean => clock.now() + minRemainingMs < deadlineAt;
+
+/** Whether the request is over after an attempt that did not answer it. */
+export const endOrRetry = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, reason: string): boolean => {
+	const {route} = request;
+	const mayRepeat = !progress.mayHaveRun || isRepeatable(route);
+	const hasTries = progress.sent < route.maxAttempts && progress.unsent < maxUnsent;
+	if (mayRepeat && hasTries && hasTimeLeft(core, request)) {
+		return false;
+	}
+
+	giveUp(core, request, reply, progress, {reason});
+	return true;
+};
+
+/**
+ * Refuses a request under which several endpoints have crashed: handed to another one it would end that too, with
+ * all that runs there. True when it was refused.
+ */
+export const refuseQuarantined = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress): boolean => {
+	const remainingMs = core.quarantine.remainingMs(request.fingerprint);
+	if (remainingMs === undefined) {
+		return false;
+	}
+
+	const reason = `quarantined, since endpoints have crashed under requests with this content (fingerprint ${request.fingerprint})`;
+	giveUp(core, request, reply, progress, {reason, retryAfterMs: remainingMs, code: 'quarantined'});
+	return true;
+};
+
+/** Gives a request up, unless its caller has left. */
+export const giveUp = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, {reason, retryAfterMs = defaultRetryAfterMs, code = 'overloaded'}: GivenUp): void => {
+	if (request.signal.aborted) {
+		return;
+	}
+
+	core.log('request.given-up', {
+		request: request.requestId, route: request.route.name, reason, sent: progress.sent, mayHaveRun: progress.mayHaveRun, revision: core.view.revision, ageMs: Math.round(core.clock.now() - request.arrivedAt),
+	});
+	if (reply.hasBegun) {
+		reply.breakOff();
+	} else if (progress.mayHaveRun) {
+		reply.send({status: 502, code: 'outcome-unknown', message: `The endpoint gave no whole answer: ${reason}. The request may have run.`});
+	} else {
+		reply.send({
+			status: 503, code, message: `Not run: ${reason}.`, retryAfterSeconds: Math.ceil(retryAfterMs) / 1000,
+		});
+	}
+};
--- /dev/null
+++ b/packages/mastvalve-gateway/src/requests/progress.ts
@@ -0,0 +1,28 @@
+/**
+ * How far the serving of one request has come.
+ */
+
+import {StreamPosition} from './relay.js';
+import type {CallerRequest} from './caller-request.js';
+
+/** What became of the tries so far. */
+export type Progress = {
+	tried: Set<string>;
+	sent: number;
+	unsent: number;
+	/** Whether some endpoint may have run it. */
+	mayHaveRun: boolean;
+	position: StreamPosition | undefined;
+};
+
+/** Nothing was tried yet. */
+export const createProgress = ({route, caller}: CallerRequest): Progress => {
+	const position = route.isResumable ? new StreamPosition() : undefined;
+	if (position && caller.resumeAfter !== undefined) {
+		position.lastEventId = caller.resumeAfter;
+	}
+
+	return {
+		tried: new Set(), sent: 0, unsent: 0, mayHaveRun: false, position,
+	};
+};
--- /dev/null
+++ b/packages/mastvalve-gateway/src/requests/send-attempt.ts
@@ -0,0 +1,35 @@
+/**
+ * Hands a request to an endpoint, unaltered but for what is the entry's to set.
+ */
+
+import type {FleetEndpoint} from 'mastvalve-fleet';
+import {createEndpointHeaders} from '../endpoint-headers.js';
+import type {GatewayCore} from '../server/gateway-core.js';
+import {exchange, type ExchangeOutcome} from '../upstream/exchange.js';
+import type {CallerRequest} from './caller-request.js';
+import type {Progress} from './progress.js';
+
+/** A connection within a region is up in a few ms; a lost packet delays it by a second, ms. */
+const connectMs = 400;
+
+/** Whether the caller announced a body, even an empty one. */
+const hasBody = ({headers}: CallerRequest): boolean => headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+
+/** One attempt, up to the head of an answer. */
+export const sendAttempt = async (core: GatewayCore, request: CallerRequest, endpoint: FleetEndpoint, progress: Progress): Promise<ExchangeOutcome> => {
+	const {caller, route, callerDeadlineAt, deadlineAt} = request;
+	const remainingMs = Math.max(1, Math.floor(Math.min(callerDeadlineAt, deadlineAt) - core.clock.now()));
+	return exchange({
+		agent: core.agent,
+		address: endpoint.address,
+		method: request.method,
+		path: request.path,
+		headers: createEndpointHeaders(core.dialect, request.rawHeaders, {
+			remainingMs, endpointId: endpoint.id, priority: route.priority, resumeAfter: progress.position?.lastEventId ?? caller.resumeAfter,
+			bodyLength: hasBody(request) ? request.body.length : undefined,
+		}),
+		body: request.body,
+		connectMs,
+		signal: request.signal,
+	});
+};
--- /dev/null
+++ b/packages/mastvalve-gateway/src/requests/take-answer.ts
@@ -0,0 +1,142 @@
+/**
+ * Takes an endpoint's answer: passes it on if it is one for the caller, and learns from it.
+ */
+
+import {parseLife, type FleetEndpoint} from 'mastvalve-fleet';
+import type {AnswerHeaders} from '../dialect.js';
+import {formatModel} from '../routing/model-demand.js';
+import type {GatewayCore} from '../server/gateway-core.js';
+import type {ExchangeKind, ExchangeOutcome} from '../upstream/exchange.js';
+import {isRepeatable, type CallerRequest} from './caller-request.js';
+import {endOrRetry, hasTimeLeft} from './give-up.js';
+import type {Progress} from './progress.js';
+import {relayBody} from './relay.js';
+import type {Reply} from './reply.js';
+
+const okStatus = 200;
+/** From here on an endpoint has failed. */
+const failureStatus = 500;
+/** Statuses by which an endpoint promises that it did not run a request, if it says so. */
+const refusals = new Set([408, 421, 429, 503]);
+
+/** One line for a whole answer: when it began and ended, where it came from, and on which state the choice rested. */
+const logAnswer = (core: GatewayCore, request: CallerRequest, progress: Progress, {endpoint, status, headAt}: {endpoint: string; status: number; headAt: number}): void => {
+	core.log('request.answered', {
+		request: request.requestId,
+		route: request.route.name,
+		model: request.caller.model,
+		adapter: request.caller.adapter,
+		endpoint,
+		status,
+		headMs: Math.round(headAt - request.arrivedAt),
+		totalMs: Math.round(core.clock.now() - request.arrivedAt),
+		sent: progress.sent,
+		load: core.board.find(endpoint).load,
+		revision: core.view.revision,
+	});
+};
+
+/** Remembers that an endpoint is another one, or lacks a model which it was thought to hold. */
+const recordMisdirection = (core: GatewayCore, {caller}: CallerRequest, endpoint: FleetEndpoint, head: AnswerHeaders): void => {
+	if (!head.isMisdirected) {
+		return;
+	}
+
+	if (head.endpointName !== undefined && head.endpointName !== parseLife(endpoint.id).name) {
+		core.board.recordReplaced(endpoint.id);
+		return;
+	}
+
+	core.board.recordLack(endpoint.id, formatModel(caller.model ?? '', caller.adapter), endpoint.revision);
+	core.demand.recordMisdirected(endpoint.id);
+};
+
+/** The head of an answer, and what ends the reading of the request. */
+export type Answered = {endpoint: FleetEndpoint; outcome: Extract<ExchangeOutcome, {kind: ExchangeKind.Answered}>; read: () => void};
+
+/** Takes an answer's head, and its body if it is one for the caller; true when the request is over. */
+export const takeAnswer = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, {endpoint, outcome, read}: Answered): Promise<boolean> => {
+	const {res, cancel, isBroken} = outcome;
+	const status = res.statusCode ?? 0;
+	const head = core.dialect.readAnswer(status, res.headers);
+	core.board.recordLoad(endpoint.id, head.load);
+	if (head.isNotRun) {
+		res.resume();
+		recordMisdirection(core, request, endpoint, head);
+		core.log('attempt.refused', {
+			request: request.requestId, endpoint: endpoint.id, status, load: head.load,
+		});
+		return endOrRetry(core, request, reply, progress, `the endpoint refused it with ${status}`);
+	}
+
+	const isForeign = head.requestId !== undefined && head.requestId !== request.requestId;
+	const isUnpromised = refusals.has(status);
+	if (isForeign || (isUnpromised && !isRepeatable(request.route))) {
+		cancel();
+		progress.mayHaveRun = true;
+		core.board.recordFailure(endpoint.id);
+		core.log('attempt.failed', {
+			request: request.requestId, fingerprint: request.fingerprint, endpoint: endpoint.id, status, reason: isForeign ? `the answer belongs to ${head.requestId}` : 'a refusal without a promise',
+		});
+		return endOrRetry(core, request, reply, progress, `an answer with status ${status} that can't be passed on`);
+	}
+
+	if (status >= failureStatus) {
+		core.board.recordFailure(endpoint.id);
+	} else {
+		core.board.recordSuccess(endpoint.id);
+	}
+
+	core.board.recordByte(endpoint.id);
+	progress.mayHaveRun = true;
+	const mayRetryFailure = status >= failureStatus && !reply.hasBegun && isRepeatable(request.route) && progress.sent < request.route.maxAttempts;
+	if (mayRetryFailure && hasTimeLeft(core, request)) {
+		res.resume();
+		return false;
+	}
+
+	res.once('data', read);
+	res.on('data', () => {
+		core.board.recordByte(endpoint.id);
+	});
+	if (reply.hasBegun && status !== okStatus) {
+		cancel();
+		return endOrRetry(core, request, reply, progress, `the stream can't go on: status ${status}`);
+	}
+
+	if (!reply.hasBegun) {
+		reply.begin(status, res.statusMessage ?? '', res.rawHeaders);
+	}
+
+	const headAt = core.clock.now();
+	const isWhole = await relayBody(res, reply, progress.position, isBroken);
+	if (isWhole) {
+		if (status === okStatus) {
+			core.quarantine.recordAnswered(request.fingerprint);
+		}
+
+		logAnswer(core, request, progress, {
+			endpoint: endpoint.id, status, headAt,
+		});
+		reply.end();
+		return true;
+	}
+
+	cancel();
+	if (request.signal.aborted) {
+		return true;
+	}
+
+	progress.position?.dropPartial();
+	core.crashes.suspect(endpoint, request.fingerprint);
+	core.board.recordFailure(endpoint.id);
+	core.log('answer.broken', {
+		request: request.requestId, fingerprint: request.fingerprint, endpoint: endpoint.id, status, lastEvent: progress.position?.lastEventId,
+	});
+	if (progress.position) {
+		return endOrRetry(core, request, reply, progress, 'the answer broke off');
+	}
+
+	reply.breakOff();
+	return true;
+};
