A suspension that begins at the moment of a heartbeat voids that heartbeat too; a proof of suspended leaders

Change: what was heard up to and including that moment is void, and the next heartbeat goes out 1 ms later.

--- a/packages/mastvalve-proofs/__tests__/cluster-model.ts
+++ b/packages/mastvalve-proofs/__tests__/cluster-model.ts
@@ -25,6 +25,8 @@
 	Heal = 'heal',
 	Freeze = 'freeze',
 	Thaw = 'thaw',
+	/** Like a freeze, but of the leader, if there is one, and its clock stands still as well; a thaw ends it. */
+	Suspend = 'suspend',
 	HandOver = 'hand-over',
 	Compact = 'compact',
 	LoseDisk = 'lose-disk',
@@ -43,6 +45,8 @@
 	losesLastWrite?: boolean;
 	/** Whether a lost disk returns under its former identity. */
 	keepsIdentity?: boolean;
+	/** Whether a node that was suspended believes what it heard before. */
+	trustsSteadyClock?: boolean;
 };
 
 const times = {electionTimeoutMs: 100, heartbeatMs: 20, maxClockDrift: 0.1};
@@ -60,6 +64,10 @@
 	/** Messages that wait for a frozen node. */
 	inbox: Message[];
 	appliedIndex: number;
+	/** When it was suspended, in true time; undefined while it isn't. */
+	suspendedAt: number | undefined;
+	/** True time that its clock has not counted. */
+	missedMs: number;
 };
 
 /** The replicas with their disks and their network. Every violation throws. */
@@ -120,6 +128,11 @@
 		[StepKind.Thaw]: node => {
 			this.thaw(node);
 		},
+		[StepKind.Suspend]: fallback => {
+			const node = this.nodes.find(candidate => candidate.replica?.role === Role.Leader && !candidate.isFrozen) ?? fallback;
+			node.isFrozen = true;
+			node.suspendedAt ??= this.time;
+		},
 		[StepKind.HandOver]: node => {
 			this.run(node, replica => {
 				replica.transferLeadership(this.clockOf(node));
@@ -141,7 +154,7 @@
 	constructor(private readonly options: ClusterOptions) {
 		this.random = createRandom(options.seed);
 		this.nodes = Array.from({length: options.size}, (_, index): Node => ({
-			name: `n${index}`, disk: 0, writes: [], replica: undefined, isFrozen: false, drift: drifts[index] ?? 1, inbox: [], appliedIndex: 0,
+			name: `n${index}`, disk: 0, writes: [], replica: undefined, isFrozen: false, drift: drifts[index] ?? 1, inbox: [], appliedIndex: 0, suspendedAt: undefined, missedMs: 0,
 		}));
 		this.initial = {voters: this.nodes.map(node => this.idOf(node)), learners: []};
 		this.nodes.forEach(node => {
@@ -192,7 +205,7 @@
 	}
 
 	private clockOf(node: Node): number {
-		return this.time * node.drift;
+		return ((node.suspendedAt ?? this.time) - node.missedMs) * node.drift;
 	}
 
 	private start(node: Node): void {
@@ -245,6 +258,7 @@
 	}
 
 	private crash(node: Node): void {
+		this.wake(node);
 		node.replica = undefined;
 		node.isFrozen = false;
 		node.inbox = [];
@@ -253,8 +267,24 @@
 		}
 	}
 
+	/** Ends a suspension. The node notices it before anything else, unless it is a broken one. */
+	private wake(node: Node): void {
+		if (node.suspendedAt === undefined) {
+			return;
+		}
+
+		node.missedMs += this.time - node.suspendedAt;
+		node.suspendedAt = undefined;
+		if (!this.options.trustsSteadyClock) {
+			node.replica?.distrustPast(this.clockOf(node));
+		}
+	}
+
 	private thaw(node: Node): void {
+		this.wake(node);
 		node.isFrozen = false;
+		// A caller's question may be read before the messages that waited.
+		this.read(node);
 		const waiting = node.inbox;
 		node.inbox = [];
 		waiting.forEach(message => {
@@ -322,7 +352,7 @@
 
 	/** A read that is given as fresh must show all that anybody was told is committed. */
 	private read(node: Node): void {
-		const isFresh = node.replica?.isFresh(this.clockOf(node)) === true;
+		const isFresh = node.suspendedAt === undefined && node.replica?.isFresh(this.clockOf(node)) === true;
 		if (isFresh && node.appliedIndex < this.acknowledged) {
 			throw new Error(`${node.name} read index ${node.appliedIndex} as fresh after ${this.acknowledged} was acknowledged`);
 		}
@@ -344,7 +374,7 @@
 
 	private changeMembership(node: Node): void {
 		const {replica} = node;
-		if (!replica?.isFresh(this.clockOf(node))) {
+		if (node.suspendedAt !== undefined || !replica?.isFresh(this.clockOf(node))) {
 			return;
 		}
 
--- a/packages/mastvalve-proofs/__tests__/log.proofs.ts
+++ b/packages/mastvalve-proofs/__tests__/log.proofs.ts
@@ -47,6 +47,11 @@
 	[StepKind.DeliverAll, 30], [StepKind.Advance, 25], [StepKind.Propose, 12], [StepKind.Read, 14], [StepKind.Cut, 3], [StepKind.Heal, 1], [StepKind.Freeze, 3], [StepKind.Thaw, 4],
 ];
 
+/** Leaders that are suspended while others elect one and commit, and reads as soon as they wake. */
+const suspensionSteps: Weights = [
+	[StepKind.DeliverAll, 30], [StepKind.Advance, 25], [StepKind.Propose, 14], [StepKind.Read, 14], [StepKind.Suspend, 3], [StepKind.Thaw, 3],
+];
+
 const stepArbitrary = (weights: Weights): fc.Arbitrary<Step> => fc.record({
 	kind: fc.oneof(...weights.map(([kind, weight]) => ({weight, arbitrary: fc.constant(kind)}))),
 	pick: fc.nat(1000),
@@ -63,10 +68,10 @@
 	return model;
 };
 
-/** What differs between the proofs on a cluster. */
-/** A twin's faults: rules of the replica, or how its disk fails. */
-type BrokenCluster = {rules?: Partial<ReplicaRules>} & Pick<ClusterOptions, 'losesLastWrite' | 'keepsIdentity'>;
+/** A twin's faults: rules of the replica, how its disk fails, or what it makes of a suspension. */
+type BrokenCluster = {rules?: Partial<ReplicaRules>} & Pick<ClusterOptions, 'losesLastWrite' | 'keepsIdentity' | 'trustsSteadyClock'>;
 
+/** What differs between the proofs on a cluster. */
 type ClusterProofOptions = {broken: BrokenCluster; size?: number; weights?: Weights};
 
 const createClusterProof = (row: Pick<Proof, 'property' | 'failure' | 'scenario' | 'twin'>, {broken, size = 3, weights = keptDisks}: ClusterProofOptions): Proof => ({
@@ -153,6 +158,12 @@
 		scenario: 'a fresh read shows all that was acknowledged',
 		twin: 'the lease outlives the election timeout',
 	}, {broken: {rules: {leaseEnd: outliveElections}}, weights: isolationSteps}),
+	createClusterProof({
+		property: Property.Configuration,
+		failure: 'a leader that is suspended, for which no time goes by meanwhile',
+		scenario: 'a fresh read shows all that was acknowledged',
+		twin: 'what was heard before a suspension counts on waking',
+	}, {broken: {trustsSteadyClock: true}, weights: suspensionSteps}),
 	createClusterProof({
 		property: Property.Configuration,
 		failure: 'crashes and restarts at any step',
--- a/packages/mastvalve-replication/src/replica-core.ts
+++ b/packages/mastvalve-replication/src/replica-core.ts
@@ -57,7 +57,7 @@
 	heartbeatAt = 0;
 	/** No vote is given before this time: a leader may hold a lease on our silence. */
 	quietUntil: number;
-	/** What was heard before doesn't count for leases, in the clock given to the core. */
+	/** What was heard up to then doesn't count for leases, in the clock given to the core; it may have stood still at that moment. */
 	trustedFrom = Number.NEGATIVE_INFINITY;
 	votes = new Set<ReplicaId>();
 	progress = new Map<ReplicaId, Progress>();
--- a/packages/mastvalve-replication/src/replica-leadership.ts
+++ b/packages/mastvalve-replication/src/replica-leadership.ts
@@ -51,7 +51,7 @@
 export const leaseEnd = (core: ReplicaCore, now: number): number => {
 	const acknowledgedAt = quorumValue(core.membership, id => {
 		const at = id === core.id ? now : core.progressOf(id).acknowledgedAt;
-		return at < core.trustedFrom ? Number.NEGATIVE_INFINITY : at;
+		return at <= core.trustedFrom ? Number.NEGATIVE_INFINITY : at;
 	});
 	return core.rules.leaseEnd(acknowledgedAt, core.times);
 };
--- a/packages/mastvalve-replication/src/replica.ts
+++ b/packages/mastvalve-replication/src/replica.ts
@@ -101,13 +101,16 @@
 		}
 
 		const heardAt = this.core.quietUntil - this.core.times.electionTimeoutMs;
-		return this.core.leader === undefined || heardAt < this.core.trustedFrom ? undefined : heardAt;
+		return this.core.leader === undefined || heardAt <= this.core.trustedFrom ? undefined : heardAt;
 	}
 
-	/** What was heard before `now` may be older than the clock says: leases and hearsay begin anew. */
+	/**
+	 * What was heard up to `now` may be older than the clock says: leases and hearsay begin anew. The clock may have stood still at this very
+	 * moment, so a heartbeat that counts must be sent at a later one.
+	 */
 	distrustPast(now: number): void {
 		this.core.trustedFrom = now;
-		this.core.heartbeatAt = Math.min(this.core.heartbeatAt, now);
+		this.core.heartbeatAt = Math.min(this.core.heartbeatAt, now + 1);
 	}
 
 	/** When another replica last answered this leader; 0 or less when it never did. */
