--- a/packages/mastvalve-gateway/__tests__/crashing-requests.feature
+++ b/packages/mastvalve-gateway/__tests__/crashing-requests.feature
@@ -4,10 +4,10 @@
   # to run it ended. An entry knew which engines one request had been tried at, but nothing of a request with the
   # same content that had come before or through another entry, so each repetition went to the next engine that looked
   # sound: ten engines ended within 8 s, and with each of them the 3 to 17 other requests that it ran.
-  # What settled it: the same fingerprint at each engine that ended, while the identities differed.
-  #   answer.broken  request r1   fingerprint 4fa25b...  endpoint engine-2-3
-  #   answer.broken  request r12  fingerprint 4fa25b...  endpoint engine-5-6
-  #   answer.broken  request r23  fingerprint 4fa25b...  endpoint engine-0-1
+  # What settled it: the same fingerprint at each engine that ended, while the identities differed (lines of this test before the mend).
+  #   attempt.failed {"request":"request-1","fingerprint":"a76fd4068bc9089d","endpoint":"engine-1-2","outcome":"lost","reason":"socket hang up"}
+  #   attempt.failed {"request":"request-3","fingerprint":"a76fd4068bc9089d","endpoint":"engine-4-5","outcome":"lost","reason":"socket hang up"}
+  #   attempt.failed {"request":"request-5","fingerprint":"a76fd4068bc9089d","endpoint":"engine-7-8","outcome":"lost","reason":"socket hang up"}
   Scenario: A request under which three endpoints have ended is not sent to many more
     Given 3 entries that follow control
     And 8 engines that end when they begin a deadly request, and are back 1500 ms later
