An endpoint whose clock was set back is heard once its former start is silent; incarnations; following has a file of its own

Cause: births order the starts of one endpoint for certain only where its clock is never set back. Ruled out: taking any unknown birth at once (a heartbeat that a cut delayed would end the endpoint that serves), and ordering by arrival (late words). Change: an earlier birth is refused only while the known incarnation is ready or leaving; silent or gone, the new one takes its place. A former one that is remembered as gone stays gone whatever it says late.

--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -16,7 +16,8 @@
 import type {DemandReport} from './demand-report.js';
 import {EngineDirector} from './engines/engine-director.js';
 import type {EnginePort} from './engines/engine-port.js';
-import type {FollowAnswer, FollowRequest} from './follow.js';
+import {FollowService} from './follow-service.js';
+import type {FollowRequest} from './follow.js';
 import {createForwardedHandlers} from './forwarded-control.js';
 import {QuarantineClock} from './quarantine-clock.js';
 import {Liveness, type LivenessTimes} from './liveness.js';
@@ -39,12 +40,6 @@
 const forgetSilentAfterMs = 90_000;
 const dutyPauseMs = 300;
 const directPauseMs = 100;
-/** Longest wait for a change, ms: well below the time in which a follower must notice that this instance is cut off. */
-const maxFollowWaitMs = 500;
-/** Time in which an instance that follows a leader hears of it again: a heartbeat and a half, ms. */
-const rehearMs = 165;
-/** How often a question that waits for a leader looks for one, ms. */
-const leaderPollMs = 15;
 /** An incomplete group takes the first changes after this long all the same, ms. */
 const incompleteGraceMs = 5000;
 
@@ -57,7 +52,7 @@
 		});
 		const control = new FleetControl(options, machine, await ControlGroup.open({...options, machine}));
 		waiting.wake = () => {
-			control.wakeFollowers();
+			control.followers.wake();
 		};
 
 		return control;
@@ -66,7 +61,7 @@
 	readonly group: ControlGroup;
 	private readonly liveness = new Liveness();
 	private readonly quarantineClock = new QuarantineClock();
-	private readonly waiting = new Set<() => void>();
+	private readonly followers: FollowService;
 	private readonly ending = new AbortController();
 	private readonly times: LivenessTimes;
 	private readonly startedAt: number;
@@ -77,6 +72,9 @@
 		this.group = group;
 		this.startedAt = options.clock.now();
 		this.times = {silentAfterMs: missedHeartbeats * options.heartbeatMs, forgetGoneAfterMs, forgetSilentAfterMs};
+		this.followers = new FollowService({
+			machine, group, clock: options.clock, ending: this.ending.signal,
+		});
 		this.director = this.createDirector();
 	}
 
@@ -85,7 +83,7 @@
 		return [
 			...this.group.handlers(),
 			...createForwardedHandlers(this),
-			['/follow', async (body, signal) => this.follow(assumeType<FollowRequest>(body), signal)],
+			['/follow', async (body, signal) => this.followers.follow(assumeType<FollowRequest>(body), signal)],
 			['/demand', async body => {
 				this.director.hear(assumeType<DemandReport>(body));
 				return this.group.isLeading ? ok(true) : err(new ControlUnavailableError('This control instance does not lead.'));
@@ -120,7 +118,7 @@
 	async stop(): Promise<void> {
 		await this.handOver();
 		this.ending.abort();
-		this.wakeFollowers();
+		this.followers.wake();
 		await this.group.stop();
 	}
 
@@ -154,7 +152,7 @@
 	/** Takes a heartbeat. It is acknowledged once all that is new in it is committed. */
 	async report(report: EndpointReport): Promise<Result<true, MastvalveError>> {
 		if (this.group.isCurrent && !this.machine.mayTake(report)) {
-			this.options.onEvent('endpoint.refused', `${report.id} at ${report.address}: a later life is known, or no configuration names the service ${report.service}`);
+			this.options.onEvent('endpoint.refused', `${report.id} at ${report.address}: a later incarnation is known, or no configuration names the service ${report.service}`);
 			return err(new UnknownEndpointError(report.id));
 		}
 
@@ -213,69 +211,6 @@
 		return this.group.propose(command);
 	}
 
-	private async follow({place, waitMs, mustBeNewest}: FollowRequest, signal: AbortSignal): Promise<Result<FollowAnswer, MastvalveError>> {
-		const fresh = mustBeNewest ? await this.readFreshSoon(Math.min(waitMs, maxFollowWaitMs), signal) : ok(true);
-		if (fresh.isErr()) {
-			return err(fresh.error);
-		}
-
-		if (!this.machine.hasChangesSince(place) && !this.machine.isBehind(place)) {
-			await this.waitForChange(Math.min(waitMs, maxFollowWaitMs), signal);
-		}
-
-		await this.waitUntilCurrent(signal);
-		if (!this.group.isCurrent || this.ending.signal.aborted) {
-			return err(new ControlUnavailableError(`This control instance may not know the newest state: ${this.group.describeAge()}.`));
-		}
-
-		return this.machine.isBehind(place)
-			? err(new ControlUnavailableError('This control instance knows less than the follower that asks.'))
-			: ok({update: this.machine.changesSince(place), members: this.group.members, leader: this.group.leaderAddress});
-	}
-
-	/** Without a leader that is sure of the newest, the question waits for one: asking again and again would cost a starting entry more than the wait. */
-	private async readFreshSoon(ms: number, signal: AbortSignal): Promise<Result<unknown, MastvalveError>> {
-		const endAt = this.options.clock.now() + ms;
-		let fresh: Result<unknown, MastvalveError> = await this.group.readFresh();
-		while (fresh.isErr() && this.options.clock.now() < endAt && !signal.aborted) {
-			// eslint-disable-next-line no-await-in-loop
-			await waitFor(leaderPollMs, signal);
-			// eslint-disable-next-line no-await-in-loop
-			fresh = await this.group.readFresh();
-		}
-
-		return fresh;
-	}
-
-	/** An instance whose clocks have jumped hears its leader again within a heartbeat; sending its followers away would cost more. */
-	private async waitUntilCurrent(signal: AbortSignal): Promise<void> {
-		const endAt = this.options.clock.now() + rehearMs;
-		while (!this.group.isCurrent && this.options.clock.now() < endAt && !signal.aborted) {
-			// eslint-disable-next-line no-await-in-loop
-			await waitFor(leaderPollMs, signal);
-		}
-	}
-
-	private async waitForChange(ms: number, signal: AbortSignal): Promise<void> {
-		await new Promise<void>(resolve => {
-			const done = () => {
-				clearTimeout(timer);
-				this.waiting.delete(done);
-				resolve();
-			};
-
-			const timer = setTimeout(done, ms);
-			this.waiting.add(done);
-			signal.addEventListener('abort', done, {once: true});
-		});
-	}
-
-	private wakeFollowers(): void {
-		[...this.waiting].forEach(wake => {
-			wake();
-		});
-	}
-
 	private async carryOutDuties(): Promise<void> {
 		if (!this.group.isLeading) {
 			this.wasLeading = false;
--- a/packages/mastvalve-fleet/src/index.ts
+++ b/packages/mastvalve-fleet/src/index.ts
@@ -17,7 +17,7 @@
 export * from './state/apply-report.js';
 export * from './state/change-feed.js';
 export * from './state/fleet-command.js';
-export * from './state/endpoint-life.js';
+export * from './state/endpoint-incarnation.js';
 export * from './state/fleet-endpoint.js';
 export * from './state/fleet-machine.js';
 export type * from './state/fleet-update.js';
--- a/packages/mastvalve-fleet/src/quarantine/crash-history.ts
+++ b/packages/mastvalve-fleet/src/quarantine/crash-history.ts
@@ -2,7 +2,7 @@
  * Which requests were running when endpoints crashed, and which of them are quarantined for it: pure and deterministic.
  *
  * All requests of an endpoint that crashes share the suspicion. The ones that had no part in it come to no second crash,
- * or to few; a request that ends whatever runs it is in every one of them. Crashes are counted by the lives of
+ * or to few; a request that ends whatever runs it is in every one of them. Crashes are counted by the incarnations of
  * endpoints, so that several entries may report the same one, and one entry may report it twice.
  */
 
@@ -37,8 +37,8 @@
 export class CrashHistory {
 	static restore(snapshot: CrashSnapshot | undefined): CrashHistory {
 		const history = new CrashHistory(snapshot?.forgotten);
-		snapshot?.suspects.forEach(([fingerprint, lives]) => {
-			history.suspects.set(fingerprint, lives);
+		snapshot?.suspects.forEach(([fingerprint, incarnations]) => {
+			history.suspects.set(fingerprint, incarnations);
 		});
 		snapshot?.quarantine.forEach(({revision, ...change}) => {
 			history.note(change, revision);
@@ -91,10 +91,10 @@
 		};
 	}
 
-	/** The lives that have ended under a request, this one included. */
+	/** The incarnations that have ended under a request, this one included. */
 	private countCrash(fingerprint: string, endpointId: string): number {
-		const lives = this.suspects.get(fingerprint) ?? [];
-		const all = lives.includes(endpointId) ? lives : [...lives, endpointId];
+		const incarnations = this.suspects.get(fingerprint) ?? [];
+		const all = incarnations.includes(endpointId) ? incarnations : [...incarnations, endpointId];
 		this.suspects.set(fingerprint, all);
 		return all.length;
 	}
--- a/packages/mastvalve-fleet/src/state/apply-report.ts
+++ b/packages/mastvalve-fleet/src/state/apply-report.ts
@@ -20,8 +20,8 @@
 	report.holds.map(held => known?.holds.find(({name}) => name === held.name) ?? held);
 
 /**
- * Takes a heartbeat in; a late one, or one of an endpoint that has left, changes nothing. What was ordered of the former life
- * of a new one may still come to it, since orders name the endpoint and not the life.
+ * Takes a heartbeat in; a late one, or one of an endpoint that has left, changes nothing. What was ordered of the former incarnation
+ * of a new one may still come to it, since orders name the endpoint and not the incarnation.
  */
 export const applyReport = (known: FleetEndpoint | undefined, report: EndpointReport, revision: number, former?: FleetEndpoint): FleetEndpoint | undefined => {
 	const isLate = known !== undefined && report.sequence <= known.sequence;
--- a/packages/mastvalve-fleet/src/state/endpoint-store.ts
+++ b/packages/mastvalve-fleet/src/state/endpoint-store.ts
@@ -1,14 +1,15 @@
 /**
- * All endpoints that are remembered, by the identities of their lives, and which life of each name is the newest.
+ * All endpoints that are remembered, by the identities of their incarnations, and which incarnation of each name was taken in last.
  */
 
-import {isEarlierLife, parseLife} from './endpoint-life.js';
+import {parseIncarnation} from './endpoint-incarnation.js';
 import type {FleetEndpoint} from './fleet-endpoint.js';
 
 /** The store. */
 export class EndpointStore {
 	private readonly byId = new Map<string, FleetEndpoint>();
-	private readonly newest = new Map<string, string>();
+	/** Identity by name. */
+	private readonly current = new Map<string, string>();
 
 	find(id: string): FleetEndpoint | undefined {
 		return this.byId.get(id);
@@ -18,34 +19,35 @@
 		return this.byId.has(id);
 	}
 
+	/** All of them, in the order in which they were first taken in. */
 	list(): FleetEndpoint[] {
 		return [...this.byId.values()];
 	}
 
-	/** Identity of the newest life of an endpoint, by its name. */
-	newestOf(name: string): string | undefined {
-		return this.newest.get(name);
+	/** The incarnation of an endpoint that was taken in last. */
+	findCurrent(name: string): FleetEndpoint | undefined {
+		const id = this.current.get(name);
+		return id === undefined ? undefined : this.byId.get(id);
 	}
 
 	put(endpoint: FleetEndpoint): void {
+		const isNew = !this.byId.has(endpoint.id);
 		this.byId.set(endpoint.id, endpoint);
-		const {name} = parseLife(endpoint.id);
-		const newest = this.newest.get(name);
-		if (newest === undefined || isEarlierLife(newest, endpoint.id)) {
-			this.newest.set(name, endpoint.id);
+		if (isNew) {
+			this.current.set(parseIncarnation(endpoint.id).name, endpoint.id);
 		}
 	}
 
 	drop(id: string): void {
 		this.byId.delete(id);
-		const {name} = parseLife(id);
-		if (this.newest.get(name) === id) {
-			this.newest.delete(name);
+		const {name} = parseIncarnation(id);
+		if (this.current.get(name) === id) {
+			this.current.delete(name);
 		}
 	}
 
 	clear(): void {
 		this.byId.clear();
-		this.newest.clear();
+		this.current.clear();
 	}
 }
--- a/packages/mastvalve-fleet/src/state/fleet-command.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-command.ts
@@ -36,7 +36,7 @@
 export type FleetCommand
 	= | {kind: FleetCommandKind.Configure; stated: StatedConfiguration}
 		| {kind: FleetCommandKind.Report; report: EndpointReport}
-		/** The endpoint's name; its newest life ends. */
+		/** The endpoint's name; its incarnation that was taken in last ends. */
 		| {kind: FleetCommandKind.Leave; id: string}
 		| {kind: FleetCommandKind.MarkSilent; ids: string[]}
 		| {kind: FleetCommandKind.Forget; ids: string[]}
--- a/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
@@ -4,7 +4,7 @@
 
 import type {WeightSource} from '../engines/weight-source.js';
 
-/** How far an endpoint is in its life. */
+/** How far an endpoint is between its start and its end. */
 export enum EndpointPhase {
 	Ready = 'ready',
 	/** It has sent no heartbeat for a while; it may still serve. */
@@ -20,9 +20,9 @@
 
 /** What an endpoint says of itself in a heartbeat. */
 export type EndpointReport = {
-	/** Identity of one life of the endpoint (`endpoint-life.ts`); a restart brings a new one. */
+	/** Identity of one incarnation of the endpoint (`endpoint-incarnation.ts`); a restart brings a new one. */
 	id: string;
-	/** Rises with every report of one life. */
+	/** Rises with every report of one incarnation. */
 	sequence: number;
 	service: string;
 	/** `ip:port`. */
--- a/packages/mastvalve-fleet/src/state/fleet-machine.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-machine.ts
@@ -14,7 +14,7 @@
 import {ChangeFeed, type FeedPlace} from './change-feed.js';
 import {FleetCommandKind, type FleetCommand} from './fleet-command.js';
 import {EndpointPhase, type EndpointReport, type FleetEndpoint} from './fleet-endpoint.js';
-import {isEarlierLife, parseLife} from './endpoint-life.js';
+import {isEarlierIncarnation, parseIncarnation} from './endpoint-incarnation.js';
 import {EndpointStore} from './endpoint-store.js';
 import type {FleetPlace, FleetUpdate} from './fleet-update.js';
 
@@ -71,14 +71,16 @@
 	}
 
 	/**
-	 * Whether a heartbeat is of an endpoint to use: not the late word of an earlier life, and of a service that the configuration
-	 * names. A stranger at the address of an endpoint ends nobody.
+	 * Whether a heartbeat is of an endpoint to use: not the late word of an earlier incarnation, and of a service that the configuration
+	 * names. A stranger at the address of an endpoint ends nobody. The one that is known is believed over an earlier birth only while it is heard: the
+	 * clock of its machine may have been set back before the next start.
 	 */
 	mayTake({id, service}: EndpointReport): boolean {
 		const services = this.stated?.configuration.services;
 		const isServed = services === undefined || services.some(({name}) => name === service);
-		const newest = this.endpoints.newestOf(parseLife(id).name);
-		return isServed && (newest === undefined || !isEarlierLife(id, newest));
+		const current = this.endpoints.findCurrent(parseIncarnation(id).name);
+		const isHeard = current?.phase === EndpointPhase.Ready || current?.phase === EndpointPhase.Leaving;
+		return isServed && !(isHeard && isEarlierIncarnation(id, current.id));
 	}
 
 	/** Whether a heartbeat says anything that the state doesn't; only then it needs the log. */
@@ -208,7 +210,7 @@
 		return version;
 	}
 
-	/** A new life at an address, or of a name, tells that the former one has ended. */
+	/** A new incarnation at an address, or of a name, tells that the former one has ended. */
 	private report(report: EndpointReport, index: number): boolean {
 		if (!this.mayTake(report)) {
 			return false;
@@ -219,17 +221,19 @@
 		former.filter(({phase}) => phase !== EndpointPhase.Gone).forEach(({id}) => {
 			this.setPhase(id, EndpointPhase.Gone, index);
 		});
-		return this.replace(applyReport(known, report, index, former.find(({id}) => isEarlierLife(id, report.id))), index);
+		const {name} = parseIncarnation(report.id);
+		return this.replace(applyReport(known, report, index, former.find(({id}) => parseIncarnation(id).name === name)), index);
 	}
 
-	/** Endpoints whose end the first heartbeat of a new life shows: the ones at its address, and earlier lives of it. */
+	/** Endpoints whose end the first heartbeat of a new incarnation shows: the ones at its address, and the one of its name. */
 	private listReplaced({id, address}: EndpointReport): FleetEndpoint[] {
-		return this.list().filter(other => (other.address === address && other.phase !== EndpointPhase.Gone) || isEarlierLife(other.id, id));
+		const current = this.endpoints.findCurrent(parseIncarnation(id).name);
+		return this.list().filter(other => other === current || (other.address === address && other.phase !== EndpointPhase.Gone));
 	}
 
 	/** An endpoint has told that it ends, so what it cut off then is no crash. */
 	private leave(name: string, index: number): boolean {
-		const known = this.endpoints.find(this.endpoints.newestOf(name) ?? name);
+		const known = this.endpoints.findCurrent(name);
 		return known
 			? this.replace({
 				...known, phase: EndpointPhase.Gone, isLeaving: true, revision: index,
--- a/packages/mastvalve-gateway/src/dialect.ts
+++ b/packages/mastvalve-gateway/src/dialect.ts
@@ -27,7 +27,7 @@
 /** What goes to an endpoint besides the caller's own headers. */
 export type EndpointHeaders = {
 	remainingMs: number;
-	/** Identity of the life that is meant. */
+	/** Identity of the incarnation that is meant. */
 	endpointId: string;
 	/** 0 is the most urgent. */
 	priority: number;
@@ -39,7 +39,7 @@
 /** What the head of an endpoint's answer says. */
 export type AnswerHeaders = {
 	requestId: string | undefined;
-	/** Name of the endpoint that answered, if it tells; it may be another life than the one that was meant. */
+	/** Name of the endpoint that answered, if it tells; it may be another incarnation than the one that was meant. */
 	endpointName: string | undefined;
 	/** The endpoint states that the request was not run. */
 	isNotRun: boolean;
--- a/packages/mastvalve-gateway/src/requests/take-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/take-answer.ts
@@ -2,7 +2,7 @@
  * Takes an endpoint's answer: passes it on if it is one for the caller, and learns from it.
  */
 
-import {parseLife, type FleetEndpoint} from 'mastvalve-fleet';
+import {parseIncarnation, type FleetEndpoint} from 'mastvalve-fleet';
 import type {AnswerHeaders} from '../dialect.js';
 import {formatModel} from '../routing/model-demand.js';
 import type {GatewayCore} from '../server/gateway-core.js';
@@ -42,7 +42,7 @@
 		return;
 	}
 
-	if (head.endpointName !== undefined && head.endpointName !== parseLife(endpoint.id).name) {
+	if (head.endpointName !== undefined && head.endpointName !== parseIncarnation(endpoint.id).name) {
 		core.board.recordReplaced(endpoint.id);
 		return;
 	}
--- a/packages/mastvalve-gateway/src/routing/endpoint-board.ts
+++ b/packages/mastvalve-gateway/src/routing/endpoint-board.ts
@@ -39,7 +39,7 @@
 const maxSuspicionMs = 6000;
 
 /**
- * A process that does not listen has ended, and control notes it within this time by missing heartbeats or the next life's first one, ms. Trying
+ * A process that does not listen has ended, and control notes it within this time by missing heartbeats or the next incarnation's first one, ms. Trying
  * three such endpoints refused a request after 11 ms, though a load elsewhere was under way.
  */
 const absentMs = 5000;
--- a/packages/mastvalve-replication/src/replica.ts
+++ b/packages/mastvalve-replication/src/replica.ts
@@ -105,7 +105,7 @@
 	}
 
 	/**
-	 * What was heard up to `now` may be older than the clock says: leases and hearsay begin anew. The clock may have stood still at this very
+	 * What was heard up to `now` may be older than the clock says: leases and what was heard of a leader begin anew. The clock may have stood still at this very
 	 * moment, so a heartbeat that counts must be sent at a later one.
 	 */
 	distrustPast(now: number): void {
--- a/packages/mastvalve-types/src/coordination-errors.ts
+++ b/packages/mastvalve-types/src/coordination-errors.ts
@@ -24,7 +24,7 @@
 	}
 }
 
-/** A heartbeat comes from an earlier life of an endpoint, or from one of a service that no configuration names. */
+/** A heartbeat comes from an earlier incarnation of an endpoint, or from one of a service that no configuration names. */
 export class UnknownEndpointError extends MastvalveError {
 	constructor(id: string) {
 		super('unknown-endpoint', `${id} is no endpoint that requests go to.`, {status: 400});
