A proof of endpoints that start again under their name

Cause: that requests go by what the running incarnation said last was shown by scenarios only. Ruled out for the proof: clocks that are set back (what is believed then depends on silence; a scenario shows it). Change: a row of property 6 with random series of heartbeats, restarts, losses, delays and repeats. No code of the product changes.

--- a/packages/mastvalve-proofs/__tests__/all.proofs.ts
+++ b/packages/mastvalve-proofs/__tests__/all.proofs.ts
@@ -7,10 +7,11 @@
 import {claimsProofs} from './claims.proofs.js';
 import {configurationProofs} from './configuration.proofs.js';
 import {engineRoomProofs} from './engine-room.proofs.js';
+import {incarnationProofs} from './incarnations.proofs.js';
 import {logProofs} from './log.proofs.js';
 import {memoryProofs} from './memory.proofs.js';
 import {placementProofs} from './placement.proofs.js';
 
 /** The proofs. */
-export const allProofs: Proof[] = [...memoryProofs, ...engineRoomProofs, ...placementProofs, ...answersProofs, ...claimsProofs, ...configurationProofs, ...logProofs]
+export const allProofs: Proof[] = [...memoryProofs, ...engineRoomProofs, ...placementProofs, ...answersProofs, ...claimsProofs, ...incarnationProofs, ...configurationProofs, ...logProofs]
 	.toSorted((a, b) => a.property - b.property);
