--- /dev/null
+++ b/packages/mastvalve-access/src/index.ts
@@ -0,0 +1,16 @@
+/**
+ * Keys, workspaces and limits as pure policy: no sockets, no files, no clocks.
+ */
+
+export * from './evidence.js';
+export * from './judge-access.js';
+export * from './key-digest.js';
+export * from './limit-ledger.js';
+export type * from './limit-tolerance.js';
+export * from './presented-key.js';
+export * from './rank-priorities.js';
+export * from './request-cost.js';
+export * from './token-bucket.js';
+export * from './usage-pace.js';
+export * from './workspace.js';
+export * from './workspace-table.js';
--- a/packages/mastvalve-fakes/src/fleet/lone-control.ts
+++ b/packages/mastvalve-fakes/src/fleet/lone-control.ts
@@ -32,6 +32,8 @@
 			heartbeatMs,
 			orderLeaseMs,
 			storeWindowMs,
+			mustProveKeys: true,
+			limitTolerance: {windowMs: 8000, overage: 0.1, slack: 0},
 			engines: {sendOrder: async () => OrderOutcome.Absent, readStatus: async () => undefined},
 			onEvent: () => undefined,
 			onError: () => undefined,
--- a/packages/mastvalve-fakes/src/fleet/varied-routes.ts
+++ b/packages/mastvalve-fakes/src/fleet/varied-routes.ts
@@ -27,6 +27,7 @@
 			targets: [{service: 's', weight: 1}],
 			maxAttempts: 2,
 			isResumable: false,
+			isAnonymous: false,
 		};
 	});
 };
--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -3,6 +3,7 @@
  * what must be newest is confirmed by the leader's lease.
  */
 
+import type {LimitClaim, LimitTolerance} from 'mastvalve-access';
 import {ControlGroup, type ControlGroupOptions, type PeerHandler} from 'mastvalve-cluster';
 import {
 	FleetCommandKind, FleetMachine, quarantineMs, type CrashReport, type EndpointReport, type FleetCommand, type StatedConfiguration,
@@ -19,8 +20,10 @@
 import {FollowService} from './follow-service.js';
 import type {FollowRequest} from './follow.js';
 import {createForwardedHandlers} from './forwarded-control.js';
+import {LimitDesk} from './limit-desk.js';
 import {QuarantineClock} from './quarantine-clock.js';
 import {Liveness, type LivenessTimes} from './liveness.js';
+import {SureMoment} from './sure-moment.js';
 
 /** What a control instance is made from. */
 export type FleetControlOptions = Omit<ControlGroupOptions, 'machine'> & {
@@ -30,6 +33,10 @@
 	orderLeaseMs: number;
 	/** Window in which loads from the weight store are counted, ms. */
 	storeWindowMs: number;
+	/** Whether entries must prove how new their keys are. */
+	mustProveKeys: boolean;
+	/** How far what runs may exceed the limits of workspaces. */
+	limitTolerance: LimitTolerance;
 	/** Orders to engines. */
 	engines: EnginePort;
 };
@@ -66,14 +73,26 @@
 	private readonly times: LivenessTimes;
 	private readonly startedAt: number;
 	private readonly director: EngineDirector;
+	private readonly sure: SureMoment;
+	private readonly limits: LimitDesk;
 	private wasLeading = false;
 
 	private constructor(private readonly options: FleetControlOptions, readonly machine: FleetMachine, group: ControlGroup) {
 		this.group = group;
 		this.startedAt = options.clock.now();
 		this.times = {silentAfterMs: missedHeartbeats * options.heartbeatMs, forgetGoneAfterMs, forgetSilentAfterMs};
+		this.sure = new SureMoment({
+			group,
+			clock: options.clock,
+			onError(thrown) {
+				options.onError(`the leader could not be asked: ${describeError(thrown)}`);
+			},
+		});
+		this.limits = new LimitDesk({
+			tolerance: options.limitTolerance, readConfiguration: () => machine.configuration?.configuration, readTerm: () => (group.isLeading ? group.leadingTerm : undefined), now: () => options.clock.now(),
+		});
 		this.followers = new FollowService({
-			machine, group, clock: options.clock, ending: this.ending.signal,
+			machine, group, clock: options.clock, sure: this.sure, ending: this.ending.signal,
 		});
 		this.director = this.createDirector();
 	}
@@ -88,6 +107,10 @@
 				this.director.hear(assumeType<DemandReport>(body));
 				return this.group.isLeading ? ok(true) : err(new ControlUnavailableError('This control instance does not lead.'));
 			}],
+			['/limits', async body => {
+				const answers = this.limits.settle(assumeType<LimitClaim[]>(body));
+				return answers ? ok(answers) : err(new ControlUnavailableError('This control instance does not lead.'));
+			}],
 			['/crashes', async body => this.takeCrashes(assumeType<CrashReport[]>(body))],
 			['/heard', async body => {
 				this.liveness.hear(assumeType<string[]>(body), this.options.clock.now());
@@ -104,6 +127,7 @@
 
 		await Promise.all([
 			this.group.run(),
+			...(this.options.mustProveKeys ? [this.sure.run(this.ending.signal)] : []),
 			repeatUntilAborted(this.ending.signal, dutyPauseMs, async () => this.carryOutDuties(), onError),
 			repeatUntilAborted(this.ending.signal, directPauseMs, async () => this.director.runRound(), onError),
 		]);
--- a/packages/mastvalve-fleet-control/src/follow-service.ts
+++ b/packages/mastvalve-fleet-control/src/follow-service.ts
@@ -8,12 +8,14 @@
 import {waitFor, type Clock} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 import type {FollowAnswer, FollowRequest} from './follow.js';
+import type {SureMoment} from './sure-moment.js';
 
 /** What it is made from. */
 export type FollowServiceOptions = {
 	machine: FleetMachine;
 	group: ControlGroup;
 	clock: Clock;
+	sure: SureMoment;
 	/** Aborts when the instance ends. */
 	ending: AbortSignal;
 };
@@ -24,6 +26,7 @@
 const rehearMs = 165;
 /** How often a question that waits for a leader looks for one, ms. */
 const leaderPollMs = 15;
+
 /** The service. */
 export class FollowService {
 	private readonly waiting = new Set<() => void>();
@@ -32,11 +35,16 @@
 
 	/** Answers a follower: at once when there is something new, else when something changes. */
 	async follow({place, waitMs, mustBeNewest}: FollowRequest, signal: AbortSignal): Promise<Result<FollowAnswer, MastvalveError>> {
+		const cameAt = this.options.clock.now();
 		const fresh = mustBeNewest ? await this.readFreshSoon(Math.min(waitMs, maxFollowWaitMs), signal) : ok(true);
 		if (fresh.isErr()) {
 			return err(fresh.error);
 		}
 
+		if (mustBeNewest) {
+			this.options.sure.note(cameAt);
+		}
+
 		if (!this.options.machine.hasChangesSince(place) && !this.options.machine.isBehind(place)) {
 			await this.waitForChange(Math.min(waitMs, maxFollowWaitMs), signal);
 		}
@@ -48,7 +56,7 @@
 
 		return this.options.machine.isBehind(place)
 			? err(new ControlUnavailableError('This control instance knows less than the follower that asks.'))
-			: ok({update: this.options.machine.changesSince(place), members: this.options.group.members, leader: this.options.group.leaderAddress});
+			: ok(this.createAnswer(place, cameAt));
 	}
 
 	/** Something has changed. */
@@ -58,6 +66,14 @@
 		});
 	}
 
+	private createAnswer(place: FollowRequest['place'], cameAt: number): FollowAnswer {
+		const {machine, group, sure} = this.options;
+		const sureAt = sure.read();
+		return {
+			update: machine.changesSince(place), members: group.members, leader: group.leaderAddress, sureAfterMs: sureAt === undefined ? undefined : sureAt - cameAt,
+		};
+	}
+
 	/** Without a leader that is sure of the newest, the question waits for one: asking again and again would cost a starting entry more than the wait. */
 	private async readFreshSoon(ms: number, signal: AbortSignal): Promise<Result<unknown, MastvalveError>> {
 		const endAt = this.options.clock.now() + ms;
--- a/packages/mastvalve-fleet-control/src/follow.ts
+++ b/packages/mastvalve-fleet-control/src/follow.ts
@@ -21,4 +21,9 @@
 	members: string[];
 	/** Address of the leader, if one is known. */
 	leader: string | undefined;
+	/**
+	 * The update leads to a state that holds all that was committed up to so long after the question came, or before it when
+	 * negative, ms. Missing when this instance is sure of no moment.
+	 */
+	sureAfterMs?: number;
 };
--- /dev/null
+++ b/packages/mastvalve-fleet-control/src/sure-moment.ts
@@ -0,0 +1,67 @@
+/**
+ * Up to which moment a control instance is sure to know all that was committed: the latest one at which it asked the log's
+ * leader, and the leader answered by its lease. A heartbeat of the leader proves no such moment, since it may have been on its
+ * way for long.
+ */
+
+import type {ControlGroup} from 'mastvalve-cluster';
+import {repeatUntilAborted, SuspensionWatch, type Clock} from 'mastvalve-utils';
+
+/** What it is made from. */
+export type SureMomentOptions = {
+	group: Pick<ControlGroup, 'isLeading' | 'readFresh'>;
+	clock: Clock;
+	onError: (thrown: unknown) => void;
+};
+
+/** Pause between two questions to the leader, ms: a twentieth of the shortest bound on keys that were taken away (5 s). */
+const askPauseMs = 250;
+
+/** The moment. Times are monotonic, ms. */
+export class SureMoment {
+	private at = Number.NEGATIVE_INFINITY;
+	private readonly suspension: SuspensionWatch;
+
+	constructor(private readonly options: SureMomentOptions) {
+		this.suspension = new SuspensionWatch(options.clock);
+	}
+
+	/** The moment; undefined while there is none. */
+	read(): number | undefined {
+		this.endIfSuspended();
+		if (this.options.group.isLeading) {
+			return this.options.clock.now();
+		}
+
+		return this.at === Number.NEGATIVE_INFINITY ? undefined : this.at;
+	}
+
+	/** All that was committed up to a moment was read from the leader, in a question that began then. */
+	note(askedAt: number): void {
+		this.at = Math.max(this.at, askedAt);
+	}
+
+	/** Asks the leader again and again until the signal aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		await repeatUntilAborted(signal, askPauseMs, async () => this.renew(), this.options.onError);
+	}
+
+	private async renew(): Promise<void> {
+		this.endIfSuspended();
+		const askedAt = this.options.clock.now();
+		const fresh = await this.options.group.readFresh();
+		// A suspension while the question was on its way ends what it proves.
+		if (fresh.isOk() && !this.endIfSuspended()) {
+			this.note(askedAt);
+		}
+	}
+
+	private endIfSuspended(): boolean {
+		const hasJumped = this.suspension.hasJumped();
+		if (hasJumped) {
+			this.at = Number.NEGATIVE_INFINITY;
+		}
+
+		return hasJumped;
+	}
+}
--- a/packages/mastvalve-fleet/__tests__/fleet.steps.ts
+++ b/packages/mastvalve-fleet/__tests__/fleet.steps.ts
@@ -23,7 +23,7 @@
 });
 
 const createRoute = (path: string, timeoutMs: number): Route => ({
-	name: path, host: 'h', pathPrefix: `/${path}/`, kind: RouteKind.Safe, timeoutMs, objectiveMs: 1, patienceMs: undefined, priority: 1, targets: [], maxAttempts: 1, isResumable: false,
+	name: path, host: 'h', pathPrefix: `/${path}/`, kind: RouteKind.Safe, timeoutMs, objectiveMs: 1, patienceMs: undefined, priority: 1, targets: [], maxAttempts: 1, isResumable: false, isAnonymous: false,
 });
 
 const report = (id: string, sequence: number, more: Partial<EndpointReport> = {}): EndpointReport => ({
--- a/packages/mastvalve-fleet/src/configuration/check-configuration.ts
+++ b/packages/mastvalve-fleet/src/configuration/check-configuration.ts
@@ -2,6 +2,7 @@
  * Rules that a configuration must keep besides its shape.
  */
 
+import type {Workspace} from 'mastvalve-access';
 import {keyOfRoute} from './route-table.js';
 import type {Route} from './route.js';
 import type {ServingConfiguration} from './serving-configuration.js';
@@ -26,13 +27,29 @@
 
 const isPrefix = (prefix: string): boolean => prefix.startsWith('/') && prefix.endsWith('/');
 
+/** What is wrong with the workspaces. A finding names workspaces, never a key or its digest. */
+const checkWorkspaces = (workspaces: readonly Workspace[]): string[] => {
+	const holders = new Map<string, string>();
+	const shared = workspaces.flatMap(({name, keyDigests}) => keyDigests.flatMap(digest => {
+		const holder = holders.get(digest) ?? name;
+		holders.set(digest, holder);
+		return holder === name ? [] : [`the workspaces ${holder} and ${name} share a key`];
+	}));
+	return [
+		...findDuplicates(workspaces.map(({name}) => name)).map(name => `two workspaces are named ${name}`),
+		...new Set(shared),
+		...workspaces.filter(({limit}) => limit && (limit.ratePerSecond < 0 || limit.burst < 0)).map(({name}) => `the workspace ${name} has a limit below 0`),
+	];
+};
+
 /** All findings; empty when the configuration is valid. */
-export const checkConfiguration = ({routes, services}: ServingConfiguration): string[] => {
+export const checkConfiguration = ({routes, services, workspaces}: ServingConfiguration): string[] => {
 	const names = new Set(services.map(service => service.name));
 	const places = findDuplicates(routes.map(route => keyOfRoute(route)));
 	return [
 		...routes.flatMap(route => checkRoute(route, names)),
 		...places.map(place => `two routes share ${place}`),
+		...checkWorkspaces(workspaces ?? []),
 		...findDuplicates(services.map(service => service.name)).map(name => `two services are named ${name}`),
 	];
 };
--- a/packages/mastvalve-fleet/src/configuration/configuration-history.ts
+++ b/packages/mastvalve-fleet/src/configuration/configuration-history.ts
@@ -8,6 +8,7 @@
 import {ChangeFeed, type FeedPlace} from '../state/change-feed.js';
 import {ConfigurationChangeKind, type ConfigurationChange} from './configuration-change.js';
 import {keyOfRoute} from './route-table.js';
+import {keyOfWorkspace} from './workspace-key.js';
 import type {Route} from './route.js';
 import type {ServingConfiguration} from './serving-configuration.js';
 
@@ -15,11 +16,14 @@
 const frameKey = '\u{1}';
 const versionKey = '\u{FFFF}';
 
-/** Removed routes that are remembered beside as many as there are routes. */
+/** Removed routes and workspaces that are remembered beside as many as there are routes. */
 const minRemembered = 1000;
 /** A route in JSON without its names, and each of its targets, bytes: measured on decoded configurations. */
 const routeBytes = 220;
 const targetBytes = 30;
+/** A workspace without its name, and each of its key digests. */
+const workspaceBytes = 200;
+const digestBytes = 26;
 /** A service, and each of its models. */
 const serviceBytes = 300;
 const modelBytes = 160;
@@ -38,6 +42,11 @@
 			return change.frame.services.reduce((sum, {engine}) => sum + serviceBytes + ((engine?.models.length ?? 0) * modelBytes), 0);
 		}
 
+		case ConfigurationChangeKind.Workspace: {
+			const {name, keyDigests} = change.workspace;
+			return workspaceBytes + name.length + (keyDigests.length * digestBytes);
+		}
+
 		case ConfigurationChangeKind.Removal:
 		case ConfigurationChangeKind.Version: {
 			return otherBytes;
@@ -45,16 +54,17 @@
 	}
 };
 
-/** The history as plain data: revisions by key, and which keys are of removed routes. */
+/** The history as plain data: revisions by key, and which keys are of removed routes and workspaces. */
 export type HistorySnapshot = {revisions: Array<[key: string, revision: number]>; forgotten: FeedPlace};
 
 const isSame = (a: unknown, b: unknown): boolean => JSON.stringify(a) === JSON.stringify(b);
 
 /** All changes that lead from nothing to a configuration, by key. */
-const listChanges = ({version, routes, services, limits}: ServingConfiguration): Map<string, ConfigurationChange> =>
+const listChanges = ({version, routes, services, limits, workspaces}: ServingConfiguration): Map<string, ConfigurationChange> =>
 	new Map<string, ConfigurationChange>([
 		...routes.map((route): [string, ConfigurationChange] => [keyOfRoute(route), {kind: ConfigurationChangeKind.Route, route}]),
-		[frameKey, {kind: ConfigurationChangeKind.Frame, frame: {services, limits}}],
+		...(workspaces ?? []).map((workspace): [string, ConfigurationChange] => [keyOfWorkspace(workspace.name), {kind: ConfigurationChangeKind.Workspace, workspace}]),
+		[frameKey, {kind: ConfigurationChangeKind.Frame, frame: {services, limits, needsKeys: workspaces !== undefined}}],
 		[versionKey, {kind: ConfigurationChangeKind.Version, version}],
 	]);
 
@@ -77,7 +87,7 @@
 
 	readonly feed: ChangeFeed<ConfigurationChange>;
 	private readonly current = new Map<string, ConfigurationChange>();
-	/** Keys of removed routes, the one removed first at the front. */
+	/** Keys of removed routes and workspaces, the one removed first at the front. */
 	private readonly removed = new Set<string>();
 
 	constructor(forgotten?: FeedPlace) {
--- a/packages/mastvalve-fleet/src/configuration/route.ts
+++ b/packages/mastvalve-fleet/src/configuration/route.ts
@@ -35,4 +35,6 @@
 	maxAttempts: number;
 	/** Whether a broken stream may go on at another endpoint. */
 	isResumable: boolean;
+	/** Whether anybody may ask, also without a key. */
+	isAnonymous: boolean;
 };
--- a/packages/mastvalve-fleet/src/configuration/serving-configuration.ts
+++ b/packages/mastvalve-fleet/src/configuration/serving-configuration.ts
@@ -1,7 +1,8 @@
 /**
- * What operators set: routes, services and callers' limits, under one version.
+ * What operators set: routes, services, callers' limits and workspaces, under one version.
  */
 
+import type {Workspace} from 'mastvalve-access';
 import type {CallerLimits} from './caller-limits.js';
 import type {Route} from './route.js';
 import type {ServedService} from './served-service.js';
@@ -12,6 +13,8 @@
 	routes: Route[];
 	services: ServedService[];
 	limits: CallerLimits;
+	/** Undefined where no keys are asked for; an empty list lets nobody in but on anonymous routes. */
+	workspaces?: Workspace[];
 };
 
 /** A configuration with the operators' own text of it, which is handed back on reading. */
--- a/packages/mastvalve-fleet/src/index.ts
+++ b/packages/mastvalve-fleet/src/index.ts
@@ -11,6 +11,7 @@
 export * from './configuration/route-table.js';
 export type * from './configuration/served-service.js';
 export type * from './configuration/serving-configuration.js';
+export * from './configuration/workspace-key.js';
 export * from './quarantine/crash-history.js';
 export type * from './quarantine/crash-report.js';
 export type * from './quarantine/quarantine-change.js';
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
@@ -19,7 +19,7 @@
 export type CallResult = {status: number; retryAfter: number | undefined; tookMs: number};
 
 const createRoute = (kind: RouteKind): Route => ({
-	name: kind, host: 'h', pathPrefix: `/${kind}/`, kind, timeoutMs: 2000, objectiveMs: 500, patienceMs: undefined, priority: 1, targets: [{service: 's', weight: 1}], maxAttempts: 2, isResumable: kind === RouteKind.Stream,
+	name: kind, host: 'h', pathPrefix: `/${kind}/`, kind, timeoutMs: 2000, objectiveMs: 500, patienceMs: undefined, priority: 1, targets: [{service: 's', weight: 1}], maxAttempts: 2, isResumable: kind === RouteKind.Stream, isAnonymous: false,
 });
 
 const stated: StatedConfiguration = {
@@ -120,6 +120,7 @@
 			},
 			listSources: () => [this.controlAddress],
 			distanceTo: () => 0,
+			keyRevocationMs: undefined,
 			retries: {ratio: 1, slack: 50, windowMs: 10_000},
 		});
 		const address = this.addresses[index]!;
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -5,14 +5,17 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request} from 'node:http';
 import {connect} from 'node:net';
+import {readPresentedKey, type LimitClaim, type Workspace} from 'mastvalve-access';
+import {PeerError} from 'mastvalve-cluster';
 import {
 	ConfigurationChangeKind, EndpointPhase, RouteKind,
 	type ConfigurationChange, type ConfigurationFrame, type ExpectedLoad, type FleetEndpoint, type Route,
 } from 'mastvalve-fleet';
-import {createRandom, systemClock} from 'mastvalve-utils';
+import {assumeType, createRandom, systemClock} from 'mastvalve-utils';
+import {err, ok, type Result} from 'neverthrow';
 import {findFreePorts} from '../../../../features/support/free-ports.js';
 import {
-	CrashWatch, EndpointBoard, FieldOwner, FleetView, Gateway, HeadTimes, ModelDemand, probeListener, RequestQuarantine, RetryAllowance, UpstreamAgent, type Dialect,
+	AccessDesk, CrashWatch, EndpointBoard, FieldOwner, FleetView, Gateway, HeadTimes, LimitClient, ModelDemand, probeListener, RequestQuarantine, RetryAllowance, UpstreamAgent, type Dialect,
 } from '../../src/index.js';
 
 const textOf = (value: string | string[] | undefined): string | undefined => (Array.isArray(value) ? value[0] : value);
@@ -27,10 +30,13 @@
 		promptTokens: 0,
 		maxOutputTokens: 0,
 		promptParts: [],
+		declaredTokens: undefined,
 		resumeAfter: undefined,
 	}),
-	fieldOwners: new Map([['x-resume', FieldOwner.Entry], ['content-length', FieldOwner.Entry]]),
-	writeEndpoint: ({resumeAfter, bodyLength}) => [
+	fieldOwners: new Map([['x-resume', FieldOwner.Entry], ['x-workspace', FieldOwner.Entry], ['content-length', FieldOwner.Entry], ['authorization', FieldOwner.Credentials]]),
+	readKey: rawHeaders => readPresentedKey(rawHeaders.filter((_, index) => index % 2 === 1 && rawHeaders[index - 1]?.toLowerCase() === 'authorization')),
+	writeEndpoint: ({resumeAfter, workspace, bodyLength}) => [
+		...(workspace === undefined ? [] : ['x-workspace', workspace]),
 		...(resumeAfter === undefined ? [] : ['x-resume', resumeAfter]),
 		...(bodyLength === undefined ? [] : ['content-length', String(bodyLength)]),
 	],
@@ -41,12 +47,13 @@
 
 /** Routes of the tests: one of each kind, named by their paths. */
 const createRoute = (name: string, kind: RouteKind, timeoutMs: number): Route => ({
-	name, host: 'h', pathPrefix: `/${name}/`, kind, timeoutMs, objectiveMs: 100, patienceMs: undefined, priority: 1, targets: [{service: 's', weight: 1}], maxAttempts: 2, isResumable: kind === RouteKind.Stream,
+	name, host: 'h', pathPrefix: `/${name}/`, kind, timeoutMs, objectiveMs: 100, patienceMs: undefined, priority: 1, targets: [{service: 's', weight: 1}], maxAttempts: 2, isResumable: kind === RouteKind.Stream, isAnonymous: name === 'open',
 });
 
 const routes: Route[] = [
 	...[RouteKind.Safe, RouteKind.Unsafe, RouteKind.Stream].map(kind => createRoute(kind, kind, 2000)),
 	createRoute('patient', RouteKind.Safe, 60_000),
+	createRoute('open', RouteKind.Safe, 2000),
 ];
 
 /** An endpoint that is ready. */
@@ -61,6 +68,20 @@
 export class RunningGateway {
 	readonly view = new FleetView(() => systemClock.now());
 	readonly logged: string[] = [];
+	/** Whole log lines. */
+	readonly lines: string[] = [];
+	/** Clock of the entry; tests move it. */
+	readonly clock = {now: () => systemClock.now(), wall: () => systemClock.wall() + this.suspendedMs};
+	/** Time that the steady clock has not counted, ms. */
+	suspendedMs = 0;
+	/** What the leader answers to claims, ms each; undefined while none answers. */
+	limitWaitMs: number | undefined = 0;
+	/** Costs that were claimed, and given back. */
+	readonly claimed: number[] = [];
+	readonly access = new AccessDesk({
+		view: this.view, clock: this.clock, keyRevocationMs: 5000, onSuspended: () => undefined,
+	});
+
 	/** The longest time that a call took, ms. */
 	longestMs = 0;
 	readonly gateway: Gateway;
@@ -68,6 +89,7 @@
 	readonly demand = new ModelDemand('entry', () => systemClock.now(), () => undefined, this.headTimes);
 	private readonly agent = new Agent({keepAlive: true});
 	private readonly upstream = new UpstreamAgent();
+	private workspaces: Workspace[] | undefined;
 	private address = '';
 	private requests = 0;
 
@@ -82,6 +104,10 @@
 			view: this.view,
 			board: new EndpointBoard(now),
 			agent: this.upstream,
+			access: this.access,
+			limits: new LimitClient({
+				client: {call: async ({body}) => this.answerClaims(body)}, readLeader: () => 'leader', now, random: createRandom(2), onEvent: () => undefined,
+			}),
 			allowance: new RetryAllowance({ratio: 1, slack: 5, windowMs: 10_000}, now),
 			headTimes: this.headTimes,
 			demand: this.demand,
@@ -95,12 +121,19 @@
 					quarantine.recordCrash(report);
 				},
 			}),
-			log: kind => {
+			log: (kind, fields) => {
 				this.logged.push(kind);
+				this.lines.push(JSON.stringify({kind, ...fields}));
 			},
 		});
 	}
 
+	/** Puts workspaces in force, and lets control be sure of them now. */
+	setWorkspaces(workspaces: Workspace[] | undefined, ageMs = 0): void {
+		this.workspaces = workspaces;
+		this.access.recordAnswer(systemClock.now(), -ageMs);
+	}
+
 	async start(addresses: readonly string[]): Promise<void> {
 		await this.listen();
 		this.setEndpoints(addresses);
@@ -124,6 +157,7 @@
 		const revision = this.view.revision + 1;
 		const cursor = {revision, key: '', begunAt: revision};
 		const frame: ConfigurationFrame = {
+			needsKeys: this.workspaces !== undefined,
 			services: [{
 				name: 's', healthPath: '/', maxConnections: 10, engine: {
 					slots: 4, tokenCapacity: 1000, weightCapacity: 100, adapterSlots: 1, storeLoadsPerSecond: 1, models: [{
@@ -137,6 +171,7 @@
 		const changes: ConfigurationChange[] = [
 			{kind: ConfigurationChangeKind.Frame, frame},
 			...routes.map((route): ConfigurationChange => ({kind: ConfigurationChangeKind.Route, route})),
+			...(this.workspaces ?? []).map((workspace): ConfigurationChange => ({kind: ConfigurationChangeKind.Workspace, workspace})),
 			{kind: ConfigurationChangeKind.Version, version: revision + 1},
 		];
 		const endpoints = addresses.map((address, index): FleetEndpoint => createEndpoint(`e${index}`, {
@@ -225,4 +260,12 @@
 		await this.gateway.drain(0);
 		this.upstream.destroy();
 	}
+
+	private async answerClaims(body: unknown): Promise<Result<never, PeerError>> {
+		const claims = assumeType<LimitClaim[]>(body);
+		this.claimed.push(...claims.map(({cost}) => cost));
+		return this.limitWaitMs === undefined
+			? err(new PeerError('leader', '/limits', 'no answer'))
+			: ok(assumeType<never>({waitMs: claims.map(({cost}) => (cost < 0 ? 0 : this.limitWaitMs))}));
+	}
 }
--- a/packages/mastvalve-gateway/__tests__/following.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/following.steps.ts
@@ -72,7 +72,7 @@
 	world.slowLink = await SlowLink.open(world.address, world.listen, kilobytesPerSecond * kilobyte);
 	world.view = new FleetView(() => systemClock.now());
 	const follower = new FleetFollower({
-		client, view: world.view, listSources: () => [world.address], distanceTo: () => 0, now: () => systemClock.now(), onEvent: () => undefined,
+		client, view: world.view, listSources: () => [world.address], distanceTo: () => 0, access: {canJudge: true, recordAnswer: () => undefined}, now: () => systemClock.now(), onEvent: () => undefined,
 	});
 	void follower.run(world.ending.signal);
 };
--- /dev/null
+++ b/packages/mastvalve-gateway/src/access/access-desk.ts
@@ -0,0 +1,78 @@
+/**
+ * What an entry knows of who may ask: the keys in force, and for how long it may still believe them.
+ */
+
+import {
+	AccessKind, Evidence, judgeAccess, type Access, type PresentedKey,
+} from 'mastvalve-access';
+import type {Route} from 'mastvalve-fleet';
+import {SuspensionWatch, type Clock} from 'mastvalve-utils';
+import type {FleetView} from '../fleet/fleet-view.js';
+
+/** What it is made from. */
+export type AccessDeskOptions = {
+	view: FleetView;
+	clock: Clock;
+	/** Longest time for which a key may be served after it was taken away, ms; undefined when there is no such bound. */
+	keyRevocationMs: number | undefined;
+	/** Called when the evidence has ended because time went by that nobody counted. */
+	onSuspended: () => void;
+};
+
+/** How long requests wait for new evidence after a suspension, ms: a question to control takes 10 to 100 ms. */
+export const evidenceWaitMs = 600;
+
+/** The desk. */
+export class AccessDesk {
+	private readonly evidence: Evidence;
+	private readonly suspension: SuspensionWatch;
+
+	constructor(private readonly options: AccessDeskOptions) {
+		this.evidence = new Evidence(options.keyRevocationMs);
+		this.suspension = new SuspensionWatch(options.clock);
+	}
+
+	/** Judges a request at this moment. */
+	judge(key: PresentedKey, route: Pick<Route, 'isAnonymous'>): Access {
+		const workspaces = this.options.view.configuration?.workspaces;
+		return judgeAccess({
+			key, workspaces, isAnonymous: route.isAnonymous, isSure: this.isSure,
+		});
+	}
+
+	/** Whether requests that need a key can be served; true where none is asked for. */
+	get canJudge(): boolean {
+		return this.options.view.configuration?.workspaces === undefined || this.isSure;
+	}
+
+	/** Whether the evidence was ended by a suspension and is expected back. */
+	get isAwaiting(): boolean {
+		return !this.canJudge && this.evidence.isAwaited(this.options.clock.now(), evidenceWaitMs);
+	}
+
+	/** Age of the evidence, ms. */
+	get evidenceAgeMs(): number {
+		return this.evidence.ageAt(this.options.clock.now());
+	}
+
+	/** Control answered a question that was asked at `askedAt`. */
+	recordAnswer(askedAt: number, sureAfterMs: number): void {
+		this.endIfSuspended();
+		this.evidence.record(askedAt, sureAfterMs);
+	}
+
+	private get isSure(): boolean {
+		this.endIfSuspended();
+		return this.evidence.isSure(this.options.clock.now());
+	}
+
+	private endIfSuspended(): void {
+		if (this.suspension.hasJumped()) {
+			this.evidence.distrust(this.options.clock.now());
+			this.options.onSuspended();
+		}
+	}
+}
+
+/** Whether a request may go on. */
+export const isGranted = (access: Access): access is Extract<Access, {kind: AccessKind.Granted}> => access.kind === AccessKind.Granted;
--- /dev/null
+++ b/packages/mastvalve-gateway/src/access/limit-client.ts
@@ -0,0 +1,143 @@
+/**
+ * Claims what requests cost from the leader, which counts for all entries. Claims that come while a call is on its way go
+ * together with the next one. While no leader answers, each workspace goes on at the pace that it had here.
+ */
+
+import {UsagePace, type LimitClaim} from 'mastvalve-access';
+import type {PeerClient} from 'mastvalve-cluster';
+import type {LimitAnswers} from 'mastvalve-fleet-control';
+import {waitFor} from 'mastvalve-utils';
+
+/** What it is made from. */
+export type LimitClientOptions = {
+	client: Pick<PeerClient, 'call'>;
+	readLeader: () => string | undefined;
+	/** Monotonic, ms. */
+	now: () => number;
+	random: () => number;
+	onEvent: (kind: string, detail: string) => void;
+};
+
+/** Whether a claim was taken, and if not, when there is room, ms. */
+export type ClaimOutcome = {isTaken: boolean; waitMs: number};
+
+/** A leader with which no byte moves for this long is out of reach, ms: a call takes 3 to 10 ms, and callers wait for it. */
+const silenceMs = 150;
+/** How often a leader is looked for while none answers, ms. */
+const probePauseMs = 100;
+/** When to come again after a refusal that nobody counted, ms: leaders are elected within 1.5 s. */
+const aloneRetryMs = 1000;
+
+type Waiting = {claim: LimitClaim; resolve: (outcome: ClaimOutcome) => void};
+
+/** The client. */
+export class LimitClient {
+	private waiting: Waiting[] = [];
+	private returned: LimitClaim[] = [];
+	private isCalling = false;
+	private isAlone = false;
+	private readonly pace: UsagePace;
+
+	constructor(private readonly options: LimitClientOptions) {
+		this.pace = new UsagePace(options.random);
+	}
+
+	/** Claims a cost. */
+	async claim(workspace: string, cost: number): Promise<ClaimOutcome> {
+		if (this.isAlone) {
+			return this.decideAlone({workspace, cost});
+		}
+
+		return new Promise(resolve => {
+			this.waiting.push({claim: {workspace, cost}, resolve});
+			void this.callWhileWaiting();
+		});
+	}
+
+	/** A claim was taken for a request that has not run; the leader hears of it with the next call. */
+	giveBack(workspace: string, cost: number): void {
+		if (!this.isAlone) {
+			this.returned.push({workspace, cost: -cost});
+		}
+	}
+
+	private async callWhileWaiting(): Promise<void> {
+		if (this.isCalling) {
+			return;
+		}
+
+		this.isCalling = true;
+		while (this.waiting.length > 0) {
+			const batch = this.waiting;
+			const {returned} = this;
+			this.waiting = [];
+			this.returned = [];
+			// One call after the other.
+			// eslint-disable-next-line no-await-in-loop
+			const waitMs = await this.call([...returned, ...batch.map(({claim}) => claim)]);
+			this.settle(batch, waitMs?.slice(returned.length));
+		}
+
+		this.isCalling = false;
+	}
+
+	private settle(batch: readonly Waiting[], waitMs: readonly number[] | undefined): void {
+		if (!waitMs) {
+			this.goAlone();
+		}
+
+		batch.forEach(({claim, resolve}, index) => {
+			resolve(waitMs ? this.takeAnswer(claim, waitMs[index] ?? 0) : this.decideAlone(claim));
+		});
+	}
+
+	private takeAnswer({workspace, cost}: LimitClaim, waitMs: number): ClaimOutcome {
+		const now = this.options.now();
+		if (waitMs > 0) {
+			this.pace.recordRefusal(workspace, now);
+			return {isTaken: false, waitMs};
+		}
+
+		this.pace.recordGrant(workspace, cost, now);
+		return {isTaken: true, waitMs: 0};
+	}
+
+	private decideAlone({workspace, cost}: LimitClaim): ClaimOutcome {
+		return {isTaken: this.pace.takeAlone(workspace, cost, this.options.now()), waitMs: aloneRetryMs};
+	}
+
+	/** Goes on alone, and looks for a leader meanwhile. */
+	private goAlone(): void {
+		if (this.isAlone) {
+			return;
+		}
+
+		this.isAlone = true;
+		this.options.onEvent('limits.alone', 'no leader answers for the limits of workspaces; each goes on at its pace here');
+		void this.findLeader();
+	}
+
+	private async findLeader(): Promise<void> {
+		const answers = await this.call([]);
+		if (answers) {
+			this.isAlone = false;
+			this.options.onEvent('limits.regained', 'a leader answers for the limits of workspaces');
+			return;
+		}
+
+		await waitFor(probePauseMs);
+		await this.findLeader();
+	}
+
+	private async call(claims: readonly LimitClaim[]): Promise<number[] | undefined> {
+		const address = this.options.readLeader();
+		if (address === undefined) {
+			return undefined;
+		}
+
+		const answer = await this.options.client.call<LimitAnswers>({
+			address, path: '/limits', body: claims, silenceMs,
+		});
+		return answer.isOk() ? answer.value.waitMs : undefined;
+	}
+}
--- a/packages/mastvalve-gateway/src/dialect.ts
+++ b/packages/mastvalve-gateway/src/dialect.ts
@@ -3,6 +3,7 @@
  */
 
 import type {IncomingHttpHeaders} from 'node:http';
+import type {PresentedKey} from 'mastvalve-access';
 
 /** What a caller's headers say. */
 export type CallerHeaders = {
@@ -15,6 +16,8 @@
 	promptTokens: number;
 	/** Tokens that the answer may have at the most. */
 	maxOutputTokens: number;
+	/** Both of these, if the caller told them. */
+	declaredTokens: {prompt: number; output: number} | undefined;
 	/** Parts of the prompt in order; equal parts of different requests have equal ids. */
 	promptParts: PromptPart[];
 	/** Position in a stream after which the caller goes on. */
@@ -32,6 +35,8 @@
 	/** 0 is the most urgent. */
 	priority: number;
 	resumeAfter: string | undefined;
+	/** Name of the workspace that asks; undefined for nobody in particular. */
+	workspace: string | undefined;
 	/** Set when the request has a body; it was read whole. */
 	bodyLength: number | undefined;
 };
@@ -57,6 +62,8 @@
 	Caller = 'caller',
 	/** Set by the entry or nobody; what a caller sends of it is dropped, or an endpoint would act on it. */
 	Entry = 'entry',
+	/** A caller's credentials: passed on only where the configuration asks for no keys, so that they are none of ours. */
+	Credentials = 'credentials',
 }
 
 /** The dialect. */
@@ -64,6 +71,8 @@
 	/** All fields with a meaning, by their names in lower case. */
 	fieldOwners: ReadonlyMap<string, FieldOwner>;
 	readCaller: (headers: IncomingHttpHeaders) => CallerHeaders;
+	/** The key among a flat list of names and values, in which fields that stand twice are seen. */
+	readKey: (rawHeaders: readonly string[]) => PresentedKey;
 	/** What the entry adds, as a flat list of names and values. */
 	writeEndpoint: (added: EndpointHeaders) => string[];
 	readAnswer: (statusCode: number, headers: IncomingHttpHeaders) => AnswerHeaders;
--- a/packages/mastvalve-gateway/src/fleet/active-configuration.ts
+++ b/packages/mastvalve-gateway/src/fleet/active-configuration.ts
@@ -6,15 +6,25 @@
  */
 
 import {
-	ConfigurationChangeKind, keyOfRoute, RouteTable, type ConfigurationChange, type ConfigurationFrame, type FeedPart, type Route,
+	rankPriorities, WorkspaceTable, type PriorityRank, type Workspace,
+} from 'mastvalve-access';
+import {
+	ConfigurationChangeKind, keyOfRoute, keyOfWorkspace, RouteTable, type ConfigurationChange, type ConfigurationFrame, type FeedPart, type Route,
 } from 'mastvalve-fleet';
 
 /** A configuration in force; never changes. */
-export type ActiveConfiguration = ConfigurationFrame & {version: number; routes: RouteTable};
+export type ActiveConfiguration = ConfigurationFrame & {
+	version: number;
+	routes: RouteTable;
+	/** Undefined where no keys are asked for. */
+	workspaces: WorkspaceTable | undefined;
+	/** Urgency of a request by those of its workspace and its route. */
+	rankPriority: PriorityRank;
+};
 
 /** Bounds and services before the first frame has come. */
 const emptyFrame: ConfigurationFrame = {
-	services: [], limits: {
+	needsKeys: false, services: [], limits: {
 		maxHeaderBytes: 0, maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0,
 	},
 };
@@ -22,12 +32,14 @@
 /** What was gathered so far. */
 export class ConfigurationDraft {
 	private readonly routes = new Map<string, Route>();
+	private readonly workspaces = new Map<string, Workspace>();
 	private frame = emptyFrame;
 
 	/** Takes changes in; the result is the newest version that they complete, if any. */
 	take({isWhole, changes}: FeedPart<ConfigurationChange>): ActiveConfiguration | undefined {
 		if (isWhole) {
 			this.routes.clear();
+			this.workspaces.clear();
 		}
 
 		return changes.reduce<ActiveConfiguration | undefined>((completed, change) => this.takeOne(change) ?? completed, undefined);
@@ -40,8 +52,14 @@
 				return undefined;
 			}
 
+			case ConfigurationChangeKind.Workspace: {
+				this.workspaces.set(keyOfWorkspace(change.workspace.name), change.workspace);
+				return undefined;
+			}
+
 			case ConfigurationChangeKind.Removal: {
 				this.routes.delete(change.key);
+				this.workspaces.delete(change.key);
 				return undefined;
 			}
 
@@ -51,8 +69,19 @@
 			}
 
 			case ConfigurationChangeKind.Version: {
-				return {...this.frame, version: change.version, routes: new RouteTable(this.routes.values())};
+				return this.complete(change.version);
 			}
 		}
 	}
+
+	private complete(version: number): ActiveConfiguration {
+		const workspaces = this.frame.needsKeys ? [...this.workspaces.values()] : [];
+		return {
+			...this.frame,
+			version,
+			routes: new RouteTable(this.routes.values()),
+			workspaces: this.frame.needsKeys ? new WorkspaceTable(workspaces) : undefined,
+			rankPriority: rankPriorities({workspaces: workspaces.map(({priority}) => priority), routes: Array.from(this.routes.values(), ({priority}) => priority)}),
+		};
+	}
 }
--- a/packages/mastvalve-gateway/src/fleet/fleet-follower.ts
+++ b/packages/mastvalve-gateway/src/fleet/fleet-follower.ts
@@ -8,6 +8,7 @@
 import type {PeerClient} from 'mastvalve-cluster';
 import type {FollowAnswer} from 'mastvalve-fleet-control';
 import {waitFor} from 'mastvalve-utils';
+import type {AccessDesk} from '../access/access-desk.js';
 import type {FleetView} from './fleet-view.js';
 import {SourceChoice} from './source-choice.js';
 
@@ -15,6 +16,8 @@
 export type FleetFollowerOptions = {
 	client: PeerClient;
 	view: FleetView;
+	/** Hears up to which moment control was sure of what it answered. */
+	access: Pick<AccessDesk, 'recordAnswer' | 'canJudge'>;
 	/** Control instances to ask besides those that an answer has named. */
 	listSources: () => string[];
 	/** Lower is nearer. */
@@ -38,6 +41,8 @@
 	private members: string[] = [];
 	private readonly sources: SourceChoice;
 	private isConnected = false;
+	/** Aborts the question that is on its way. */
+	private asking = new AbortController();
 
 	constructor(private readonly options: FleetFollowerOptions) {
 		this.sources = new SourceChoice(options);
@@ -48,6 +53,11 @@
 		return this.members.toSorted((a, b) => this.options.distanceTo(a) - this.options.distanceTo(b));
 	}
 
+	/** Asks anew at once: what the question on its way brings may be older than it seems. */
+	hurry(): void {
+		this.asking.abort();
+	}
+
 	/** Follows until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		let candidates = this.listCandidates();
@@ -71,11 +81,18 @@
 	}
 
 	private async ask(address: string, signal: AbortSignal): Promise<void> {
-		const {client, view, onEvent} = this.options;
-		const mustBeNewest = !view.isSynced;
+		const {client, view, access, now, onEvent} = this.options;
+		const mustBeNewest = !view.isSynced || !access.canJudge;
+		const asking = new AbortController();
+		this.asking = asking;
+		const askedAt = now();
 		const answer = await client.call<FollowAnswer>({
-			address, path: '/follow', silenceMs, signal, body: {place: view.place, waitMs, mustBeNewest},
+			address, path: '/follow', silenceMs, signal: AbortSignal.any([signal, asking.signal]), body: {place: view.place, waitMs, mustBeNewest},
 		});
+		if (answer.isErr() && asking.signal.aborted) {
+			return;
+		}
+
 		if (answer.isErr()) {
 			const isLost = this.sources.recordFailure(address);
 			if (isLost && this.isConnected && !signal.aborted) {
@@ -86,12 +103,16 @@
 			return;
 		}
 
-		const {update, members, leader} = answer.value;
+		const {update, members, leader, sureAfterMs} = answer.value;
 		this.members = members;
 		this.leader = leader;
 		const isOther = this.sources.recordAnswer(address);
 		const before = view.configuration?.version;
 		view.apply(update, mustBeNewest);
+		if (sureAfterMs !== undefined && update.configuration.isLast) {
+			access.recordAnswer(askedAt, sureAfterMs);
+		}
+
 		if (view.configuration && view.configuration.version !== before) {
 			onEvent('configuration.in-force', `version ${view.configuration.version}, ${view.configuration.routes.size} routes, from ${address} at revision ${view.revision}`);
 		}
--- a/packages/mastvalve-gateway/src/index.ts
+++ b/packages/mastvalve-gateway/src/index.ts
@@ -2,6 +2,8 @@
  * The data path by routes.
  */
 
+export * from './access/access-desk.js';
+export * from './access/limit-client.js';
 export * from './dialect.js';
 export * from './endpoint-headers.js';
 export * from './fleet/active-configuration.js';
--- a/packages/mastvalve-gateway/src/requests/caller-request.ts
+++ b/packages/mastvalve-gateway/src/requests/caller-request.ts
@@ -4,6 +4,7 @@
 
 import type {IncomingHttpHeaders} from 'node:http';
 import {RouteKind, type Route} from 'mastvalve-fleet';
+import type {Admission} from '../access/admit-caller.js';
 import type {CallerHeaders} from '../dialect.js';
 
 /** Everything that serving needs. */
@@ -14,6 +15,7 @@
 	route: Route;
 	service: string;
 	caller: CallerHeaders;
+	admission: Admission;
 	method: string;
 	/** Path and query. */
 	path: string;
--- a/packages/mastvalve-gateway/src/requests/give-up.ts
+++ b/packages/mastvalve-gateway/src/requests/give-up.ts
@@ -3,6 +3,7 @@
  * handed to nobody, or what its endpoint says it did not run.
  */
 
+import {keyRefusals} from '../access/admit-caller.js';
 import type {GatewayCore} from '../server/gateway-core.js';
 import {isRepeatable, type CallerRequest} from './caller-request.js';
 import type {Progress} from './progress.js';
@@ -21,6 +22,8 @@
 	/** When it may come again, ms. */
 	retryAfterMs?: number;
 	code?: string;
+	/** 503 when nothing else is told. */
+	status?: number;
 };
 
 /** Whether there is time for another attempt. */
@@ -54,8 +57,16 @@
 	return true;
 };
 
+/** The key of a request was taken away while it waited, or this entry can't tell any more: it is handed to nobody. */
+export const giveUpKey = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, kind: keyof typeof keyRefusals): void => {
+	const {status, code, retryAfterSeconds} = keyRefusals[kind];
+	giveUp(core, request, reply, progress, {
+		reason: `its key is ${kind} by now`, code, status, retryAfterMs: (retryAfterSeconds ?? 0) * 1000,
+	});
+};
+
 /** Gives a request up, unless its caller has left. */
-export const giveUp = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, {reason, retryAfterMs = defaultRetryAfterMs, code = 'overloaded'}: GivenUp): void => {
+export const giveUp = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, {reason, retryAfterMs = defaultRetryAfterMs, code = 'overloaded', status = 503}: GivenUp): void => {
 	if (request.signal.aborted) {
 		return;
 	}
@@ -69,7 +80,7 @@
 		reply.send({status: 502, code: 'outcome-unknown', message: `The endpoint gave no whole answer: ${reason}. The request may have run.`});
 	} else {
 		reply.send({
-			status: 503, code, message: `Not run: ${reason}.`, retryAfterSeconds: Math.ceil(retryAfterMs) / 1000,
+			status, code, message: `Not run: ${reason}.`, ...(status === 401 ? {} : {retryAfterSeconds: Math.ceil(retryAfterMs) / 1000}),
 		});
 	}
 };
--- a/packages/mastvalve-gateway/src/requests/send-attempt.ts
+++ b/packages/mastvalve-gateway/src/requests/send-attempt.ts
@@ -2,6 +2,7 @@
  * Hands a request to an endpoint, unaltered but for what is the entry's to set.
  */
 
+import type {Workspace} from 'mastvalve-access';
 import type {FleetEndpoint} from 'mastvalve-fleet';
 import {createEndpointHeaders} from '../endpoint-headers.js';
 import type {GatewayCore} from '../server/gateway-core.js';
@@ -15,19 +16,23 @@
 /** Whether the caller announced a body, even an empty one. */
 const hasBody = ({headers}: CallerRequest): boolean => headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 
+/** Where a request goes, and in whose name. */
+export type Handover = {endpoint: FleetEndpoint; workspace: Workspace | undefined};
+
 /** One attempt, up to the head of an answer. */
-export const sendAttempt = async (core: GatewayCore, request: CallerRequest, endpoint: FleetEndpoint, progress: Progress): Promise<ExchangeOutcome> => {
+export const sendAttempt = async (core: GatewayCore, request: CallerRequest, {endpoint, workspace}: Handover, progress: Progress): Promise<ExchangeOutcome> => {
 	const {caller, route, callerDeadlineAt, deadlineAt} = request;
 	const remainingMs = Math.max(1, Math.floor(Math.min(callerDeadlineAt, deadlineAt) - core.clock.now()));
+	const {configuration} = core.view;
 	return exchange({
 		agent: core.agent,
 		address: endpoint.address,
 		method: request.method,
 		path: request.path,
 		headers: createEndpointHeaders(core.dialect, request.rawHeaders, {
-			remainingMs, endpointId: endpoint.id, priority: route.priority, resumeAfter: progress.position?.lastEventId ?? caller.resumeAfter,
-			bodyLength: hasBody(request) ? request.body.length : undefined,
-		}),
+			remainingMs, endpointId: endpoint.id, priority: configuration?.rankPriority(workspace?.priority, route.priority) ?? route.priority, resumeAfter: progress.position?.lastEventId ?? caller.resumeAfter,
+			bodyLength: hasBody(request) ? request.body.length : undefined, workspace: workspace?.name,
+		}, {needsKeys: configuration?.needsKeys ?? false}),
 		body: request.body,
 		connectMs,
 		signal: request.signal,
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -5,9 +5,12 @@
 
 import type {FleetEndpoint} from 'mastvalve-fleet';
 import type {GatewayCore} from '../server/gateway-core.js';
+import {isGranted} from '../access/access-desk.js';
 import {ExchangeKind} from '../upstream/exchange.js';
 import type {CallerRequest} from './caller-request.js';
-import {endOrRetry, giveUp, refuseQuarantined} from './give-up.js';
+import {
+	endOrRetry, giveUp, giveUpKey, refuseQuarantined,
+} from './give-up.js';
 import {createProgress, type Progress} from './progress.js';
 import type {Reply} from './reply.js';
 import {sendAttempt} from './send-attempt.js';
@@ -16,12 +19,12 @@
 
 const okStatus = 200;
 
-/** Serves a request; the reply is over when this resolves. */
-export const serveRequest = async (core: GatewayCore, request: CallerRequest, reply: Reply): Promise<void> => {
+/** Serves a request; the reply is over when this resolves. The result says whether the request may have run. */
+export const serveRequest = async (core: GatewayCore, request: CallerRequest, reply: Reply): Promise<boolean> => {
 	const {caller} = request;
 	const progress = createProgress(request);
 	if (refuseQuarantined(core, request, reply, progress)) {
-		return;
+		return false;
 	}
 
 	core.allowance.recordRequest(request.service);
@@ -35,6 +38,8 @@
 		// eslint-disable-next-line no-await-in-loop
 		isOver = await tryOnce(core, request, reply, progress);
 	}
+
+	return progress.mayHaveRun;
 };
 
 /** One attempt; true when the request is over. */
@@ -59,10 +64,17 @@
 		return true;
 	}
 
+	// Seconds may have gone by since it arrived. A new connection takes up to 0.4 s from here, which the reserve of the evidence covers.
+	const access = core.access.judge(request.admission.key, request.route);
+	if (!isGranted(access)) {
+		giveUpKey(core, request, reply, progress, access.kind);
+		return true;
+	}
+
 	progress.tried.add(endpoint.id);
 	const use = core.board.begin(endpoint.id, request.caller.promptTokens);
 	const sentAt = core.clock.now();
-	const outcome = await sendAttempt(core, request, endpoint, progress);
+	const outcome = await sendAttempt(core, request, {endpoint, workspace: access.workspace}, progress);
 	core.observer.recordAttempt(outcome.kind);
 	if (outcome.kind === ExchangeKind.Answered) {
 		recordHead(core, request, endpoint, outcome.res.statusCode ?? 0, core.clock.now() - sentAt);
--- a/packages/mastvalve-gateway/src/server/gateway-core.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-core.ts
@@ -3,6 +3,8 @@
  */
 
 import type {Clock} from 'mastvalve-utils';
+import type {AccessDesk} from '../access/access-desk.js';
+import type {LimitClient} from '../access/limit-client.js';
 import type {Dialect} from '../dialect.js';
 import type {FleetView} from '../fleet/fleet-view.js';
 import type {CrashWatch} from '../quarantine/crash-watch.js';
@@ -26,6 +28,8 @@
 	view: FleetView;
 	board: EndpointBoard;
 	agent: UpstreamAgent;
+	access: AccessDesk;
+	limits: LimitClient;
 	allowance: RetryAllowance;
 	headTimes: HeadTimes;
 	demand: ModelDemand;
--- a/packages/mastvalve-gateway/src/server/gateway-metrics.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-metrics.ts
@@ -19,6 +19,9 @@
 	const attempts = new Counter({
 		name: 'mastvalve_attempts_total', help: 'Attempts at endpoints by outcome', labelNames: ['outcome'], registers: [registry],
 	});
+	const refusals = new Counter({
+		name: 'mastvalve_refusals_total', help: 'Callers that were not let in, by reason', labelNames: ['reason'], registers: [registry],
+	});
 	const waits = new Histogram({
 		name: 'mastvalve_model_wait_seconds', help: 'Time that requests waited for a model or adapter', labelNames: ['outcome'], buckets, registers: [registry],
 	});
@@ -34,6 +37,9 @@
 		recordRequest(kind, status, durationMs) {
 			requests.observe({kind, status: String(status)}, durationMs / msPerSecond);
 		},
+		recordRefusal(reason) {
+			refusals.inc({reason});
+		},
 		recordAttempt(outcome) {
 			attempts.inc({outcome});
 		},
--- a/packages/mastvalve-gateway/src/server/gateway-node.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-node.ts
@@ -6,6 +6,8 @@
 import type {MastvalveError} from 'mastvalve-types';
 import type {Clock} from 'mastvalve-utils';
 import type {Result} from 'neverthrow';
+import {AccessDesk} from '../access/access-desk.js';
+import {LimitClient} from '../access/limit-client.js';
 import type {Dialect} from '../dialect.js';
 import {DemandReporter} from '../fleet/demand-reporter.js';
 import {FleetFollower} from '../fleet/fleet-follower.js';
@@ -38,12 +40,15 @@
 	/** Lower is nearer. */
 	distanceTo: (address: string) => number;
 	retries: RetryBounds;
+	/** Longest time for which a key may be served after it was taken away, ms; undefined when there is no such bound. */
+	keyRevocationMs: number | undefined;
 };
 
 /** The entry. */
 export class GatewayNode {
 	readonly view: FleetView;
 	readonly follower: FleetFollower;
+	private readonly access: AccessDesk;
 	private readonly gateway: Gateway;
 	private readonly reporter: DemandReporter;
 	private readonly demand: ModelDemand;
@@ -53,19 +58,31 @@
 
 	constructor(options: GatewayNodeOptions) {
 		const {
-			instance, failureDomain, client, dialect, clock, random, log, listSources, distanceTo, retries,
+			instance, failureDomain, client, dialect, clock, random, log, listSources, distanceTo, retries, keyRevocationMs,
 		} = options;
 		const now = (): number => clock.now();
+		const onEvent = (kind: string, detail: string): void => {
+			log(kind, {detail});
+		};
+
 		this.view = new FleetView(now);
+		this.access = new AccessDesk({
+			view: this.view,
+			clock,
+			keyRevocationMs,
+			onSuspended: () => {
+				onEvent('keys.doubted', 'time has gone by that the steady clock did not count, or the time of day was set: control is asked anew');
+				this.follower.hurry();
+			},
+		});
 		this.follower = new FleetFollower({
 			client,
 			view: this.view,
+			access: this.access,
 			listSources,
 			distanceTo,
 			now,
-			onEvent(kind, detail) {
-				log(kind, {detail});
-			},
+			onEvent,
 		});
 		this.reporter = new DemandReporter(client, () => this.follower.leader);
 		const headTimes = new HeadTimes();
@@ -83,6 +100,10 @@
 			view: this.view,
 			board,
 			agent: this.upstream,
+			access: this.access,
+			limits: new LimitClient({
+				client, readLeader: () => this.follower.leader, now, random, onEvent,
+			}),
 			allowance: new RetryAllowance(retries, now),
 			headTimes,
 			demand: this.demand,
@@ -94,7 +115,7 @@
 
 	/** Whether the balancer may send callers here. */
 	get isReady(): boolean {
-		return this.view.isSynced && this.view.configuration !== undefined && !this.gateway.isDraining;
+		return this.view.isSynced && this.access.canJudge && this.view.configuration !== undefined && !this.gateway.isDraining;
 	}
 
 	/** Requests of callers in progress. */
--- a/packages/mastvalve-gateway/src/server/gateway-observer.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-observer.ts
@@ -6,6 +6,8 @@
 export type GatewayObserver = {
 	/** A request is over; status 0 when its answer was broken off or its caller left first. */
 	recordRequest: (kind: string, status: number, durationMs: number) => void;
+	/** A caller was not let in, for this reason. */
+	recordRefusal: (reason: string) => void;
 	/** An attempt at an endpoint is over. */
 	recordAttempt: (outcome: string) => void;
 	/** A request has stopped waiting for a model or adapter. */
@@ -15,6 +17,7 @@
 /** Takes note of nothing. */
 export const silentObserver: GatewayObserver = {
 	recordRequest: () => undefined,
+	recordRefusal: () => undefined,
 	recordAttempt: () => undefined,
 	recordWait: () => undefined,
 };
--- a/packages/mastvalve-gateway/src/server/gateway.ts
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -9,6 +9,8 @@
 import {describeError, toMastvalveError, waitFor} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 import type {MastvalveError} from 'mastvalve-types';
+import {admitCaller} from '../access/admit-caller.js';
+import {evidenceWaitMs} from '../access/access-desk.js';
 import type {ActiveConfiguration} from '../fleet/active-configuration.js';
 import type {CallerRequest} from '../requests/caller-request.js';
 import {fingerprintRequest} from '../requests/request-fingerprint.js';
@@ -34,6 +36,7 @@
 /** Part of a caller's time that may go by in waiting, so that the rest suffices for the request. */
 const syncWaitShare = 0.5;
 const drainPollMs = 50;
+const evidencePollMs = 10;
 
 /** What a gateway is made from. */
 export type GatewayParts = Omit<GatewayCore, 'isDraining' | 'onDrain' | 'observer'>;
@@ -137,6 +140,7 @@
 		}
 
 		await this.waitForSync(req, ending.signal);
+		await this.waitForEvidence(ending.signal);
 		if (ending.signal.aborted) {
 			return;
 		}
@@ -177,6 +181,16 @@
 		});
 	}
 
+	/** After a suspension the next answer of control tells which keys are valid; it is asked for at once. */
+	private async waitForEvidence(signal: AbortSignal): Promise<void> {
+		const {access, clock} = this.core;
+		const endAt = clock.now() + evidenceWaitMs;
+		while (access.isAwaiting && clock.now() < endAt && !signal.aborted) {
+			// eslint-disable-next-line no-await-in-loop
+			await waitFor(evidencePollMs, signal);
+		}
+	}
+
 	private async route(req: IncomingMessage, reply: Reply, ending: AbortController, read: {arrivedAt: number; body: Uint8Array; configuration: ActiveConfiguration}): Promise<void> {
 		const {core} = this;
 		const path = req.url ?? '/';
@@ -196,6 +210,13 @@
 			return;
 		}
 
+		const admission = await admitCaller(core, {
+			requestId: caller.requestId, route, caller, key: core.dialect.readKey(req.rawHeaders),
+		}, reply);
+		if (!admission) {
+			return;
+		}
+
 		const callerDeadlineAt = read.arrivedAt + Math.min(caller.remainingMs ?? maxDeadlineMs, maxDeadlineMs);
 		const deadlineAt = Math.min(callerDeadlineAt, read.arrivedAt + route.timeoutMs);
 		const method = req.method ?? 'GET';
@@ -203,7 +224,7 @@
 			method, host: req.headers.host ?? '', path, caller, body: read.body,
 		});
 		const request: CallerRequest = {
-			requestId: caller.requestId, fingerprint, route, service, caller, method, path, headers: req.headers, rawHeaders: req.rawHeaders, body: read.body, arrivedAt: read.arrivedAt, deadlineAt, callerDeadlineAt, signal: ending.signal,
+			requestId: caller.requestId, fingerprint, route, service, caller, admission, method, path, headers: req.headers, rawHeaders: req.rawHeaders, body: read.body, arrivedAt: read.arrivedAt, deadlineAt, callerDeadlineAt, signal: ending.signal,
 		};
 		const timer = setTimeout(() => {
 			this.expire(request, reply);
@@ -213,7 +234,10 @@
 			clearTimeout(timer);
 			core.observer.recordRequest(route.kind, reply.finishedStatus, core.clock.now() - read.arrivedAt);
 		}, {once: true});
-		await serveRequest(core, request, reply);
+		const mayHaveRun = await serveRequest(core, request, reply);
+		if (!mayHaveRun && admission.workspace && admission.cost > 0) {
+			core.limits.giveBack(admission.workspace.name, admission.cost);
+		}
 	}
 
 	/** The time is over: a last answer at once, or a stream that is visibly broken. */
--- a/packages/mastvalve-replication/src/log-node.ts
+++ b/packages/mastvalve-replication/src/log-node.ts
@@ -6,7 +6,7 @@
  */
 
 import {MastvalveError, NotLeaderError, Outcome} from 'mastvalve-types';
-import type {Clock} from 'mastvalve-utils';
+import {SuspensionWatch, type Clock} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 import type {DurableWrite, Effects} from './effects.js';
 import {EntryKind, type LogEntry} from './log-entry.js';
@@ -14,7 +14,6 @@
 import type {Message} from './message.js';
 import type {Replica} from './replica.js';
 import {Role} from './replica-core.js';
-import {SuspensionWatch} from './suspension-watch.js';
 
 /** The state machine that the log drives; deterministic. */
 export type StateMachine = {
--- a/packages/mastvalve-utils/src/index.ts
+++ b/packages/mastvalve-utils/src/index.ts
@@ -13,4 +13,5 @@
 export * from './format-table.js';
 export * from './hybrid-clock.js';
 export * from './random.js';
+export * from './suspension-watch.js';
 export * from './wait.js';
--- a/packages/mastvalve-utils/src/suspension-watch.ts
+++ b/packages/mastvalve-utils/src/suspension-watch.ts
@@ -6,7 +6,7 @@
  * clock that counts suspensions (`os.uptime()` has a resolution of 10 ms at the best and reads a file).
  */
 
-import type {Clock} from 'mastvalve-utils';
+import type {Clock} from './clock.js';
 
 /**
  * A jump between the clocks that counts as a suspension, ms: below the reserve of a lease for clocks of different speed
