Limits by the sliding window itself, in place of a bucket; a new leader is told what was granted

Kept for what it promises: nothing inside the limit is refused, and the rule is the operators' own.

- A new leader grants a quarter of the tolerance until entries have told what they had (they do so when they hear of it); a lowered limit counts anew, and the former one goes on for a window.
- An entry that is alone grants no more in a window than it had in the last one.
The pace of before broke the limit with a window that is used up unevenly (test: 31 entries, 3 s alone at three times the limit).

--- a/packages/mastvalve-access/__tests__/access.feature
+++ b/packages/mastvalve-access/__tests__/access.feature
@@ -44,14 +44,14 @@
   Scenario: What is asked within the limit is granted
     Then a workspace that asks at its rate, in any order of requests, is refused nothing
 
-  Scenario: A request larger than the whole bucket passes when the bucket is full
-    Then a request of 60000 tokens passes a bucket of 4200 a second, and the next one waits until that is paid
+  Scenario: A request larger than all that a window may hold passes when the window is empty
+    Then a request of 60000 tokens passes an empty window of 4200 a second, and the next one waits until that has left it
 
   Scenario: The time that a refused request is told is true
     Then whoever comes back at the time that it was told is served
 
   Scenario: A lowered limit holds at once
-    Then a bucket whose limit falls to a tenth grants no more than the new burst from then on
+    Then a limit that falls to a tenth grants no more than a window of its own from then on
 
   # The load: all of control is gone for 3 s, while a workspace sends three times what its limit allows through 31 entries.
   Scenario: Entries that hear no leader go on at their pace, and keep the limit together
--- /dev/null
+++ b/packages/mastvalve-access/src/grant-history.ts
@@ -0,0 +1,61 @@
+/**
+ * What an entry was granted lately. A new leader doesn't know what the one before has granted; the entries tell it, so that no
+ * window begins anew with a leader.
+ */
+
+import type {FormerGrant} from './limit-ledger.js';
+
+/** Grants are told in steps of this length, ms. */
+const stepMs = 500;
+
+type Grant = {workspace: string; cost: number; at: number};
+
+/** The history of one entry, over the window in which limits are counted. Times are monotonic, ms. */
+export class GrantHistory {
+	private grants: Grant[] = [];
+	private readonly sums = new Map<string, number>();
+
+	constructor(private readonly windowMs: number) {}
+
+	record(workspace: string, cost: number, now: number): void {
+		this.forget(now);
+		this.grants.push({workspace, cost, at: now});
+		this.sums.set(workspace, this.sumOf(workspace, now) + cost);
+	}
+
+	/** What a workspace was granted here within the window. */
+	sumOf(workspace: string, now: number): number {
+		this.forget(now);
+		return this.sums.get(workspace) ?? 0;
+	}
+
+	/** Sums of all workspaces. */
+	listSums(now: number): Map<string, number> {
+		this.forget(now);
+		return new Map(this.sums);
+	}
+
+	/** What a new leader is told: sums by workspace and step, each with the age of its youngest grant. */
+	list(now: number): FormerGrant[] {
+		this.forget(now);
+		const steps = new Map<string, FormerGrant>();
+		this.grants.forEach(({workspace, cost, at}) => {
+			const key = `${workspace} ${Math.floor((now - at) / stepMs)}`;
+			const known = steps.get(key) ?? {workspace, amount: 0, ageMs: now - at};
+			steps.set(key, {workspace, amount: known.amount + cost, ageMs: Math.min(known.ageMs, now - at)});
+		});
+		return [...steps.values()];
+	}
+
+	private forget(now: number): void {
+		const kept = this.grants.findIndex(({at}) => at > now - this.windowMs);
+		this.grants.splice(0, kept === -1 ? this.grants.length : kept).forEach(({workspace, cost}) => {
+			const left = (this.sums.get(workspace) ?? 0) - cost;
+			if (left > 0) {
+				this.sums.set(workspace, left);
+			} else {
+				this.sums.delete(workspace);
+			}
+		});
+	}
+}
--- a/packages/mastvalve-access/src/index.ts
+++ b/packages/mastvalve-access/src/index.ts
@@ -5,12 +5,13 @@
 export * from './evidence.js';
 export * from './judge-access.js';
 export * from './key-digest.js';
+export * from './grant-history.js';
 export * from './limit-ledger.js';
+export * from './limit-window.js';
 export type * from './limit-tolerance.js';
+export * from './lone-limits.js';
 export * from './presented-key.js';
 export * from './rank-priorities.js';
 export * from './request-cost.js';
-export * from './token-bucket.js';
-export * from './usage-pace.js';
 export * from './workspace.js';
 export * from './workspace-table.js';
--- /dev/null
+++ b/packages/mastvalve-access/src/limit-window.ts
@@ -0,0 +1,127 @@
+/**
+ * What is left to one workspace, counted at one place for all entries over the same sliding window in which operators judge it.
+ *
+ * The load pattern that it answers: a workspace sends several times its usual for seconds, through all entries at once, at a
+ * few requests a second each. Shares of a limit by entry would be smaller than one request there; a sum that each entry learns
+ * late lets all of them take the same rest. One count at the leader has neither, at the price of a call within the region. A
+ * bucket that refills at the rate is stricter than the window: it refuses a burst that the window still has room for.
+ *
+ * The tolerance of the limit is spent on what a count can't know: a part is granted, for requests that came together on their
+ * way; a part is what a new leader grants before the entries have told what they were granted by the one before; the rest is
+ * left to entries that can't reach the leader (`lone-limits.ts`).
+ */
+
+import type {LimitTolerance} from './limit-tolerance.js';
+import type {WorkspaceLimit} from './workspace.js';
+
+const msPerSecond = 1000;
+/** Part of the tolerance that is granted. */
+const grantedPart = 0.4;
+/** Part of the tolerance that a new leader grants at once; leaders change at most twice in a window of some seconds. */
+const beginningPart = 0.25;
+/** Time in which entries hear of a new leader and tell it what they were granted before, ms: they ask control every 0.4 s. */
+const beginningMs = 500;
+/** What was granted is added up in slots of this length, ms; a slot counts until its youngest grant is out of the window. */
+const slotMs = 50;
+
+/** What was granted in one slot. */
+export type GrantedSlot = {slot: number; amount: number};
+
+const toleranceOf = ({ratePerSecond, burst}: WorkspaceLimit, {windowMs, overage, slack}: LimitTolerance): number =>
+	(((ratePerSecond * windowMs / msPerSecond) + burst) * overage) + slack;
+
+/** The window. Times are monotonic, ms. */
+export class LimitWindow {
+	private slots: GrantedSlot[] = [];
+	private sum = 0;
+	/** Granted since the beginning, by this leader. */
+	private sinceBeginning = 0;
+
+	constructor(private limit: WorkspaceLimit, private readonly tolerance: LimitTolerance, private readonly begunAt: number) {}
+
+	/** Time after which there is room for a cost, ms; 0 when there is room now. */
+	waitFor(cost: number, now: number): number {
+		this.forget(now);
+		return Math.max(this.waitForWindow(cost, now), this.waitForBeginning(cost, now));
+	}
+
+	/** Takes a cost for which there is room. */
+	take(cost: number, now: number): void {
+		this.add(cost, now);
+		this.sinceBeginning += cost;
+	}
+
+	/** What was taken lately and not used comes back. */
+	giveBack(amount: number): void {
+		const last = this.slots.at(-1);
+		const back = Math.min(amount, last?.amount ?? 0);
+		if (last) {
+			last.amount -= back;
+			this.sum -= back;
+			this.sinceBeginning = Math.max(0, this.sinceBeginning - back);
+		}
+	}
+
+	/** Another leader granted this so long ago, ms. */
+	addFormer(amount: number, ageMs: number, now: number): void {
+		this.add(amount, now - ageMs);
+	}
+
+	/** A higher limit holds for what was granted before, too. */
+	raise(limit: WorkspaceLimit): void {
+		this.limit = limit;
+	}
+
+	private get capacity(): number {
+		const {ratePerSecond, burst} = this.limit;
+		return (ratePerSecond * this.tolerance.windowMs / msPerSecond) + burst + (grantedPart * toleranceOf(this.limit, this.tolerance));
+	}
+
+	private waitForWindow(cost: number, now: number): number {
+		// A request larger than all that a window may hold passes when the window is empty, or it would never pass.
+		let surplus = this.sum + Math.min(cost, this.capacity) - this.capacity;
+		if (surplus <= 0) {
+			return 0;
+		}
+
+		const freeing = this.slots.find(({amount}) => {
+			surplus -= amount;
+			return surplus <= 0;
+		});
+		return freeing === undefined ? this.tolerance.windowMs : Math.max(1, this.endOf(freeing) - now);
+	}
+
+	/** Until the entries have told, no more than a part of the tolerance. */
+	private waitForBeginning(cost: number, now: number): number {
+		const ageMs = now - this.begunAt;
+		if (ageMs >= beginningMs) {
+			return 0;
+		}
+
+		const isWithinPart = this.sinceBeginning + cost <= beginningPart * toleranceOf(this.limit, this.tolerance);
+		return isWithinPart ? 0 : Math.ceil(beginningMs - ageMs);
+	}
+
+	private add(amount: number, at: number): void {
+		const slot = Math.floor(at / slotMs);
+		const index = this.slots.findLastIndex(each => each.slot <= slot);
+		const known = this.slots[index];
+		if (known?.slot === slot) {
+			known.amount += amount;
+		} else {
+			this.slots.splice(index + 1, 0, {slot, amount});
+		}
+
+		this.sum += amount;
+	}
+
+	private forget(now: number): void {
+		const kept = this.slots.findIndex(slot => this.endOf(slot) > now);
+		const gone = this.slots.splice(0, kept === -1 ? this.slots.length : kept);
+		this.sum = this.slots.length === 0 ? 0 : this.sum - gone.reduce((sum, {amount}) => sum + amount, 0);
+	}
+
+	private endOf({slot}: GrantedSlot): number {
+		return ((slot + 1) * slotMs) + this.tolerance.windowMs;
+	}
+}
--- /dev/null
+++ b/packages/mastvalve-access/src/lone-limits.ts
@@ -0,0 +1,45 @@
+/**
+ * How an entry goes on while nobody answers for the limits: each workspace by what it had here.
+ *
+ * The load pattern that it answers: all of control is gone for some seconds, in the middle of a workspace's burst. What all entries
+ * were granted in the last window adds up to no more than the limit, so an entry that never grants more in a window than it had
+ * been granted in the last one keeps the limit together with the others, and needs nobody. A workspace that was not refused
+ * lately has room left, and may have one request more: at a few requests an entry and window, the usual differences between two
+ * windows are of that size.
+ */
+
+import type {GrantHistory} from './grant-history.js';
+
+
+/** The limits of one entry that is alone. Times are monotonic, ms. */
+export class LoneLimits {
+	private readonly refusedAt = new Map<string, number>();
+	/** What each workspace had here when nobody answered any more; undefined while somebody does. */
+	private had: Map<string, number> | undefined;
+
+	/** A refusal tells for `windowMs` that the limit is reached. */
+	constructor(private readonly history: GrantHistory, private readonly windowMs: number) {}
+
+	/** A cost was refused by whoever counts. */
+	recordRefusal(workspace: string, now: number): void {
+		this.refusedAt.set(workspace, now);
+	}
+
+	/** Nobody answers from now on. */
+	begin(now: number): void {
+		this.had = this.history.listSums(now);
+	}
+
+	/** Somebody answers again. */
+	end(): void {
+		this.had = undefined;
+	}
+
+	/** Whether a cost may pass. */
+	mayTake(workspace: string, cost: number, now: number): boolean {
+		const had = this.had?.get(workspace) ?? 0;
+		const sum = this.history.sumOf(workspace, now);
+		const wasRefused = now - (this.refusedAt.get(workspace) ?? Number.NEGATIVE_INFINITY) < this.windowMs;
+		return wasRefused ? sum + cost <= had : sum <= had;
+	}
+}
--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -3,7 +3,7 @@
  * what must be newest is confirmed by the leader's lease.
  */
 
-import type {LimitClaim, LimitTolerance} from 'mastvalve-access';
+import type {LimitTolerance} from 'mastvalve-access';
 import {ControlGroup, type ControlGroupOptions, type PeerHandler} from 'mastvalve-cluster';
 import {
 	FleetCommandKind, FleetMachine, quarantineMs, type CrashReport, type EndpointReport, type FleetCommand, type StatedConfiguration,
@@ -20,7 +20,7 @@
 import {FollowService} from './follow-service.js';
 import type {FollowRequest} from './follow.js';
 import {createForwardedHandlers} from './forwarded-control.js';
-import {LimitDesk} from './limit-desk.js';
+import {LimitDesk, type LimitQuestion} from './limit-desk.js';
 import {QuarantineClock} from './quarantine-clock.js';
 import {Liveness, type LivenessTimes} from './liveness.js';
 import {SureMoment} from './sure-moment.js';
@@ -108,7 +108,7 @@
 				return this.group.isLeading ? ok(true) : err(new ControlUnavailableError('This control instance does not lead.'));
 			}],
 			['/limits', async body => {
-				const answers = this.limits.settle(assumeType<LimitClaim[]>(body));
+				const answers = this.limits.settle(assumeType<LimitQuestion>(body));
 				return answers ? ok(answers) : err(new ControlUnavailableError('This control instance does not lead.'));
 			}],
 			['/crashes', async body => this.takeCrashes(assumeType<CrashReport[]>(body))],
--- a/packages/mastvalve-fleet-control/src/limit-desk.ts
+++ b/packages/mastvalve-fleet-control/src/limit-desk.ts
@@ -3,7 +3,7 @@
  */
 
 import {
-	LimitLedger, WorkspaceTable, type LimitClaim, type LimitTolerance,
+	LimitLedger, WorkspaceTable, type FormerGrant, type LimitClaim, type LimitTolerance,
 } from 'mastvalve-access';
 import type {ServingConfiguration} from 'mastvalve-fleet';
 
@@ -17,42 +17,78 @@
 	now: () => number;
 };
 
-/** The answer to claims: for each in its order 0, or the time until there is room, ms. */
-export type LimitAnswers = {waitMs: number[]};
+/** What an entry asks of the leader. */
+export type LimitQuestion = {
+	entry: string;
+	claims: LimitClaim[];
+	/** What the entry was granted before; missing when it has told this leader already. */
+	history?: FormerGrant[];
+};
+
+/** The answer. */
+export type LimitAnswers = {
+	/** For each claim in its order 0, or the time until there is room, ms. */
+	waitMs: number[];
+	/** Set when this leader doesn't know what the entry was granted before; nothing was taken then. */
+	needsHistory: boolean;
+};
 
 /** The desk. */
 export class LimitDesk {
-	private readonly ledger: LimitLedger;
-	private term: number | undefined;
+	/** Of the term in which this instance leads. */
+	private book: {term: number; ledger: LimitLedger; heard: Set<string>} | undefined;
 	private known: {configuration: ServingConfiguration; workspaces: WorkspaceTable} | undefined;
 
-	constructor(private readonly options: LimitDeskOptions) {
-		this.ledger = new LimitLedger(options.tolerance);
-	}
+	constructor(private readonly options: LimitDeskOptions) {}
 
 	/** Answers claims; undefined when another instance may lead. */
-	settle(claims: readonly LimitClaim[]): LimitAnswers | undefined {
-		const term = this.options.readTerm();
-		if (term === undefined) {
+	settle({entry, claims, history}: LimitQuestion): LimitAnswers | undefined {
+		const book = this.openBook();
+		if (!book) {
 			return undefined;
 		}
 
-		if (term !== this.term) {
-			this.ledger.reset();
-			this.term = term;
-		}
-
+		const {ledger, heard} = book;
 		const workspaces = this.readWorkspaces();
 		const now = this.options.now();
+		if (history && !heard.has(entry)) {
+			heard.add(entry);
+			history.forEach(grant => {
+				const known = workspaces?.find(grant.workspace);
+				if (known) {
+					ledger.addFormer(known, grant, now);
+				}
+			});
+		}
+
+		if (!heard.has(entry)) {
+			return {waitMs: [], needsHistory: true};
+		}
+
 		return {
+			needsHistory: false,
 			waitMs: claims.map(({workspace, cost}) => {
 				const known = workspaces?.find(workspace);
 				// A workspace that is gone has no limit here; the entry refuses its keys by itself.
-				return known ? this.ledger.settle(known, cost, now) : 0;
+				return known ? ledger.settle(known, cost, now) : 0;
 			}),
 		};
 	}
 
+	/** The book of the present term; another one may have counted in between. */
+	private openBook(): LimitDesk['book'] {
+		const term = this.options.readTerm();
+		if (term === undefined) {
+			return undefined;
+		}
+
+		if (this.book?.term !== term) {
+			this.book = {term, ledger: new LimitLedger(this.options.tolerance, this.options.now()), heard: new Set()};
+		}
+
+		return this.book;
+	}
+
 	private readWorkspaces(): WorkspaceTable | undefined {
 		const configuration = this.options.readConfiguration();
 		if (configuration && this.known?.configuration !== configuration) {
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
@@ -121,6 +121,7 @@
 			listSources: () => [this.controlAddress],
 			distanceTo: () => 0,
 			keyRevocationMs: undefined,
+			limitWindowMs: 8000,
 			retries: {ratio: 1, slack: 50, windowMs: 10_000},
 		});
 		const address = this.addresses[index]!;
--- a/packages/mastvalve-gateway/src/access/limit-client.ts
+++ b/packages/mastvalve-gateway/src/access/limit-client.ts
@@ -1,20 +1,23 @@
 /**
  * Claims what requests cost from the leader, which counts for all entries. Claims that come while a call is on its way go
- * together with the next one. While no leader answers, each workspace goes on at the pace that it had here.
+ * together with the next one. While no leader answers, each workspace goes on by what it had here.
  */
 
-import {UsagePace, type LimitClaim} from 'mastvalve-access';
+import {GrantHistory, LoneLimits, type LimitClaim} from 'mastvalve-access';
 import type {PeerClient} from 'mastvalve-cluster';
-import type {LimitAnswers} from 'mastvalve-fleet-control';
+import type {LimitAnswers, LimitQuestion} from 'mastvalve-fleet-control';
 import {waitFor} from 'mastvalve-utils';
 
 /** What it is made from. */
 export type LimitClientOptions = {
+	/** Name of this life of the entry. */
+	entry: string;
 	client: Pick<PeerClient, 'call'>;
 	readLeader: () => string | undefined;
 	/** Monotonic, ms. */
 	now: () => number;
-	random: () => number;
+	/** Window in which limits are counted, ms. */
+	windowMs: number;
 	onEvent: (kind: string, detail: string) => void;
 };
 
@@ -23,6 +26,8 @@
 
 /** A leader with which no byte moves for this long is out of reach, ms: a call takes 3 to 10 ms, and callers wait for it. */
 const silenceMs = 150;
+/** A call that fails within this time found a connection that its peer has closed, ms; one that is out of reach takes longer. */
+const brokenMs = 50;
 /** How often a leader is looked for while none answers, ms. */
 const probePauseMs = 100;
 /** When to come again after a refusal that nobody counted, ms: leaders are elected within 1.5 s. */
@@ -36,10 +41,14 @@
 	private returned: LimitClaim[] = [];
 	private isCalling = false;
 	private isAlone = false;
-	private readonly pace: UsagePace;
+	private readonly history: GrantHistory;
+	private readonly lone: LoneLimits;
+	/** The leader that was told what this entry was granted before. */
+	private knownLeader: string | undefined;
 
 	constructor(private readonly options: LimitClientOptions) {
-		this.pace = new UsagePace(options.random);
+		this.history = new GrantHistory(options.windowMs);
+		this.lone = new LoneLimits(this.history, options.windowMs);
 	}
 
 	/** Claims a cost. */
@@ -61,6 +70,19 @@
 		}
 	}
 
+	/** Tells a new leader at once what this entry was granted before, if it was granted anything. */
+	noteLeader(): void {
+		const leader = this.options.readLeader();
+		if (leader === this.knownLeader || leader === undefined || this.isAlone) {
+			return;
+		}
+
+		this.knownLeader = leader;
+		if (this.history.listSums(this.options.now()).size > 0) {
+			void this.call([]);
+		}
+	}
+
 	private async callWhileWaiting(): Promise<void> {
 		if (this.isCalling) {
 			return;
@@ -94,16 +116,22 @@
 	private takeAnswer({workspace, cost}: LimitClaim, waitMs: number): ClaimOutcome {
 		const now = this.options.now();
 		if (waitMs > 0) {
-			this.pace.recordRefusal(workspace, now);
+			this.lone.recordRefusal(workspace, now);
 			return {isTaken: false, waitMs};
 		}
 
-		this.pace.recordGrant(workspace, cost, now);
+		this.history.record(workspace, cost, now);
 		return {isTaken: true, waitMs: 0};
 	}
 
 	private decideAlone({workspace, cost}: LimitClaim): ClaimOutcome {
-		return {isTaken: this.pace.takeAlone(workspace, cost, this.options.now()), waitMs: aloneRetryMs};
+		const now = this.options.now();
+		const isTaken = this.lone.mayTake(workspace, cost, now);
+		if (isTaken) {
+			this.history.record(workspace, cost, now);
+		}
+
+		return {isTaken, waitMs: aloneRetryMs};
 	}
 
 	/** Goes on alone, and looks for a leader meanwhile. */
@@ -113,7 +141,8 @@
 		}
 
 		this.isAlone = true;
-		this.options.onEvent('limits.alone', 'no leader answers for the limits of workspaces; each goes on at its pace here');
+		this.lone.begin(this.options.now());
+		this.options.onEvent('limits.alone', 'no leader answers for the limits of workspaces; each goes on by what it had here');
 		void this.findLeader();
 	}
 
@@ -121,6 +150,7 @@
 		const answers = await this.call([]);
 		if (answers) {
 			this.isAlone = false;
+			this.lone.end();
 			this.options.onEvent('limits.regained', 'a leader answers for the limits of workspaces');
 			return;
 		}
@@ -129,15 +159,30 @@
 		await this.findLeader();
 	}
 
+	/** A call that broke off is made once more: kept connections are closed now and then, and a claim that counts twice harms nobody. */
 	private async call(claims: readonly LimitClaim[]): Promise<number[] | undefined> {
+		const question = {entry: this.options.entry, claims: [...claims]};
+		const askedAt = this.options.now();
+		const first = await this.ask(question);
+		const hasBroken = first === undefined && this.options.now() - askedAt < brokenMs;
+		const answer = hasBroken ? await this.ask(question) : first;
+		if (!answer?.needsHistory) {
+			return answer?.waitMs;
+		}
+
+		const told = await this.ask({...question, history: this.history.list(this.options.now())});
+		return told?.needsHistory === false ? told.waitMs : undefined;
+	}
+
+	private async ask(question: LimitQuestion): Promise<LimitAnswers | undefined> {
 		const address = this.options.readLeader();
 		if (address === undefined) {
 			return undefined;
 		}
 
 		const answer = await this.options.client.call<LimitAnswers>({
-			address, path: '/limits', body: claims, silenceMs,
+			address, path: '/limits', body: question, silenceMs,
 		});
-		return answer.isOk() ? answer.value.waitMs : undefined;
+		return answer.isOk() ? answer.value : undefined;
 	}
 }
--- a/packages/mastvalve-gateway/src/server/gateway-node.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-node.ts
@@ -42,6 +42,8 @@
 	retries: RetryBounds;
 	/** Longest time for which a key may be served after it was taken away, ms; undefined when there is no such bound. */
 	keyRevocationMs: number | undefined;
+	/** Window in which the limits of workspaces are counted, ms. */
+	limitWindowMs: number;
 };
 
 /** The entry. */
@@ -58,7 +60,7 @@
 
 	constructor(options: GatewayNodeOptions) {
 		const {
-			instance, failureDomain, client, dialect, clock, random, log, listSources, distanceTo, retries, keyRevocationMs,
+			instance, failureDomain, client, dialect, clock, random, log, listSources, distanceTo, retries, keyRevocationMs, limitWindowMs,
 		} = options;
 		const now = (): number => clock.now();
 		const onEvent = (kind: string, detail: string): void => {
@@ -92,6 +94,14 @@
 		this.crashReporter = new CrashReporter({client, listTargets: () => this.listControl()});
 		const quarantine = new RequestQuarantine(this.view, now);
 		const board = this.createBoard(now);
+		const limits = new LimitClient({
+			// Another life of the entry has another history.
+			entry: `${instance} ${random()}`,
+			client, readLeader: () => this.follower.leader, now, windowMs: limitWindowMs, onEvent,
+		});
+		this.view.subscribe(() => {
+			limits.noteLeader();
+		});
 		this.gateway = new Gateway({
 			failureDomain,
 			clock,
@@ -101,9 +111,7 @@
 			board,
 			agent: this.upstream,
 			access: this.access,
-			limits: new LimitClient({
-				client, readLeader: () => this.follower.leader, now, random, onEvent,
-			}),
+			limits,
 			allowance: new RetryAllowance(retries, now),
 			headTimes,
 			demand: this.demand,
