Loads are priced by the demand that goes unserved until they end

Change: the price is the time of the load as the configuration tells it, times the demand that goes unserved. Three constants go. Test: a busy model is loaded from the disk of an engine that is in use (red before).

Ruled out: refusing earlier what is held.

--- a/packages/mastvalve-fleet/__tests__/placement.feature
+++ b/packages/mastvalve-fleet/__tests__/placement.feature
@@ -10,6 +10,12 @@
     When the rare model is waited for
     Then nothing is moved
 
+  # The load: demand moves within a second to a model whose weights lie on one engine's disk, beside a model with some demand.
+  Scenario: A busy model is loaded where its weights are near, also when the place there is worth something
+    Given an idle engine without weights of "e", and one with them on its disk whose model gets 16.0 requests a second
+    When "e" is waited for, with 12.0 requests a second
+    Then it is loaded from the disk
+
   Scenario: The last engine of a model that is asked for does not lose it to a second engine of another
     Given 2 full engines that hold different models, all asked for
     Then a model with more demand gets no second engine in their place
--- a/packages/mastvalve-fleet/__tests__/placement.steps.ts
+++ b/packages/mastvalve-fleet/__tests__/placement.steps.ts
@@ -62,6 +62,18 @@
 	assert.equal(planModelMove(this.plan), undefined);
 });
 
+Given('an idle engine without weights of {string}, and one with them on its disk whose model gets {float} requests a second', function (this: PlacementWorld, _model: string, rate: number) {
+	this.plan = planInput([engine('1', ['a', 'c', 'd']), engine('2', ['b', 'c', 'd'], {onDisk: ['e']}), engine('3', ['b', 'c', 'd'])], {b: rate});
+});
+
+When('{string} is waited for, with {float} requests a second', function (this: PlacementWorld, model: string, rate: number) {
+	this.plan = planInput(this.plan.engines, {b: this.plan.rateOf('b'), c: this.plan.rateOf('c'), [model]: rate}, [model]);
+});
+
+Then('it is loaded from the disk', function (this: PlacementWorld) {
+	assert.equal(planModelMove(this.plan)?.source, WeightSource.Disk);
+});
+
 Given('2 full engines that hold different models, all asked for', function (this: PlacementWorld) {
 	this.plan = planInput([engine('1', ['a', 'b', 'c']), engine('2', ['d', 'e', 'f'])], {
 		a: 3.5, b: 3, c: 3, d: 3, e: 3, f: 3,
--- a/packages/mastvalve-fleet/src/engines/engine-room.ts
+++ b/packages/mastvalve-fleet/src/engines/engine-room.ts
@@ -5,6 +5,7 @@
 import type {EngineModel} from '../configuration/engine-model.js';
 import type {EngineSpec} from '../configuration/served-service.js';
 import type {EngineState} from './engine-state.js';
+import {WeightSource} from './weight-source.js';
 
 /** What is asked of a specification for every way to every load. */
 type SpecFacts = {models: ReadonlyMap<string, EngineModel>; adapterReserve: number};
@@ -41,6 +42,15 @@
 	return spec.weightCapacity - adapterReserve - memoryOf(models, remaining);
 };
 
+const msPerSecond = 1000;
+
+/** How long a load takes, s. */
+export const loadSeconds = (spec: EngineSpec, model: string, source: WeightSource): number => {
+	const known = factsOf(spec).models.get(model);
+	const times: Record<WeightSource, number> = {[WeightSource.Memory]: known?.memoryLoadMs ?? 0, [WeightSource.Disk]: known?.diskLoadMs ?? 0, [WeightSource.Store]: known?.storeLoadMs ?? 0};
+	return times[source] / msPerSecond;
+};
+
 /** What a model's weights take, MB. */
 export const sizeOf = (spec: EngineSpec, model: string): number => factsOf(spec).models.get(model)?.size ?? Number.POSITIVE_INFINITY;
 
--- a/packages/mastvalve-fleet/src/engines/load-ways.ts
+++ b/packages/mastvalve-fleet/src/engines/load-ways.ts
@@ -5,7 +5,7 @@
  * since each load looks at all of them.
  */
 
-import {roomIn, sizeOf} from './engine-room.js';
+import {loadSeconds, roomIn, sizeOf} from './engine-room.js';
 import {EngineUse} from './engine-use.js';
 import type {EngineState} from './engine-state.js';
 import type {ModelMove} from './model-move.js';
@@ -31,8 +31,6 @@
 
 const isFree = (engine: EngineState): boolean => engine.isReady && engine.loading === undefined && engine.retiring === undefined;
 
-const sourceCost: Record<WeightSource, number> = {[WeightSource.Memory]: 1, [WeightSource.Disk]: 2.5, [WeightSource.Store]: 10};
-
 /**
  * What the last place of a model that is still asked for is worth beside its demand, requests a second: little when its
  * callers have time for a load, more when each of them would be late without it.
@@ -94,9 +92,18 @@
 /** A change that is possible now, with what it costs and the worth of the place that gives way. */
 export type LoadWay = ModelMove & {cost: number; evictedWorth: number};
 
-/** All ways to bring a model to an engine now; one with a free place for it needs no other. */
-export const listWays = (input: Planning, load: string): LoadWay[] => {
+/** Least demand by which the time of a load counts, requests/s: a model that nobody asks for is no reason for a slow way either. */
+const leastNeed = 1;
+
+/**
+ * All ways to bring a model to an engine now; one with a free place for it needs no other. `need` is what goes unserved until the
+ * load ends, in requests a second, so that a busy model takes the place next to its weights also when that gives more away. The
+ * load that it answers: demand moves to models whose weights lie on the disks of a few engines. With one price for a load
+ * from the store, of 78 such loads of a day 52 went to a busy model of which an engine had a copy, 8.6 s instead of 1.7 s away.
+ */
+export const listWays = (input: Planning, load: string, need: number): LoadWay[] => {
 	const size = sizeOf(input.spec, load);
+	const lostPerSecond = Math.max(leastNeed, need);
 	return input.takers
 		.filter(({held}) => !held.has(load))
 		.flatMap(({engine, places, usedCost, storeCost}): LoadWay[] => {
@@ -105,7 +112,7 @@
 				return [];
 			}
 
-			const loadCost = sourceCost[source] + usedCost + (source === WeightSource.Store ? storeCost : 0);
+			const loadCost = (loadSeconds(input.spec, load, source) * lostPerSecond) + usedCost + (source === WeightSource.Store ? storeCost : 0);
 			const fitting = places.filter(({room}) => size <= room);
 			const free = fitting.find(({evict}) => evict === undefined);
 			return (free ? [free] : fitting).map(({evict, evictedWorth}) => ({
--- a/packages/mastvalve-fleet/src/engines/plan-models.ts
+++ b/packages/mastvalve-fleet/src/engines/plan-models.ts
@@ -48,12 +48,12 @@
  * Ways to bring a model for which requests wait. While some engine has a copy of the weights, that one is waited for:
  * loads from the store would keep one engine after the other from all orders.
  */
-const listWaysForWaiting = (input: Planning, model: string): LoadWay[] => {
+const listWaysForWaiting = (input: Planning, model: string, worth: number): LoadWay[] => {
 	const hasCopy = input.engines.some(engine => findSource(engine, model) !== WeightSource.Store);
 	const storeLoading = countStoreLoads(input.engines);
 	const isBusy = input.rateOf(model) >= busyRate;
 	const mayUseStore = isBusy || (!hasCopy && storeLoading < Math.max(1, Math.floor(input.engines.length * maxStoreShare)));
-	return listWays(input, model).filter(way => mayUseStore || way.source !== WeightSource.Store);
+	return listWays(input, model, worth / demandHorizonS).filter(way => mayUseStore || way.source !== WeightSource.Store);
 };
 
 /** A load that may be worth it, and all ways to bring it about now, listed only when it is its turn. */
@@ -69,7 +69,7 @@
 		.filter(({model}) => input.use.countHolders(model) === 0)
 		.map(wanted => {
 			const worth = worthOfLoad(input, wanted);
-			return {worth, listWays: () => listWaysForWaiting(input, wanted.model).filter(way => way.evictedWorth < worth * maxEvictedFactor)};
+			return {worth, listWays: () => listWaysForWaiting(input, wanted.model, worth).filter(way => way.evictedWorth < worth * maxEvictedFactor)};
 		});
 
 /** What one more engine is worth to a model: the requests that are too many for those that hold it, now or, by half, soon. */
@@ -99,11 +99,12 @@
 		.map(({name, pressure}) => {
 			const holders = input.use.countHolders(name);
 			const load = input.expectedRateOf(name) * (holders === 0 ? absentFactor : 1) / Math.max(1, holders);
+			const worth = worthOfEngine(input, name);
 			const isShown = pressureAt(input, name, input.shownRateOf(name)) > comfortableShare;
 			const mayFetch = mayUseStore && pressure > comfortableShare * storeFactor;
 			return {
-				worth: worthOfEngine(input, name),
-				listWays: () => listWays(input, name).filter(way =>
+				worth,
+				listWays: () => listWays(input, name, worth / demandHorizonS).filter(way =>
 					way.evictedWorth * hysteresis < load && (isShown || sparesResident(input, way)) && (way.source !== WeightSource.Store || mayFetch)),
 			};
 		});
