What is given back to a limit is taken off the oldest grants

Looked at, the newest slot is also the wrong one: taken off there, the amount is missing when the slot of the claim that was not run leaves the window, and is granted twice (test: 1,000 and 1,000, one given back; red before).

--- a/packages/mastvalve-access/__tests__/access.feature
+++ b/packages/mastvalve-access/__tests__/access.feature
@@ -57,3 +57,8 @@
   Scenario: Entries that hear no leader go on at their pace, and keep the limit together
     Then over 100 runs 31 entries that are alone for 3 s grant no more than the tolerance allows
     And a workspace that asks as it did before is served at least half of what it asks
+
+  Scenario: What is given back is never granted twice
+    Given a window in which 1000 were granted at 0 ms, and 1000 at 4000 ms
+    When 1000 are given back at 4100 ms
+    Then 1000 count at 7900 ms, and at 8100 ms at least 1000 of those of 4000 ms
--- a/packages/mastvalve-access/__tests__/access.steps.ts
+++ b/packages/mastvalve-access/__tests__/access.steps.ts
@@ -8,10 +8,10 @@
 } from '@cucumber/cucumber';
 import {createRandom} from 'mastvalve-utils';
 import {
-	costOf, Evidence, GrantHistory, LimitLedger, LimitUnit, LoneLimits, rankPriorities, type LimitTolerance, type Workspace, type WorkspaceLimit,
+	costOf, Evidence, GrantHistory, LimitLedger, LimitUnit, LimitWindow, LoneLimits, rankPriorities, type LimitTolerance, type Workspace, type WorkspaceLimit,
 } from '../src/index.js';
 
-type AccessWorld = World & {evidence: Evidence};
+type AccessWorld = World & {evidence: Evidence; window: LimitWindow};
 
 const tolerance: LimitTolerance = {windowMs: 8000, overage: 0.1, slack: 17_000};
 const requestTokens = 2400;
@@ -234,3 +234,24 @@
 	const served = runs.reduce((sum, {grantedAlone}) => sum + grantedAlone, 0);
 	assert.ok(served >= asked / 2, `${served} of ${asked}`);
 });
+
+/** A window of 8 s that holds 2,000 in all. */
+const small: WorkspaceLimit = {
+	unit: LimitUnit.Requests, ratePerSecond: 0, burst: 2000, plainTokens: 0,
+};
+
+Given('a window in which 1000 were granted at 0 ms, and 1000 at 4000 ms', function (this: AccessWorld) {
+	this.window = new LimitWindow(small, {windowMs: 8000, overage: 0, slack: 0}, -1000);
+	this.window.take(1000, 0);
+	this.window.take(1000, 4000);
+});
+
+When('1000 are given back at 4100 ms', function (this: AccessWorld) {
+	this.window.giveBack(1000);
+});
+
+Then('1000 count at 7900 ms, and at 8100 ms at least 1000 of those of 4000 ms', function (this: AccessWorld) {
+	assert.equal(this.window.waitFor(1000, 7900), 0);
+	assert.ok(this.window.waitFor(1001, 7900) > 0);
+	assert.ok(this.window.waitFor(1001, 8100) > 0);
+});
--- a/packages/mastvalve-access/src/limit-window.ts
+++ b/packages/mastvalve-access/src/limit-window.ts
@@ -51,15 +51,18 @@
 		this.sinceBeginning += cost;
 	}
 
-	/** What was taken lately and not used comes back. */
+	/**
+	 * What was taken and not used comes back. It is taken off what was granted first: off anything later, it would be missing there
+	 * when its own slot has left the window.
+	 */
 	giveBack(amount: number): void {
-		const last = this.slots.at(-1);
-		const back = Math.min(amount, last?.amount ?? 0);
-		if (last) {
-			last.amount -= back;
+		this.slots.reduce((left, slot) => {
+			const back = Math.min(left, slot.amount);
+			slot.amount -= back;
 			this.sum -= back;
-			this.sinceBeginning = Math.max(0, this.sinceBeginning - back);
-		}
+			return left - back;
+		}, amount);
+		this.sinceBeginning = Math.max(0, this.sinceBeginning - amount);
 	}
 
 	/** Another leader granted this so long ago, ms. */
