--- a/packages/mastvalve-access/src/grant-history.ts
+++ b/packages/mastvalve-access/src/grant-history.ts
@@ -12,7 +12,7 @@
 
 /** The history of one entry, over the window in which limits are counted. Times are monotonic, ms. */
 export class GrantHistory {
-	private grants: Grant[] = [];
+	private readonly grants: Grant[] = [];
 	private readonly sums = new Map<string, number>();
 
 	constructor(private readonly windowMs: number) {}
--- a/packages/mastvalve-access/src/limit-window.ts
+++ b/packages/mastvalve-access/src/limit-window.ts
@@ -32,7 +32,7 @@
 
 /** The window. Times are monotonic, ms. */
 export class LimitWindow {
-	private slots: GrantedSlot[] = [];
+	private readonly slots: GrantedSlot[] = [];
 	private sum = 0;
 	/** Granted since the beginning, by this leader. */
 	private sinceBeginning = 0;
--- a/packages/mastvalve-access/src/lone-limits.ts
+++ b/packages/mastvalve-access/src/lone-limits.ts
@@ -10,7 +10,6 @@
 
 import type {GrantHistory} from './grant-history.js';
 
-
 /** The limits of one entry that is alone. Times are monotonic, ms. */
 export class LoneLimits {
 	private readonly refusedAt = new Map<string, number>();
--- a/packages/mastvalve-cluster/src/membership/control-group.ts
+++ b/packages/mastvalve-cluster/src/membership/control-group.ts
@@ -6,16 +6,16 @@
 import {randomBytes} from 'node:crypto';
 import type {MastvalveError} from 'mastvalve-types';
 import {
-	assumeType, callUntilAborted, type Clock, describeError, repeatUntilAborted, waitFor,
+	assumeType, callUntilAborted, describeError, repeatUntilAborted, waitFor,
 } from 'mastvalve-utils';
 import {
 	createFileSystem, formatReplicaId, Journal, journalFormat, nameOfReplica,
-	type LogNode, type Message, type ReplicaId, type ReplicaTimes, type StateMachine,
+	type LogNode, type Message, type ReplicaId,
 } from 'mastvalve-replication';
 import {ok, type Result} from 'neverthrow';
 import {LogTransport} from '../peer/log-transport.js';
-import type {PeerClient} from '../peer/peer-client.js';
 import type {PeerHandler} from '../peer/peer-server.js';
+import type {ControlGroupOptions} from './control-group-options.js';
 import {groupTimes} from './group-times.js';
 import {Announcements, type Announcement} from './announcements.js';
 import {decideFormation} from './formation.js';
@@ -25,30 +25,6 @@
 import {PeerSearch} from './peer-search.js';
 import {startLogNode} from './start-log-node.js';
 
-/** What a member of the group is made from. */
-export type ControlGroupOptions = {
-	/** Where the other members reach this one, `ip:port`. */
-	address: string;
-	dataFolder: string;
-	/** Whether this is the very first start of the whole system. */
-	isFirstStart: boolean;
-	/** Members to ask first; may change. */
-	readSeeds: () => string[];
-	/** How many voters are wanted: 2n + 1 bear the loss of n. */
-	voters: number;
-	machine: StateMachine;
-	client: PeerClient;
-	clock: Clock;
-	times?: ReplicaTimes;
-	/**
-	 * When this process started, in the clock's ms; a former one can't have acknowledged anything after that. With it, a group
-	 * that was killed whole has a leader earlier by the time in which a process loads.
-	 */
-	processStartedAt?: number;
-	onEvent: (kind: string, detail: string) => void;
-	onError: (message: string) => void;
-};
-
 const diskIdBytes = 6;
 const tickMs = 20;
 const formationPauseMs = 60;
@@ -56,6 +32,7 @@
 const membershipPauseMs = 80;
 /** An instance that heard no leader for this long can't tell whether what it holds is the newest, ms. Half of the shortest bound for configurations. */
 export const staleAfterMs = 1000;
+
 /** A member of the group. */
 export class ControlGroup {
 	static async open(options: ControlGroupOptions): Promise<ControlGroup> {
--- a/packages/mastvalve-cluster/src/membership/start-log-node.ts
+++ b/packages/mastvalve-cluster/src/membership/start-log-node.ts
@@ -7,7 +7,7 @@
 } from 'mastvalve-replication';
 import {describeError} from 'mastvalve-utils';
 import type {LogTransport} from '../peer/log-transport.js';
-import type {ControlGroupOptions} from './control-group.js';
+import type {ControlGroupOptions} from './control-group-options.js';
 import {groupTimes} from './group-times.js';
 import {persistUntilTaken} from './persist-until-taken.js';
 
--- a/packages/mastvalve-gateway/src/server/gateway.ts
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -10,7 +10,6 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {MastvalveError} from 'mastvalve-types';
 import {admitCaller} from '../access/admit-caller.js';
-import {evidenceWaitMs} from '../access/access-desk.js';
 import type {ActiveConfiguration} from '../fleet/active-configuration.js';
 import type {CallerRequest} from '../requests/caller-request.js';
 import {fingerprintRequest} from '../requests/request-fingerprint.js';
@@ -20,6 +19,7 @@
 import type {GatewayCore} from './gateway-core.js';
 import {silentObserver, type GatewayObserver} from './gateway-observer.js';
 import {readBody} from './read-request.js';
+import {waitForEvidence, waitUntilSynced} from './wait-for-control.js';
 
 /** Bounds until a configuration tells others; those for headers stay, since Node takes them when a server is made. */
 const firstLimits: CallerLimits = {
@@ -31,12 +31,7 @@
 const unsyncedRetrySeconds = 0.5;
 /** The connection closes with the refusal, so the caller's next one leads to another entry, s. */
 const stoppingRetrySeconds = 0.05;
-/** Control elects a leader within 1.5 s after all of it was killed; a request waits that long at most, ms. */
-const maxSyncWaitMs = 1800;
-/** Part of a caller's time that may go by in waiting, so that the rest suffices for the request. */
-const syncWaitShare = 0.5;
 const drainPollMs = 50;
-const evidencePollMs = 10;
 
 /** What a gateway is made from. */
 export type GatewayParts = Omit<GatewayCore, 'isDraining' | 'onDrain' | 'observer'>;
@@ -139,8 +134,8 @@
 			return;
 		}
 
-		await this.waitForSync(req, ending.signal);
-		await this.waitForEvidence(ending.signal);
+		await waitUntilSynced(this.core, req, ending.signal);
+		await waitForEvidence(this.core, ending.signal);
 		if (ending.signal.aborted) {
 			return;
 		}
@@ -156,41 +151,6 @@
 		await this.route(req, reply, ending, {arrivedAt, body, configuration});
 	}
 
-	/** An entry that has just started knows the newest configuration soon; a request with time left waits for that. */
-	private async waitForSync(req: IncomingMessage, signal: AbortSignal): Promise<void> {
-		const {view, dialect} = this.core;
-		if (view.isSynced || this.isDraining) {
-			return;
-		}
-
-		const remainingMs = dialect.readCaller(req.headers).remainingMs ?? 0;
-		await new Promise<void>(resolve => {
-			const done = (): void => {
-				clearTimeout(timer);
-				unsubscribe();
-				resolve();
-			};
-
-			const timer = setTimeout(done, Math.min(maxSyncWaitMs, remainingMs * syncWaitShare));
-			const unsubscribe = view.subscribe(() => {
-				if (view.isSynced) {
-					done();
-				}
-			});
-			signal.addEventListener('abort', done, {once: true});
-		});
-	}
-
-	/** After a suspension the next answer of control tells which keys are valid; it is asked for at once. */
-	private async waitForEvidence(signal: AbortSignal): Promise<void> {
-		const {access, clock} = this.core;
-		const endAt = clock.now() + evidenceWaitMs;
-		while (access.isAwaiting && clock.now() < endAt && !signal.aborted) {
-			// eslint-disable-next-line no-await-in-loop
-			await waitFor(evidencePollMs, signal);
-		}
-	}
-
 	private async route(req: IncomingMessage, reply: Reply, ending: AbortController, read: {arrivedAt: number; body: Uint8Array; configuration: ActiveConfiguration}): Promise<void> {
 		const {core} = this;
 		const path = req.url ?? '/';
