--- a/packages/mastvalve-bench/src/bin.ts
+++ b/packages/mastvalve-bench/src/bin.ts
@@ -1,10 +1,11 @@
 /**
- * `npm run bench -- policy|nodes|followers|log|placement|planning|aperture`: focused measurements.
+ * `npm run bench -- policy|nodes|followers|log|placement|planning|aperture|access`: focused measurements.
  */
 
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {formatTable} from 'mastvalve-utils';
+import {benchAccess} from './access/access-bench.js';
 import {benchAperture} from './aperture/aperture-bench.js';
 import {benchFollowers} from './followers/followers-bench.js';
 import {logMeasurements, type BenchTable} from './log/log-bench.js';
@@ -73,6 +74,9 @@
 };
 
 const benches: Readonly<Record<string, () => void | Promise<void>>> = {
+	access() {
+		printTables(benchAccess());
+	},
 	policy: runPolicyBench,
 	aperture() {
 		printTables(benchAperture(seed));
