A question that was on its way during a suspension proves nothing, whoever notices it; leaders are looked for in a loop

Cause 1: the watch on the clocks tells a jump once. A control instance that answered a follower between the end of a suspension and the answer of its own question to the leader had used the jump up, and took the question for new: keys could be believed too long by the suspended time (test red before). Questions now count only if they began after the moment of the jump, strictly, at entries too (test red before). Cause 2: an entry without a leader looked for one by calling itself, without an end when the entry stops; now a loop until it stops. Cause 3: entries told a new leader what they had only with other news; now when they hear of it.

--- a/packages/mastvalve-access/__tests__/access.feature
+++ b/packages/mastvalve-access/__tests__/access.feature
@@ -18,6 +18,13 @@
     When control answers the question of 2050 ms
     Then keys are believed at 2100 ms
 
+  Scenario: A question at the very moment at which the clock stood still proves nothing
+    Given a bound of 5000 ms on keys that were taken away
+    When control answers the question of 2000 ms
+    And the entry was suspended at 2000 ms
+    And control answers the question of 2000 ms
+    Then keys are not believed at 2000 ms
+
   Scenario: Without a bound an entry goes on with what it has
     Given no bound on keys that were taken away
     Then keys are believed at 1000000 ms
--- a/packages/mastvalve-access/src/evidence.ts
+++ b/packages/mastvalve-access/src/evidence.ts
@@ -16,7 +16,7 @@
 export class Evidence {
 	/** Up to this moment all that was committed is known here. */
 	private sureAt = Number.NEGATIVE_INFINITY;
-	/** Questions that were asked before this moment prove nothing. */
+	/** Questions that were asked up to this moment prove nothing: the clock may have stood still at this very moment. */
 	private trustedFrom = Number.NEGATIVE_INFINITY;
 
 	/** `boundMs` is the longest time for which a key may be served after it was taken away; undefined when there is no such bound. */
@@ -24,7 +24,7 @@
 
 	/** An answer to a question that was asked at `askedAt`: what it brought includes all that was committed up to `sureAfterMs` later. */
 	record(askedAt: number, sureAfterMs: number): void {
-		if (askedAt >= this.trustedFrom) {
+		if (askedAt > this.trustedFrom) {
 			this.sureAt = Math.max(this.sureAt, askedAt + sureAfterMs);
 		}
 	}
--- a/packages/mastvalve-fleet-control/src/sure-moment.ts
+++ b/packages/mastvalve-fleet-control/src/sure-moment.ts
@@ -20,6 +20,8 @@
 /** The moment. Times are monotonic, ms. */
 export class SureMoment {
 	private at = Number.NEGATIVE_INFINITY;
+	/** Questions that began up to this moment prove nothing: the clock may have stood still while they were on their way. */
+	private trustedFrom = Number.NEGATIVE_INFINITY;
 	private readonly suspension: SuspensionWatch;
 
 	constructor(private readonly options: SureMomentOptions) {
@@ -38,7 +40,10 @@
 
 	/** All that was committed up to a moment was read from the leader, in a question that began then. */
 	note(askedAt: number): void {
-		this.at = Math.max(this.at, askedAt);
+		this.endIfSuspended();
+		if (askedAt > this.trustedFrom) {
+			this.at = Math.max(this.at, askedAt);
+		}
 	}
 
 	/** Asks the leader again and again until the signal aborts. */
@@ -47,21 +52,17 @@
 	}
 
 	private async renew(): Promise<void> {
-		this.endIfSuspended();
 		const askedAt = this.options.clock.now();
 		const fresh = await this.options.group.readFresh();
-		// A suspension while the question was on its way ends what it proves.
-		if (fresh.isOk() && !this.endIfSuspended()) {
+		if (fresh.isOk()) {
 			this.note(askedAt);
 		}
 	}
 
-	private endIfSuspended(): boolean {
-		const hasJumped = this.suspension.hasJumped();
-		if (hasJumped) {
+	private endIfSuspended(): void {
+		if (this.suspension.hasJumped()) {
 			this.at = Number.NEGATIVE_INFINITY;
+			this.trustedFrom = this.options.clock.now();
 		}
-
-		return hasJumped;
 	}
 }
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -90,6 +90,7 @@
 	readonly demand = new ModelDemand('entry', () => systemClock.now(), () => undefined, this.headTimes);
 	private readonly agent = new Agent({keepAlive: true});
 	private readonly upstream = new UpstreamAgent();
+	private readonly ending = new AbortController();
 	private workspaces: Workspace[] | undefined;
 	private address = '';
 	private requests = 0;
@@ -108,7 +109,7 @@
 			access: this.access,
 			limits: new LimitClient({
 				entry: 'entry',
-				client: {call: async ({body}) => this.answerClaims(body)}, readLeader: () => 'leader', now, windowMs: 8000, onEvent: () => undefined,
+				client: {call: async ({body}) => this.answerClaims(body)}, readLeader: () => 'leader', now, windowMs: 8000, signal: this.ending.signal, onEvent: () => undefined,
 			}),
 			allowance: new RetryAllowance({ratio: 1, slack: 5, windowMs: 10_000}, now),
 			headTimes: this.headTimes,
@@ -258,6 +259,7 @@
 	}
 
 	async stop(): Promise<void> {
+		this.ending.abort();
 		this.agent.destroy();
 		await this.gateway.drain(0);
 		this.upstream.destroy();
--- a/packages/mastvalve-gateway/src/access/limit-client.ts
+++ b/packages/mastvalve-gateway/src/access/limit-client.ts
@@ -18,6 +18,8 @@
 	now: () => number;
 	/** Window in which limits are counted, ms. */
 	windowMs: number;
+	/** Aborts when the entry ends. */
+	signal: AbortSignal;
 	onEvent: (kind: string, detail: string) => void;
 };
 
@@ -147,16 +149,19 @@
 	}
 
 	private async findLeader(): Promise<void> {
-		const answers = await this.call([]);
-		if (answers) {
-			this.isAlone = false;
-			this.lone.end();
-			this.options.onEvent('limits.regained', 'a leader answers for the limits of workspaces');
-			return;
+		const {signal, onEvent} = this.options;
+		while (this.isAlone && !signal.aborted) {
+			// eslint-disable-next-line no-await-in-loop
+			const answers = await this.call([]);
+			if (answers) {
+				this.isAlone = false;
+				this.lone.end();
+				onEvent('limits.regained', 'a leader answers for the limits of workspaces');
+			} else {
+				// eslint-disable-next-line no-await-in-loop
+				await waitFor(probePauseMs, signal);
+			}
 		}
-
-		await waitFor(probePauseMs);
-		await this.findLeader();
 	}
 
 	/** A call that broke off is made once more: kept connections are closed now and then, and a claim that counts twice harms nobody. */
@@ -181,7 +186,7 @@
 		}
 
 		const answer = await this.options.client.call<LimitAnswers>({
-			address, path: '/limits', body: question, silenceMs,
+			address, path: '/limits', body: question, silenceMs, signal: this.options.signal,
 		});
 		return answer.isOk() ? answer.value : undefined;
 	}
--- a/packages/mastvalve-gateway/src/fleet/fleet-follower.ts
+++ b/packages/mastvalve-gateway/src/fleet/fleet-follower.ts
@@ -25,6 +25,8 @@
 	/** Monotonic, ms. */
 	now: () => number;
 	onEvent: (kind: string, detail: string) => void;
+	/** Called when another leader is known than before. */
+	onLeader?: () => void;
 };
 
 /** How long control may hold a question until something changes, ms. */
@@ -105,7 +107,12 @@
 
 		const {update, members, leader, sureAfterMs} = answer.value;
 		this.members = members;
+		const isOtherLeader = this.leader !== leader;
 		this.leader = leader;
+		if (isOtherLeader) {
+			this.options.onLeader?.();
+		}
+
 		const isOther = this.sources.recordAnswer(address);
 		const before = view.configuration?.version;
 		view.apply(update, mustBeNewest);
--- a/packages/mastvalve-gateway/src/server/gateway-node.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-node.ts
@@ -85,6 +85,9 @@
 			distanceTo,
 			now,
 			onEvent,
+			onLeader() {
+				limits.noteLeader();
+			},
 		});
 		this.reporter = new DemandReporter(client, () => this.follower.leader);
 		const headTimes = new HeadTimes();
@@ -97,10 +100,7 @@
 		const limits = new LimitClient({
 			// Another life of the entry has another history.
 			entry: `${instance} ${random()}`,
-			client, readLeader: () => this.follower.leader, now, windowMs: limitWindowMs, onEvent,
-		});
-		this.view.subscribe(() => {
-			limits.noteLeader();
+			client, readLeader: () => this.follower.leader, now, windowMs: limitWindowMs, signal: this.ending.signal, onEvent,
 		});
 		this.gateway = new Gateway({
 			failureDomain,
