A caller that left while its claim was on the way leaves no timer behind

Found by reading: the listener that clears a request's timer was added after the claim had been waited for, when the caller might have left. The timer then ran to the deadline, and no metric was counted. Such a request ends before, and its claim is given back. Scenarios of the gateway pass.

--- a/packages/mastvalve-gateway/src/server/gateway.ts
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -9,7 +9,7 @@
 import {describeError, toMastvalveError, waitFor} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 import type {MastvalveError} from 'mastvalve-types';
-import {admitCaller} from '../access/admit-caller.js';
+import {admitCaller, type Admission} from '../access/admit-caller.js';
 import type {ActiveConfiguration} from '../fleet/active-configuration.js';
 import type {CallerRequest} from '../requests/caller-request.js';
 import {fingerprintRequest} from '../requests/request-fingerprint.js';
@@ -177,6 +177,11 @@
 			return;
 		}
 
+		if (ending.signal.aborted) {
+			this.giveBack(admission);
+			return;
+		}
+
 		const callerDeadlineAt = read.arrivedAt + Math.min(caller.remainingMs ?? maxDeadlineMs, maxDeadlineMs);
 		const deadlineAt = Math.min(callerDeadlineAt, read.arrivedAt + route.timeoutMs);
 		const method = req.method ?? 'GET';
@@ -195,8 +200,15 @@
 			core.observer.recordRequest(route.kind, reply.finishedStatus, core.clock.now() - read.arrivedAt);
 		}, {once: true});
 		const mayHaveRun = await serveRequest(core, request, reply);
-		if (!mayHaveRun && admission.workspace && admission.cost > 0) {
-			core.limits.giveBack(admission.workspace.name, admission.cost);
+		if (!mayHaveRun) {
+			this.giveBack(admission);
+		}
+	}
+
+	/** A request that was let in has not run, so its workspace may ask for as much again. */
+	private giveBack({workspace, cost}: Admission): void {
+		if (workspace && cost > 0) {
+			this.core.limits.giveBack(workspace.name, cost);
 		}
 	}
 
