--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -20,7 +20,7 @@
 import {FollowService} from './follow-service.js';
 import type {FollowRequest} from './follow.js';
 import {createForwardedHandlers} from './forwarded-control.js';
-import {LimitDesk, type LimitQuestion} from './limit-desk.js';
+import {LimitService, type LimitQuestion} from './limit-service.js';
 import {QuarantineClock} from './quarantine-clock.js';
 import {Liveness, type LivenessTimes} from './liveness.js';
 import {SureMoment} from './sure-moment.js';
@@ -74,7 +74,7 @@
 	private readonly startedAt: number;
 	private readonly director: EngineDirector;
 	private readonly sure: SureMoment;
-	private readonly limits: LimitDesk;
+	private readonly limits: LimitService;
 	private wasLeading = false;
 
 	private constructor(private readonly options: FleetControlOptions, readonly machine: FleetMachine, group: ControlGroup) {
@@ -88,7 +88,7 @@
 				options.onError(`the leader could not be asked: ${describeError(thrown)}`);
 			},
 		});
-		this.limits = new LimitDesk({
+		this.limits = new LimitService({
 			tolerance: options.limitTolerance, readConfiguration: () => machine.configuration?.configuration, readTerm: () => (group.isLeading ? group.leadingTerm : undefined), now: () => options.clock.now(),
 		});
 		this.followers = new FollowService({
--- a/packages/mastvalve-fleet-control/src/limit-desk.ts
+++ b/packages/mastvalve-fleet-control/src/limit-service.ts
@@ -8,7 +8,7 @@
 import type {ServingConfiguration} from 'mastvalve-fleet';
 
 /** What it is made from. */
-export type LimitDeskOptions = {
+export type LimitServiceOptions = {
 	tolerance: LimitTolerance;
 	readConfiguration: () => ServingConfiguration | undefined;
 	/** The term in which this instance leads with a valid lease; undefined when it doesn't. */
@@ -33,22 +33,22 @@
 	needsHistory: boolean;
 };
 
-/** The desk. */
-export class LimitDesk {
+/** The service. */
+export class LimitService {
 	/** Of the term in which this instance leads. */
-	private book: {term: number; ledger: LimitLedger; heard: Set<string>} | undefined;
+	private account: {term: number; ledger: LimitLedger; heard: Set<string>} | undefined;
 	private known: {configuration: ServingConfiguration; workspaces: WorkspaceTable} | undefined;
 
-	constructor(private readonly options: LimitDeskOptions) {}
+	constructor(private readonly options: LimitServiceOptions) {}
 
 	/** Answers claims; undefined when another instance may lead. */
 	settle({entry, claims, history}: LimitQuestion): LimitAnswers | undefined {
-		const book = this.openBook();
-		if (!book) {
+		const account = this.openAccount();
+		if (!account) {
 			return undefined;
 		}
 
-		const {ledger, heard} = book;
+		const {ledger, heard} = account;
 		const workspaces = this.readWorkspaces();
 		const now = this.options.now();
 		if (history && !heard.has(entry)) {
@@ -75,18 +75,18 @@
 		};
 	}
 
-	/** The book of the present term; another one may have counted in between. */
-	private openBook(): LimitDesk['book'] {
+	/** The account of the present term; another one may have counted in between. */
+	private openAccount(): LimitService['account'] {
 		const term = this.options.readTerm();
 		if (term === undefined) {
 			return undefined;
 		}
 
-		if (this.book?.term !== term) {
-			this.book = {term, ledger: new LimitLedger(this.options.tolerance, this.options.now()), heard: new Set()};
+		if (this.account?.term !== term) {
+			this.account = {term, ledger: new LimitLedger(this.options.tolerance, this.options.now()), heard: new Set()};
 		}
 
-		return this.book;
+		return this.account;
 	}
 
 	private readWorkspaces(): WorkspaceTable | undefined {
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -16,7 +16,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {findFreePorts} from '../../../../features/support/free-ports.js';
 import {
-	AccessDesk, CrashWatch, EndpointBoard, FieldOwner, FleetView, Gateway, HeadTimes, LimitClient, ModelDemand, probeListener, RequestQuarantine, RetryAllowance, UpstreamAgent, type Dialect,
+	AccessChecker, CrashWatch, EndpointBoard, FieldOwner, FleetView, Gateway, HeadTimes, LimitClient, ModelDemand, probeListener, RequestQuarantine, RetryAllowance, UpstreamAgent, type Dialect,
 } from '../../src/index.js';
 
 const textOf = (value: string | string[] | undefined): string | undefined => (Array.isArray(value) ? value[0] : value);
@@ -79,7 +79,7 @@
 	limitWaitMs: number | undefined = 0;
 	/** Costs that were claimed, and given back. */
 	readonly claimed: number[] = [];
-	readonly access = new AccessDesk({
+	readonly access = new AccessChecker({
 		view: this.view, clock: this.clock, keyRevocationMs: 5000, onSuspended: () => undefined,
 	});
 
--- a/packages/mastvalve-gateway/src/access/access-desk.ts
+++ b/packages/mastvalve-gateway/src/access/access-checker.ts
@@ -10,7 +10,7 @@
 import type {FleetView} from '../fleet/fleet-view.js';
 
 /** What it is made from. */
-export type AccessDeskOptions = {
+export type AccessCheckerOptions = {
 	view: FleetView;
 	clock: Clock;
 	/** Longest time for which a key may be served after it was taken away, ms; undefined when there is no such bound. */
@@ -22,12 +22,12 @@
 /** How long requests wait for new evidence after a suspension, ms: a question to control takes 10 to 100 ms. */
 export const evidenceWaitMs = 600;
 
-/** The desk. */
-export class AccessDesk {
+/** The checker. */
+export class AccessChecker {
 	private readonly evidence: Evidence;
 	private readonly suspension: SuspensionWatch;
 
-	constructor(private readonly options: AccessDeskOptions) {
+	constructor(private readonly options: AccessCheckerOptions) {
 		this.evidence = new Evidence(options.keyRevocationMs);
 		this.suspension = new SuspensionWatch(options.clock);
 	}
--- a/packages/mastvalve-gateway/src/access/admit-caller.ts
+++ b/packages/mastvalve-gateway/src/access/admit-caller.ts
@@ -10,7 +10,7 @@
 import type {CallerHeaders} from '../dialect.js';
 import type {OwnAnswer, Reply} from '../requests/reply.js';
 import type {GatewayCore} from '../server/gateway-core.js';
-import {isGranted} from './access-desk.js';
+import {isGranted} from './access-checker.js';
 
 /** When to ask again at an entry that may not believe its keys, s; another entry is likely to be sure at once. */
 const unsureRetrySeconds = 0.2;
--- a/packages/mastvalve-gateway/src/fleet/fleet-follower.ts
+++ b/packages/mastvalve-gateway/src/fleet/fleet-follower.ts
@@ -8,7 +8,7 @@
 import type {PeerClient} from 'mastvalve-cluster';
 import type {FollowAnswer} from 'mastvalve-fleet-control';
 import {waitFor} from 'mastvalve-utils';
-import type {AccessDesk} from '../access/access-desk.js';
+import type {AccessChecker} from '../access/access-checker.js';
 import type {FleetView} from './fleet-view.js';
 import {SourceChoice} from './source-choice.js';
 
@@ -17,7 +17,7 @@
 	client: PeerClient;
 	view: FleetView;
 	/** Hears up to which moment control was sure of what it answered. */
-	access: Pick<AccessDesk, 'recordAnswer' | 'canJudge'>;
+	access: Pick<AccessChecker, 'recordAnswer' | 'canJudge'>;
 	/** Control instances to ask besides those that an answer has named. */
 	listSources: () => string[];
 	/** Lower is nearer. */
--- a/packages/mastvalve-gateway/src/index.ts
+++ b/packages/mastvalve-gateway/src/index.ts
@@ -2,7 +2,7 @@
  * The data path by routes.
  */
 
-export * from './access/access-desk.js';
+export * from './access/access-checker.js';
 export * from './access/limit-client.js';
 export * from './dialect.js';
 export * from './endpoint-headers.js';
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -5,7 +5,7 @@
 
 import type {FleetEndpoint} from 'mastvalve-fleet';
 import type {GatewayCore} from '../server/gateway-core.js';
-import {isGranted} from '../access/access-desk.js';
+import {isGranted} from '../access/access-checker.js';
 import {ExchangeKind} from '../upstream/exchange.js';
 import type {CallerRequest} from './caller-request.js';
 import {
--- a/packages/mastvalve-gateway/src/server/gateway-core.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-core.ts
@@ -3,7 +3,7 @@
  */
 
 import type {Clock} from 'mastvalve-utils';
-import type {AccessDesk} from '../access/access-desk.js';
+import type {AccessChecker} from '../access/access-checker.js';
 import type {LimitClient} from '../access/limit-client.js';
 import type {Dialect} from '../dialect.js';
 import type {FleetView} from '../fleet/fleet-view.js';
@@ -28,7 +28,7 @@
 	view: FleetView;
 	board: EndpointBoard;
 	agent: UpstreamAgent;
-	access: AccessDesk;
+	access: AccessChecker;
 	limits: LimitClient;
 	allowance: RetryAllowance;
 	headTimes: HeadTimes;
--- a/packages/mastvalve-gateway/src/server/gateway-node.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-node.ts
@@ -6,7 +6,7 @@
 import type {MastvalveError} from 'mastvalve-types';
 import type {Clock} from 'mastvalve-utils';
 import type {Result} from 'neverthrow';
-import {AccessDesk} from '../access/access-desk.js';
+import {AccessChecker} from '../access/access-checker.js';
 import {LimitClient} from '../access/limit-client.js';
 import type {Dialect} from '../dialect.js';
 import {DemandReporter} from '../fleet/demand-reporter.js';
@@ -50,7 +50,7 @@
 export class GatewayNode {
 	readonly view: FleetView;
 	readonly follower: FleetFollower;
-	private readonly access: AccessDesk;
+	private readonly access: AccessChecker;
 	private readonly gateway: Gateway;
 	private readonly reporter: DemandReporter;
 	private readonly demand: ModelDemand;
@@ -68,7 +68,7 @@
 		};
 
 		this.view = new FleetView(now);
-		this.access = new AccessDesk({
+		this.access = new AccessChecker({
 			view: this.view,
 			clock,
 			keyRevocationMs,
--- a/packages/mastvalve-gateway/src/server/wait-for-control.ts
+++ b/packages/mastvalve-gateway/src/server/wait-for-control.ts
@@ -4,7 +4,7 @@
 
 import type {IncomingMessage} from 'node:http';
 import {waitFor} from 'mastvalve-utils';
-import {evidenceWaitMs} from '../access/access-desk.js';
+import {evidenceWaitMs} from '../access/access-checker.js';
 import type {GatewayCore} from './gateway-core.js';
 
 /** Control elects a leader within 1.5 s after all of it was killed; a request waits that long at most, ms. */
