--- a/packages/mastvalve-gateway/src/access/access-checker.ts
+++ b/packages/mastvalve-gateway/src/access/access-checker.ts
@@ -19,7 +19,7 @@
 	onSuspended: () => void;
 };
 
-/** How long requests wait for new evidence after a suspension, ms: a question to control takes 10 to 100 ms. */
+/** How long requests wait for new evidence after a suspension, ms: the follower may have to try another control instance, at which it gives up after 0.8 s without a byte. */
 export const evidenceWaitMs = 600;
 
 /** The checker. */
--- a/packages/mastvalve-gateway/src/access/limit-client.ts
+++ b/packages/mastvalve-gateway/src/access/limit-client.ts
@@ -26,7 +26,7 @@
 /** Whether a claim was taken, and if not, when there is room, ms. */
 export type ClaimOutcome = {isTaken: boolean; waitMs: number};
 
-/** A leader with which no byte moves for this long is out of reach, ms: a call takes 3 to 10 ms, and callers wait for it. */
+/** A leader with which no byte moves for this long is out of reach, ms: two messages within a region take 3 ms, a round of planning up to 20 ms, and callers wait. */
 const silenceMs = 150;
 /** A call that fails within this time found a connection that its peer has closed, ms; one that is out of reach takes longer. */
 const brokenMs = 50;
