What a question proves is kept in one place, for entries and for control

Evidence and SureMoment each kept a latest moment and a moment of distrust, with the same strict rule; a fault in that rule had to be mended in both. Now ProvenMoment.

--- a/packages/mastvalve-access/src/evidence.ts
+++ b/packages/mastvalve-access/src/evidence.ts
@@ -9,30 +9,27 @@
  * evidence ends.
  */
 
+import {ProvenMoment} from './proven-moment.js';
+
 /** Part of the bound that is used, since steady clocks differ (by 1 in 10,000) and a hand-over takes some ms. */
 const usedShare = 0.9;
 
 /** The evidence of one entry. Times are monotonic, ms. */
 export class Evidence {
 	/** Up to this moment all that was committed is known here. */
-	private sureAt = Number.NEGATIVE_INFINITY;
-	/** Questions that were asked up to this moment prove nothing: the clock may have stood still at this very moment. */
-	private trustedFrom = Number.NEGATIVE_INFINITY;
+	private readonly sure = new ProvenMoment();
 
 	/** `boundMs` is the longest time for which a key may be served after it was taken away; undefined when there is no such bound. */
 	constructor(private readonly boundMs: number | undefined) {}
 
 	/** An answer to a question that was asked at `askedAt`: what it brought includes all that was committed up to `sureAfterMs` later. */
 	record(askedAt: number, sureAfterMs: number): void {
-		if (askedAt > this.trustedFrom) {
-			this.sureAt = Math.max(this.sureAt, askedAt + sureAfterMs);
-		}
+		this.sure.record(askedAt, askedAt + sureAfterMs);
 	}
 
 	/** Time may have gone by that the steady clock did not count. */
 	distrust(now: number): void {
-		this.sureAt = Number.NEGATIVE_INFINITY;
-		this.trustedFrom = now;
+		this.sure.distrust(now);
 	}
 
 	/** Whether keys may be believed. */
@@ -42,11 +39,11 @@
 
 	/** How old the evidence is, ms; infinite without any. */
 	ageAt(now: number): number {
-		return now - this.sureAt;
+		return now - this.sure.at;
 	}
 
 	/** Whether it was ended by a suspension and comes again with the next answer. */
 	isAwaited(now: number, forMs: number): boolean {
-		return this.sureAt === Number.NEGATIVE_INFINITY && now - this.trustedFrom < forMs;
+		return this.sure.at === Number.NEGATIVE_INFINITY && now - this.sure.distrustedAt < forMs;
 	}
 }
--- a/packages/mastvalve-access/src/index.ts
+++ b/packages/mastvalve-access/src/index.ts
@@ -11,6 +11,7 @@
 export type * from './limit-tolerance.js';
 export * from './lone-limits.js';
 export * from './presented-key.js';
+export * from './proven-moment.js';
 export * from './rank-priorities.js';
 export * from './request-cost.js';
 export * from './workspace.js';
--- a/packages/mastvalve-fleet-control/src/sure-moment.ts
+++ b/packages/mastvalve-fleet-control/src/sure-moment.ts
@@ -4,6 +4,7 @@
  * way for long.
  */
 
+import {ProvenMoment} from 'mastvalve-access';
 import type {ControlGroup} from 'mastvalve-cluster';
 import {repeatUntilAborted, SuspensionWatch, type Clock} from 'mastvalve-utils';
 
@@ -19,9 +20,7 @@
 
 /** The moment. Times are monotonic, ms. */
 export class SureMoment {
-	private at = Number.NEGATIVE_INFINITY;
-	/** Questions that began up to this moment prove nothing: the clock may have stood still while they were on their way. */
-	private trustedFrom = Number.NEGATIVE_INFINITY;
+	private readonly proven = new ProvenMoment();
 	private readonly suspension: SuspensionWatch;
 
 	constructor(private readonly options: SureMomentOptions) {
@@ -35,15 +34,13 @@
 			return this.options.clock.now();
 		}
 
-		return this.at === Number.NEGATIVE_INFINITY ? undefined : this.at;
+		return this.proven.at === Number.NEGATIVE_INFINITY ? undefined : this.proven.at;
 	}
 
 	/** All that was committed up to a moment was read from the leader, in a question that began then. */
 	note(askedAt: number): void {
 		this.endIfSuspended();
-		if (askedAt > this.trustedFrom) {
-			this.at = Math.max(this.at, askedAt);
-		}
+		this.proven.record(askedAt, askedAt);
 	}
 
 	/** Asks the leader again and again until the signal aborts. */
@@ -61,8 +58,7 @@
 
 	private endIfSuspended(): void {
 		if (this.suspension.hasJumped()) {
-			this.at = Number.NEGATIVE_INFINITY;
-			this.trustedFrom = this.options.clock.now();
+			this.proven.distrust(this.options.clock.now());
 		}
 	}
 }
