Sight: what an endpoint's answers say of its limit is read and logged

Cause not shown yet: the logs could not tell whether an entry notices a limit at all (first hypothesis) or keeps to it by itself (second). Added: the field is read with each head of an answer, refusals and failures too, and one line tells when an endpoint's word is another than before. No decision depends on it. Ruled out: nothing yet.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -12,6 +12,7 @@
 	ConfigurationChangeKind, EndpointPhase, RouteKind,
 	type ConfigurationChange, type ConfigurationFrame, type ExpectedLoad, type FleetEndpoint, type Route,
 } from 'mastvalve-fleet';
+import {readLimitWord} from 'mastvalve-limits';
 import {assumeType, createRandom, systemClock} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 import {findFreePorts} from '../../../../features/support/free-ports.js';
@@ -42,7 +43,7 @@
 		...(bodyLength === undefined ? [] : ['content-length', String(bodyLength)]),
 	],
 	readAnswer: (_status, headers) => ({
-		requestId: textOf(headers['x-id']), endpointName: textOf(headers['x-endpoint']), isNotRun: headers['x-not-run'] !== undefined, isMisdirected: headers['x-misdirected'] !== undefined, load: undefined,
+		requestId: textOf(headers['x-id']), endpointName: textOf(headers['x-endpoint']), isNotRun: headers['x-not-run'] !== undefined, isMisdirected: headers['x-misdirected'] !== undefined, load: undefined, limit: readLimitWord(textOf(headers['x-limit'])),
 	}),
 };
 
--- a/packages/mastvalve-gateway/src/dialect.ts
+++ b/packages/mastvalve-gateway/src/dialect.ts
@@ -4,6 +4,7 @@
 
 import type {IncomingHttpHeaders} from 'node:http';
 import type {PresentedKey} from 'mastvalve-access';
+import type {LimitWord} from 'mastvalve-limits';
 
 /** What a caller's headers say. */
 export type CallerHeaders = {
@@ -51,6 +52,8 @@
 	/** The endpoint at the address is another one, or it lacks the model. */
 	isMisdirected: boolean;
 	load: ReportedLoad | undefined;
+	/** What it says of the requests that it takes from all entries together. */
+	limit: LimitWord;
 };
 
 /** Load that an endpoint tells with an answer. */
--- a/packages/mastvalve-gateway/src/requests/take-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/take-answer.ts
@@ -3,6 +3,7 @@
  */
 
 import {parseIncarnation, type FleetEndpoint} from 'mastvalve-fleet';
+import {LimitWordKind} from 'mastvalve-limits';
 import type {AnswerHeaders} from '../dialect.js';
 import {formatModel} from '../routing/model-demand.js';
 import type {GatewayCore} from '../server/gateway-core.js';
@@ -36,6 +37,15 @@
 	});
 };
 
+/** One line when the word of an endpoint on its limit is another than that of its answer before. */
+const logLimit = (core: GatewayCore, {requestId}: CallerRequest, endpoint: string, {limit}: AnswerHeaders): void => {
+	if (core.board.recordLimitWord(endpoint, limit)) {
+		core.log('endpoint.limit-told', {
+			request: requestId, endpoint, word: limit.kind, perSecond: limit.kind === LimitWordKind.Named ? limit.perSecond : undefined,
+		});
+	}
+};
+
 /** Remembers that an endpoint is another one, or lacks a model which it was thought to hold. */
 const recordMisdirection = (core: GatewayCore, {caller}: CallerRequest, endpoint: FleetEndpoint, head: AnswerHeaders): void => {
 	if (!head.isMisdirected) {
@@ -60,6 +70,7 @@
 	const status = res.statusCode ?? 0;
 	const head = core.dialect.readAnswer(status, res.headers);
 	core.board.recordLoad(endpoint.id, head.load);
+	logLimit(core, request, endpoint.id, head);
 	if (head.isNotRun) {
 		res.resume();
 		recordMisdirection(core, request, endpoint, head);
--- a/packages/mastvalve-gateway/src/routing/endpoint-board.ts
+++ b/packages/mastvalve-gateway/src/routing/endpoint-board.ts
@@ -2,6 +2,7 @@
  * What one entry has learned of the endpoints from its own requests. Nothing in it must survive.
  */
 
+import {LimitWordKind, type LimitWord} from 'mastvalve-limits';
 import type {ReportedLoad} from '../dialect.js';
 
 /** What is known of one endpoint. */
@@ -30,6 +31,8 @@
 	busySince: number;
 	/** Models, with their adapters, that it said it does not hold, and the revision of it that had promised them. */
 	lacks: Map<string, number>;
+	/** What the last of its answers said of its limit. */
+	limitWord: LimitWord;
 	/** Whether another endpoint was met at its address. */
 	isReplaced: boolean;
 };
@@ -47,6 +50,8 @@
 /** Weight of the newest answer's delay. */
 const delayWeight = 0.4;
 
+const describeWord = (word: LimitWord): string => (word.kind === LimitWordKind.Named ? String(word.perSecond) : word.kind);
+
 /** The board. */
 export class EndpointBoard {
 	private readonly known = new Map<string, EndpointKnowledge>();
@@ -55,7 +60,7 @@
 
 	find(id: string): EndpointKnowledge {
 		const knowledge = this.known.get(id) ?? {
-			inFlight: 0, unread: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, delay: 0, delayAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, absentUntil: 0, heardAt: Number.NEGATIVE_INFINITY, busySince: 0, lacks: new Map<string, number>(), isReplaced: false,
+			inFlight: 0, unread: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, delay: 0, delayAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, absentUntil: 0, heardAt: Number.NEGATIVE_INFINITY, busySince: 0, lacks: new Map<string, number>(), limitWord: {kind: LimitWordKind.Absent}, isReplaced: false,
 		};
 		this.known.set(id, knowledge);
 		return knowledge;
@@ -118,6 +123,14 @@
 		}
 	}
 
+	/** An answer said something of its limit; whether that is news. */
+	recordLimitWord(id: string, word: LimitWord): boolean {
+		const knowledge = this.find(id);
+		const isNews = describeWord(knowledge.limitWord) !== describeWord(word);
+		knowledge.limitWord = word;
+		return isNews;
+	}
+
 	recordSuccess(id: string): void {
 		const knowledge = this.find(id);
 		knowledge.failures = 0;
--- /dev/null
+++ b/packages/mastvalve-limits/src/limit-word.ts
@@ -0,0 +1,34 @@
+/**
+ * What the head of an answer says of its endpoint's limit: the requests a second that it takes from all entries together.
+ */
+
+/** What a head may say. */
+export enum LimitWordKind {
+	/** It names no limit. */
+	Absent = 'absent',
+	Named = 'named',
+	/** Something that is no rate; it neither begins, changes nor ends a limit. */
+	Unreadable = 'unreadable',
+}
+
+/** The word of one answer. */
+export type LimitWord = {kind: LimitWordKind.Absent} | {kind: LimitWordKind.Unreadable} | {kind: LimitWordKind.Named; perSecond: number};
+
+/**
+ * The lowest limit that is kept, requests a second. Only its answers tell when an endpoint's limit is over, so one that takes
+ * nothing is asked this often all the same.
+ */
+export const minPerSecond = 0.1;
+
+/** A decimal number of at most nine digits on each side; signs, exponents and lists are no rates. */
+const decimal = /^\d{1,9}(?:\.\d{1,9})?$/v;
+
+/** Reads the field's value; undefined when the head has no such field. */
+export const readLimitWord = (text: string | undefined): LimitWord => {
+	if (text === undefined) {
+		return {kind: LimitWordKind.Absent};
+	}
+
+	const trimmed = text.trim();
+	return decimal.test(trimmed) ? {kind: LimitWordKind.Named, perSecond: Math.max(minPerSecond, Number(trimmed))} : {kind: LimitWordKind.Unreadable};
+};
