--- a/packages/mastvalve-fleet-control/src/demand-report.ts
+++ b/packages/mastvalve-fleet-control/src/demand-report.ts
@@ -20,6 +20,12 @@
 	absent: string[];
 };
 
+/** What the leader answers. */
+export type DemandAnswer = {
+	/** Entries that have reported lately: they share what all of them together may ask for. */
+	entries: number;
+};
+
 /** A model, or an adapter of one, that requests wait for. */
 export type Wanted = {
 	service: string;
--- a/packages/mastvalve-fleet-control/src/engines/engine-demand.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-demand.ts
@@ -99,6 +99,12 @@
 		};
 	}
 
+	/** Entries that have reported lately. */
+	countEntries(): number {
+		const now = this.now();
+		return [...this.wanted.values()].filter(({at}) => now - at < wantedMs).length;
+	}
+
 	/** What requests for a service wait for, the most pressing first. */
 	listWanted(service: string): KnownWanted[] {
 		const now = this.now();
--- a/packages/mastvalve-fleet-control/src/engines/engine-director.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-director.ts
@@ -96,6 +96,11 @@
 		this.runSoon();
 	}
 
+	/** Entries that have reported lately. */
+	countEntries(): number {
+		return this.demand.countEntries();
+	}
+
 	/** One round: claims the orders if need be, then begins moves. */
 	async runRound(): Promise<void> {
 		const {machine, clock} = this.options;
--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -14,12 +14,13 @@
 } from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 import type {ControlService} from './control-service.js';
-import type {DemandReport} from './demand-report.js';
+import type {DemandAnswer, DemandReport} from './demand-report.js';
 import {EngineDirector} from './engines/engine-director.js';
 import type {EnginePort} from './engines/engine-port.js';
 import {FollowService} from './follow-service.js';
 import type {FollowRequest} from './follow.js';
 import {createForwardedHandlers} from './forwarded-control.js';
+import {LimitPublisher} from './limit-publisher.js';
 import {LimitService, type LimitQuestion} from './limit-service.js';
 import {QuarantineClock} from './quarantine-clock.js';
 import {Liveness, type LivenessTimes} from './liveness.js';
@@ -75,6 +76,7 @@
 	private readonly director: EngineDirector;
 	private readonly sure: SureMoment;
 	private readonly limits: LimitService;
+	private readonly limitPublisher: LimitPublisher;
 	private wasLeading = false;
 
 	private constructor(private readonly options: FleetControlOptions, readonly machine: FleetMachine, group: ControlGroup) {
@@ -89,7 +91,16 @@
 			},
 		});
 		this.limits = new LimitService({
-			tolerance: options.limitTolerance, readConfiguration: () => machine.configuration?.configuration, readTerm: () => (group.isLeading ? group.leadingTerm : undefined), now: () => options.clock.now(),
+			tolerance: options.limitTolerance, readConfiguration: () => machine.configuration?.configuration, findEndpoint: id => machine.find(id), readTerm: () => (group.isLeading ? group.leadingTerm : undefined), now: () => options.clock.now(),
+		});
+		this.limitPublisher = new LimitPublisher({
+			listChanged: () => this.limits.listChanged(),
+			propose: async command => {
+				const recorded = await this.propose(command);
+				return recorded.isOk();
+			},
+			onEvent: options.onEvent,
+			now: () => options.clock.now(),
 		});
 		this.followers = new FollowService({
 			machine, group, clock: options.clock, sure: this.sure, ending: this.ending.signal,
@@ -105,10 +116,12 @@
 			['/follow', async (body, signal) => this.followers.follow(assumeType<FollowRequest>(body), signal)],
 			['/demand', async body => {
 				this.director.hear(assumeType<DemandReport>(body));
-				return this.group.isLeading ? ok(true) : err(new ControlUnavailableError('This control instance does not lead.'));
+				const answer: DemandAnswer = {entries: this.director.countEntries()};
+				return this.group.isLeading ? ok(answer) : err(new ControlUnavailableError('This control instance does not lead.'));
 			}],
 			['/limits', async body => {
 				const answers = this.limits.settle(assumeType<LimitQuestion>(body));
+				void this.limitPublisher.publish();
 				return answers ? ok(answers) : err(new ControlUnavailableError('This control instance does not lead.'));
 			}],
 			['/crashes', async body => this.takeCrashes(assumeType<CrashReport[]>(body))],
@@ -248,6 +261,7 @@
 			this.quarantineClock.reset();
 		}
 
+		await this.limitPublisher.publish();
 		const now = this.options.clock.now();
 		const endpoints = this.machine.list();
 		const silent = this.liveness.listSilent(endpoints, now, this.times);
--- a/packages/mastvalve-fleet-control/src/limit-service.ts
+++ b/packages/mastvalve-fleet-control/src/limit-service.ts
@@ -1,16 +1,21 @@
 /**
- * Counts at the leader what workspaces may still ask for: entries claim what a request costs before they take it.
+ * Counts at the leader what may still be asked for: entries claim what a request costs its workspace before they take it, and the
+ * room of a limited endpoint before they hand a request over.
  */
 
 import {
 	LimitLedger, WorkspaceTable, type FormerGrant, type LimitClaim, type LimitTolerance,
 } from 'mastvalve-access';
-import type {ServingConfiguration} from 'mastvalve-fleet';
+import {EndpointPhase, type FleetEndpoint, type ServingConfiguration} from 'mastvalve-fleet';
+import {
+	EndpointLimits, type AccountMoment, type EndpointLimit, type HandoverClaim, type ToldWord,
+} from 'mastvalve-limits';
 
 /** What it is made from. */
 export type LimitServiceOptions = {
 	tolerance: LimitTolerance;
 	readConfiguration: () => ServingConfiguration | undefined;
+	findEndpoint: (id: string) => FleetEndpoint | undefined;
 	/** The term in which this instance leads with a valid lease; undefined when it doesn't. */
 	readTerm: () => number | undefined;
 	/** Monotonic, ms. */
@@ -21,6 +26,12 @@
 export type LimitQuestion = {
 	entry: string;
 	claims: LimitClaim[];
+	/** What answers of endpoints said of their limits. */
+	words: ToldWord[];
+	/** Requests for limited endpoints, the most urgent first. */
+	handovers: HandoverClaim[];
+	/** Limited endpoints that did not get a request which was let through. */
+	unused: string[];
 	/** What the entry was granted before; missing when it has told this leader already. */
 	history?: FormerGrant[];
 };
@@ -29,6 +40,10 @@
 export type LimitAnswers = {
 	/** For each claim in its order 0, or the time until there is room, ms. */
 	waitMs: number[];
+	/** The same for each request for a limited endpoint. */
+	handoverWaitMs: number[];
+	/** When these requests were let through. */
+	grantedAt: AccountMoment;
 	/** Set when this leader doesn't know what the entry was granted before; nothing was taken then. */
 	needsHistory: boolean;
 };
@@ -36,19 +51,19 @@
 /** The service. */
 export class LimitService {
 	/** Of the term in which this instance leads. */
-	private account: {term: number; ledger: LimitLedger; heard: Set<string>} | undefined;
+	private account: {term: number; ledger: LimitLedger; endpoints: EndpointLimits; heard: Set<string>} | undefined;
 	private known: {configuration: ServingConfiguration; workspaces: WorkspaceTable} | undefined;
 
 	constructor(private readonly options: LimitServiceOptions) {}
 
 	/** Answers claims; undefined when another instance may lead. */
-	settle({entry, claims, history}: LimitQuestion): LimitAnswers | undefined {
+	settle({entry, claims, history, words, handovers, unused}: LimitQuestion): LimitAnswers | undefined {
 		const account = this.openAccount();
 		if (!account) {
 			return undefined;
 		}
 
-		const {ledger, heard} = account;
+		const {ledger, endpoints, heard} = account;
 		const workspaces = this.readWorkspaces();
 		const now = this.options.now();
 		if (history && !heard.has(entry)) {
@@ -62,9 +77,18 @@
 		}
 
 		if (!heard.has(entry)) {
-			return {waitMs: [], needsHistory: true};
+			return {
+				waitMs: [], handoverWaitMs: [], grantedAt: endpoints.moment, needsHistory: true,
+			};
 		}
 
+		words.forEach(word => {
+			endpoints.hear(word, now);
+		});
+		unused.forEach(endpoint => {
+			endpoints.giveBack(endpoint);
+		});
+
 		return {
 			needsHistory: false,
 			waitMs: claims.map(({workspace, cost}) => {
@@ -72,9 +96,16 @@
 				// A workspace that is gone has no limit here; the entry refuses its keys by itself.
 				return known ? ledger.settle(known, cost, now) : 0;
 			}),
+			handoverWaitMs: handovers.map(claim => endpoints.claim(claim, now)),
+			grantedAt: endpoints.moment,
 		};
 	}
 
+	/** Limits of endpoints that the log doesn't tell as they are; none while another instance may lead. */
+	listChanged(): EndpointLimit[] {
+		return this.openAccount()?.endpoints.listChanged() ?? [];
+	}
+
 	/** The account of the present term; another one may have counted in between. */
 	private openAccount(): LimitService['account'] {
 		const term = this.options.readTerm();
@@ -83,12 +114,19 @@
 		}
 
 		if (this.account?.term !== term) {
-			this.account = {term, ledger: new LimitLedger(this.options.tolerance, this.options.now()), heard: new Set()};
+			this.account = {
+				term, ledger: new LimitLedger(this.options.tolerance, this.options.now()), endpoints: new EndpointLimits(term, id => this.readRecorded(id)), heard: new Set(),
+			};
 		}
 
 		return this.account;
 	}
 
+	private readRecorded(id: string): {perSecond: number | undefined} | 'unknown' {
+		const endpoint = this.options.findEndpoint(id);
+		return endpoint === undefined || endpoint.phase === EndpointPhase.Gone ? 'unknown' : {perSecond: endpoint.limitPerSecond};
+	}
+
 	private readWorkspaces(): WorkspaceTable | undefined {
 		const configuration = this.options.readConfiguration();
 		if (configuration && this.known?.configuration !== configuration) {
--- a/packages/mastvalve-fleet/src/state/apply-report.ts
+++ b/packages/mastvalve-fleet/src/state/apply-report.ts
@@ -36,6 +36,7 @@
 		retiring: known?.retiring,
 		loading: known?.loading,
 		isOrdering: (known ?? former)?.isOrdering ?? false,
+		limitPerSecond: known?.limitPerSecond,
 		orderedAt: known?.orderedAt ?? 0,
 		revision,
 	};
--- a/packages/mastvalve-fleet/src/state/fleet-command.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-command.ts
@@ -17,6 +17,7 @@
 	ClaimOrders = 'claim-orders',
 	RecordCrashes = 'record-crashes',
 	ReleaseQuarantine = 'release-quarantine',
+	RecordLimits = 'record-limits',
 }
 
 /** What orders have changed at an engine, or are about to change. */
@@ -32,6 +33,9 @@
 	isOrdering: boolean;
 };
 
+/** The limit that an endpoint has named, requests a second; missing when it is over. */
+export type RecordedLimit = {endpoint: string; perSecond?: number};
+
 /** Any command. */
 export type FleetCommand
 	= | {kind: FleetCommandKind.Configure; stated: StatedConfiguration}
@@ -43,4 +47,5 @@
 		| {kind: FleetCommandKind.RecordHoldings; holdings: Holdings}
 		| {kind: FleetCommandKind.ClaimOrders; holder: string}
 		| {kind: FleetCommandKind.RecordCrashes; reports: CrashReport[]}
-		| {kind: FleetCommandKind.ReleaseQuarantine; fingerprints: string[]};
+		| {kind: FleetCommandKind.ReleaseQuarantine; fingerprints: string[]}
+		| {kind: FleetCommandKind.RecordLimits; limits: RecordedLimit[]};
--- a/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
@@ -53,6 +53,8 @@
 	loading: ExpectedLoad | undefined;
 	/** Whether an order of control may be on its way or under way. */
 	isOrdering: boolean;
+	/** Requests a second that it takes from all entries together; missing while it has named no limit, and in snapshots of earlier versions. */
+	limitPerSecond?: number;
 	/** Log index of the last record of orders; 0 when none was ever given. */
 	orderedAt: number;
 	/** Log index of the last change. */
--- a/packages/mastvalve-fleet/src/state/fleet-machine.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-machine.ts
@@ -12,7 +12,7 @@
 import type {CrashReport} from '../quarantine/crash-report.js';
 import {applyHoldings, applyReport, isNews} from './apply-report.js';
 import {ChangeFeed, type FeedPlace} from './change-feed.js';
-import {FleetCommandKind, type FleetCommand} from './fleet-command.js';
+import {FleetCommandKind, type FleetCommand, type RecordedLimit} from './fleet-command.js';
 import {EndpointPhase, type EndpointReport, type FleetEndpoint} from './fleet-endpoint.js';
 import {isEarlierIncarnation, parseIncarnation} from './endpoint-incarnation.js';
 import {EndpointStore} from './endpoint-store.js';
@@ -193,6 +193,10 @@
 			case FleetCommandKind.ReleaseQuarantine: {
 				return this.touch(this.crashes.release(command.fingerprints, index), index);
 			}
+
+			case FleetCommandKind.RecordLimits: {
+				return command.limits.map(limit => this.recordLimit(limit, index)).some(Boolean);
+			}
 		}
 	}
 
@@ -250,6 +254,13 @@
 		return quarantined;
 	}
 
+	/** What an incarnation has named holds for that one only. */
+	private recordLimit({endpoint, perSecond}: RecordedLimit, index: number): boolean {
+		const known = this.endpoints.find(endpoint);
+		const isNews = known && known.phase !== EndpointPhase.Gone && known.limitPerSecond !== perSecond;
+		return isNews ? this.replace({...known, limitPerSecond: perSecond, revision: index}, index) : false;
+	}
+
 	private touch(isChanged: boolean, index: number): boolean {
 		this.revision = isChanged ? index : this.revision;
 		return isChanged;
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -17,7 +17,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {findFreePorts} from '../../../../features/support/free-ports.js';
 import {
-	AccessChecker, CrashWatch, EndpointBoard, FieldOwner, FleetView, Gateway, HeadTimes, LimitClient, ModelDemand, probeListener, RequestQuarantine, RetryAllowance, UpstreamAgent, type Dialect,
+	AccessChecker, CrashWatch, EndpointBoard, FieldOwner, FleetView, EndpointLimiter, Gateway, HeadTimes, LimitClient, ModelDemand, probeListener, RequestQuarantine, RetryAllowance, UpstreamAgent, type Dialect,
 } from '../../src/index.js';
 
 const textOf = (value: string | string[] | undefined): string | undefined => (Array.isArray(value) ? value[0] : value);
@@ -99,18 +99,23 @@
 	constructor() {
 		const now = (): number => systemClock.now();
 		const quarantine = new RequestQuarantine(this.view, now);
+		const board = new EndpointBoard(now);
+		const limits = new LimitClient({
+			entry: 'entry',
+			client: {call: async ({body}) => this.answerClaims(body)}, readLeader: () => 'leader', readEntries: () => 1, random: createRandom(1), now, windowMs: 8000, signal: this.ending.signal, onEvent: () => undefined,
+		});
 		this.gateway = new Gateway({
 			failureDomain: 'a',
 			clock: systemClock,
 			random: createRandom(1),
 			dialect: testDialect,
 			view: this.view,
-			board: new EndpointBoard(now),
+			board,
 			agent: this.upstream,
 			access: this.access,
-			limits: new LimitClient({
-				entry: 'entry',
-				client: {call: async ({body}) => this.answerClaims(body)}, readLeader: () => 'leader', now, windowMs: 8000, signal: this.ending.signal, onEvent: () => undefined,
+			limits,
+			limiter: new EndpointLimiter({
+				view: this.view, board, client: limits, now,
 			}),
 			allowance: new RetryAllowance({ratio: 1, slack: 5, windowMs: 10_000}, now),
 			headTimes: this.headTimes,
@@ -267,10 +272,12 @@
 	}
 
 	private async answerClaims(body: unknown): Promise<Result<never, PeerError>> {
-		const {claims} = assumeType<LimitQuestion>(body);
+		const {claims, handovers} = assumeType<LimitQuestion>(body);
 		this.claimed.push(...claims.map(({cost}) => cost));
 		return this.limitWaitMs === undefined
 			? err(new PeerError('leader', '/limits', 'no answer'))
-			: ok(assumeType<never>({needsHistory: false, waitMs: claims.map(({cost}) => (cost < 0 ? 0 : this.limitWaitMs))}));
+			: ok(assumeType<never>({
+				needsHistory: false, waitMs: claims.map(({cost}) => (cost < 0 ? 0 : this.limitWaitMs)), handoverWaitMs: handovers.map(() => 0), grantedAt: {term: 1, number: 1},
+			}));
 	}
 }
--- a/packages/mastvalve-gateway/src/fleet/demand-reporter.ts
+++ b/packages/mastvalve-gateway/src/fleet/demand-reporter.ts
@@ -3,6 +3,7 @@
  */
 
 import type {PeerClient} from 'mastvalve-cluster';
+import type {DemandAnswer} from 'mastvalve-fleet-control';
 import {waitFor} from 'mastvalve-utils';
 import type {ModelDemand} from '../routing/model-demand.js';
 
@@ -15,6 +16,8 @@
 
 /** The reporter. */
 export class DemandReporter {
+	/** Entries that report to the leader, as last heard; undefined before the first answer. */
+	entries: number | undefined;
 	private wake: AbortController = new AbortController();
 
 	constructor(private readonly client: PeerClient, private readonly readLeader: () => string | undefined) {}
@@ -43,9 +46,10 @@
 			return false;
 		}
 
-		const answer = await this.client.call({
+		const answer = await this.client.call<DemandAnswer>({
 			address, path: '/demand', body: demand.take(), silenceMs, signal,
 		});
+		this.entries = answer.isOk() ? answer.value.entries : this.entries;
 		return answer.isOk();
 	}
 }
--- a/packages/mastvalve-gateway/src/fleet/fleet-view.ts
+++ b/packages/mastvalve-gateway/src/fleet/fleet-view.ts
@@ -73,6 +73,10 @@
 		return ends.length === 0 ? undefined : Math.min(...ends);
 	}
 
+	find(id: string): FleetEndpoint | undefined {
+		return this.endpoints.get(id);
+	}
+
 	/** Endpoints that are not gone. */
 	knows(id: string): boolean {
 		return this.endpoints.has(id);
--- a/packages/mastvalve-gateway/src/index.ts
+++ b/packages/mastvalve-gateway/src/index.ts
@@ -3,7 +3,6 @@
  */
 
 export * from './access/access-checker.js';
-export * from './access/limit-client.js';
 export * from './dialect.js';
 export * from './endpoint-headers.js';
 export * from './fleet/active-configuration.js';
@@ -11,6 +10,8 @@
 export * from './fleet/fleet-follower.js';
 export * from './fleet/source-choice.js';
 export * from './fleet/fleet-view.js';
+export * from './limits/endpoint-limiter.js';
+export * from './limits/limit-client.js';
 export * from './quarantine/crash-reporter.js';
 export * from './quarantine/crash-watch.js';
 export * from './quarantine/probe-listener.js';
--- /dev/null
+++ b/packages/mastvalve-gateway/src/limits/endpoint-limiter.ts
@@ -0,0 +1,88 @@
+/**
+ * Keeps to the limits that endpoints name: a request goes to such an endpoint only with room that was claimed, and what its answers
+ * say is told to the leader.
+ */
+
+import type {FleetEndpoint} from 'mastvalve-fleet';
+import {
+	LimitWordKind, type AccountMoment, type HandoverClaim, type LimitWord,
+} from 'mastvalve-limits';
+import type {FleetView} from '../fleet/fleet-view.js';
+import type {EndpointBoard} from '../routing/endpoint-board.js';
+import type {HandoverOutcome} from './limit-batch.js';
+import type {LimitClient} from './limit-client.js';
+
+/** What it is made from. */
+export type EndpointLimiterOptions = {
+	view: Pick<FleetView, 'find'>;
+	board: EndpointBoard;
+	client: LimitClient;
+	/** Monotonic, ms. */
+	now: () => number;
+};
+
+/** A limit that this entry has heard itself holds here until control has told of it, or for this long, ms; answers name it again and again. */
+const ownWordMs = 2000;
+
+/** What a request asks of a limited endpoint. */
+export type HandoverWish = Omit<HandoverClaim, 'endpoint'>;
+
+const unlimited: HandoverOutcome = {isTaken: true, waitMs: 0, grantedAt: undefined};
+
+/** The limiter. */
+export class EndpointLimiter {
+	/** Limits that this entry has heard itself, by endpoint. */
+	private readonly own = new Map<string, {perSecond: number; until: number}>();
+
+	constructor(private readonly options: EndpointLimiterOptions) {}
+
+	/** Requests a second that an endpoint takes from all entries together; undefined when it has named no limit. */
+	limitOf({id, limitPerSecond}: FleetEndpoint): number | undefined {
+		const own = this.own.get(id);
+		return limitPerSecond ?? (own && this.options.now() < own.until ? own.perSecond : undefined);
+	}
+
+	/** Claims room for a request; an endpoint without a limit always has some. */
+	async claim(endpoint: FleetEndpoint, wish: HandoverWish): Promise<HandoverOutcome> {
+		const perSecond = this.limitOf(endpoint);
+		if (perSecond === undefined) {
+			return unlimited;
+		}
+
+		const outcome = await this.options.client.claimHandover({...wish, endpoint: endpoint.id}, perSecond);
+		if (!outcome.isTaken) {
+			this.options.board.recordRoom(endpoint.id, this.options.now() + outcome.waitMs);
+		}
+
+		return outcome;
+	}
+
+	/** Room that was claimed is not used. */
+	giveBack({id}: FleetEndpoint, grantedAt: AccountMoment | undefined): void {
+		if (grantedAt) {
+			this.options.client.giveBackHandover(id);
+		}
+	}
+
+	/** Hears what an answer of an endpoint says. */
+	hear(endpoint: FleetEndpoint, word: LimitWord, grantedAt: AccountMoment | undefined): void {
+		const isNews = word.kind === LimitWordKind.Named && this.noteOwn(endpoint, word.perSecond);
+		const isAsked = grantedAt !== undefined && word.kind !== LimitWordKind.Unreadable;
+		if (isNews || isAsked) {
+			this.options.client.tell({endpoint: endpoint.id, word, grantedAt});
+		}
+	}
+
+	/** Whether control and this entry itself did not know this limit. */
+	private noteOwn({id, limitPerSecond}: FleetEndpoint, perSecond: number): boolean {
+		const now = this.options.now();
+		const known = this.options.view.find(id)?.limitPerSecond ?? limitPerSecond;
+		const own = this.own.get(id);
+		const isOwn = own?.perSecond === perSecond && now < own.until;
+		[...this.own].filter(([, {until}]) => until <= now).forEach(([other]) => {
+			this.own.delete(other);
+		});
+		this.own.set(id, {perSecond, until: now + ownWordMs});
+		return known !== perSecond && !isOwn;
+	}
+}
--- /dev/null
+++ b/packages/mastvalve-gateway/src/limits/limit-client.ts
@@ -0,0 +1,212 @@
+/**
+ * Claims from the leader, which counts for all entries, what requests cost their workspaces, and room at limited endpoints. Claims
+ * that come while a call is on its way go together with the next one. While no leader answers, each workspace goes on by what it
+ * had here, and each limited endpoint gets this entry's part of its limit.
+ */
+
+import {GrantHistory, LoneLimits, type LimitClaim} from 'mastvalve-access';
+import type {LimitAnswers} from 'mastvalve-fleet-control';
+import {LoneRates, type HandoverClaim, type ToldWord} from 'mastvalve-limits';
+import {waitFor} from 'mastvalve-utils';
+import {emptyQuestion, LeaderAccount, type LeaderAccountOptions} from './leader-account.js';
+import {
+	LimitBatch, type ClaimOutcome, type HandoverOutcome,
+} from './limit-batch.js';
+
+/** What it is made from. */
+export type LimitClientOptions = Omit<LeaderAccountOptions, 'history'> & {
+	/** Window in which the limits of workspaces are counted, ms. */
+	windowMs: number;
+	/** Numbers in [0, 1). */
+	random: () => number;
+	/** How many entries share the limits of endpoints; undefined when control has told none. */
+	readEntries: () => number | undefined;
+	onEvent: (kind: string, detail: string) => void;
+};
+
+/** How often a leader is looked for while none answers, ms. */
+const probePauseMs = 100;
+/** When to come again after a refusal that nobody counted, ms: leaders are elected within 1.5 s. */
+const aloneRetryMs = 1000;
+/** Words of limits that wait while no leader answers; the oldest give way, since later answers tell more. */
+const maxWaitingWords = 200;
+
+/** The client. */
+export class LimitClient {
+	private next = new LimitBatch();
+	private isCalling = false;
+	private isAlone = false;
+	private readonly account: LeaderAccount;
+	private readonly history: GrantHistory;
+	private readonly lone: LoneLimits;
+	private readonly loneRates: LoneRates;
+	/** The leader that was told what this entry was granted before. */
+	private knownLeader: string | undefined;
+
+	constructor(private readonly options: LimitClientOptions) {
+		this.history = new GrantHistory(options.windowMs);
+		this.lone = new LoneLimits(this.history, options.windowMs);
+		this.loneRates = new LoneRates(options);
+		this.account = new LeaderAccount({...options, history: this.history});
+	}
+
+	/** Claims what a request costs its workspace. */
+	async claim(workspace: string, cost: number): Promise<ClaimOutcome> {
+		const claim = {workspace, cost};
+		if (this.isAlone) {
+			return this.decideAlone(claim);
+		}
+
+		return new Promise(resolve => {
+			this.next.claims.push({claim, resolve});
+			void this.callWhileDue();
+		});
+	}
+
+	/** A claim was taken for a request that has not run; the leader hears of it with the next call. */
+	giveBack(workspace: string, cost: number): void {
+		if (!this.isAlone) {
+			this.next.returned.push({workspace, cost: -cost});
+		}
+	}
+
+	/** Claims the room of a request at an endpoint that takes `perSecond`, as far as this entry knows. */
+	async claimHandover(claim: HandoverClaim, perSecond: number): Promise<HandoverOutcome> {
+		if (this.isAlone) {
+			return this.decideHandoverAlone(claim, perSecond);
+		}
+
+		return new Promise(resolve => {
+			this.next.handovers.push({claim, perSecond, resolve});
+			void this.callWhileDue();
+		});
+	}
+
+	/** A request that was let through was not handed over; the leader hears of it with the next call. */
+	giveBackHandover(endpoint: string): void {
+		if (!this.isAlone) {
+			this.next.unused.push(endpoint);
+		}
+	}
+
+	/** Tells the leader what an answer said of its endpoint's limit. */
+	tell(word: ToldWord): void {
+		this.next.words.push(word);
+		this.next.words.splice(0, this.next.words.length - maxWaitingWords);
+		if (!this.isAlone) {
+			void this.callWhileDue();
+		}
+	}
+
+	/** Tells a new leader at once what this entry was granted before, if it was granted anything. */
+	noteLeader(): void {
+		const leader = this.options.readLeader();
+		if (leader === this.knownLeader || leader === undefined || this.isAlone) {
+			return;
+		}
+
+		this.knownLeader = leader;
+		if (this.history.listSums(this.options.now()).size > 0) {
+			void this.account.ask(emptyQuestion);
+		}
+	}
+
+	private async callWhileDue(): Promise<void> {
+		if (this.isCalling) {
+			return;
+		}
+
+		this.isCalling = true;
+		while (this.next.isDue && !this.isAlone) {
+			const batch = this.next;
+			this.next = new LimitBatch();
+			// One call after the other.
+			// eslint-disable-next-line no-await-in-loop
+			const answers = await this.account.ask(batch.toQuestion());
+			if (answers) {
+				this.settle(batch, answers);
+			} else {
+				this.settleAlone(batch);
+			}
+		}
+
+		this.isCalling = false;
+	}
+
+	private settle({returned, claims, handovers}: LimitBatch, {waitMs, handoverWaitMs, grantedAt}: LimitAnswers): void {
+		claims.forEach(({claim, resolve}, index) => {
+			resolve(this.takeAnswer(claim, waitMs[returned.length + index] ?? 0));
+		});
+		handovers.forEach(({resolve}, index) => {
+			const wait = handoverWaitMs[index] ?? 0;
+			resolve({isTaken: wait === 0, waitMs: wait, grantedAt});
+		});
+	}
+
+	private settleAlone({claims, handovers, words}: LimitBatch): void {
+		this.goAlone();
+		this.next.words.unshift(...words);
+		claims.forEach(({claim, resolve}) => {
+			resolve(this.decideAlone(claim));
+		});
+		handovers.forEach(({claim, perSecond, resolve}) => {
+			resolve(this.decideHandoverAlone(claim, perSecond));
+		});
+	}
+
+	private takeAnswer({workspace, cost}: LimitClaim, waitMs: number): ClaimOutcome {
+		const now = this.options.now();
+		if (waitMs > 0) {
+			this.lone.recordRefusal(workspace, now);
+			return {isTaken: false, waitMs};
+		}
+
+		this.history.record(workspace, cost, now);
+		return {isTaken: true, waitMs: 0};
+	}
+
+	private decideAlone({workspace, cost}: LimitClaim): ClaimOutcome {
+		const now = this.options.now();
+		const isTaken = this.lone.mayTake(workspace, cost, now);
+		if (isTaken) {
+			this.history.record(workspace, cost, now);
+		}
+
+		return {isTaken, waitMs: aloneRetryMs};
+	}
+
+	private decideHandoverAlone({endpoint}: HandoverClaim, perSecond: number): HandoverOutcome {
+		const waitMs = this.loneRates.claim(endpoint, perSecond, this.options.now());
+		return {isTaken: waitMs === 0, waitMs, grantedAt: undefined};
+	}
+
+	/** Goes on alone, and looks for a leader meanwhile. */
+	private goAlone(): void {
+		if (this.isAlone) {
+			return;
+		}
+
+		this.isAlone = true;
+		this.lone.begin(this.options.now());
+		this.options.onEvent('limits.alone', 'no leader answers for limits; each workspace goes on by what it had here, and limited endpoints get this entry\'s part');
+		void this.findLeader();
+	}
+
+	private async findLeader(): Promise<void> {
+		const {signal, onEvent} = this.options;
+		while (this.isAlone && !signal.aborted) {
+			// eslint-disable-next-line no-await-in-loop
+			const answers = await this.account.ask(emptyQuestion);
+			if (answers) {
+				this.isAlone = false;
+				this.lone.end();
+				this.loneRates.clear();
+				onEvent('limits.regained', 'a leader answers for limits');
+				void this.callWhileDue();
+			} else {
+				// eslint-disable-next-line no-await-in-loop
+				await waitFor(probePauseMs, signal);
+			}
+		}
+	}
+}
--- a/packages/mastvalve-gateway/src/requests/choose-now.ts
+++ b/packages/mastvalve-gateway/src/requests/choose-now.ts
@@ -3,21 +3,37 @@
  */
 
 import type {FleetEndpoint} from 'mastvalve-fleet';
-import {chooseEndpoint} from '../routing/choose-endpoint.js';
+import {chooseEndpoint, findRoomAt, type EndpointChoiceInput} from '../routing/choose-endpoint.js';
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {CallerRequest} from './caller-request.js';
 
+/** What a request has tried so far. */
+export type Tries = {
+	/** Endpoints that it was sent to. */
+	tried: ReadonlySet<string>;
+	/** When limited endpoints that had no room for it may be asked again, by endpoint; monotonic ms. */
+	askAgainAt: ReadonlyMap<string, number>;
+};
+
+const readChoiceInput = (core: GatewayCore, request: CallerRequest, {tried, askAgainAt}: Tries): EndpointChoiceInput => ({
+	endpoints: core.view.listEndpoints(request.service),
+	model: request.caller.model,
+	adapter: request.caller.adapter,
+	failureDomain: core.failureDomain,
+	tried,
+	askAgainAt,
+	now: core.clock.now(),
+	knowledgeOf: id => core.board.find(id),
+	isLimited: endpoint => core.limiter.limitOf(endpoint) !== undefined,
+	random: core.random,
+	headMs: core.headTimes.headMsOf(request.caller.model ?? ''),
+	msPerToken: core.headTimes.msPerToken(request.caller.model ?? ''),
+});
+
 /** Chooses among what is here now. */
-export const chooseNow = (core: GatewayCore, request: CallerRequest, tried: ReadonlySet<string>): FleetEndpoint | undefined =>
-	chooseEndpoint({
-		endpoints: core.view.listEndpoints(request.service),
-		model: request.caller.model,
-		adapter: request.caller.adapter,
-		failureDomain: core.failureDomain,
-		tried,
-		now: core.clock.now(),
-		knowledgeOf: id => core.board.find(id),
-		random: core.random,
-		headMs: core.headTimes.headMsOf(request.caller.model ?? ''),
-		msPerToken: core.headTimes.msPerToken(request.caller.model ?? ''),
-	});
+export const chooseNow = (core: GatewayCore, request: CallerRequest, tries: Tries): FleetEndpoint | undefined =>
+	chooseEndpoint(readChoiceInput(core, request, tries));
+
+/** When a limited endpoint has room for a request that nobody else can take; undefined when it waits for none. */
+export const findRoomNow = (core: GatewayCore, request: CallerRequest, tries: Tries): number | undefined =>
+	findRoomAt(readChoiceInput(core, request, tries));
--- /dev/null
+++ b/packages/mastvalve-gateway/src/requests/patience.ts
@@ -0,0 +1,18 @@
+/**
+ * How long a request can wait for an endpoint, and what is said when there is none.
+ */
+
+import type {GatewayCore} from '../server/gateway-core.js';
+import type {CallerRequest} from './caller-request.js';
+
+/** An expected load or room may come later by this, since callers wait for the first event behind it, ms. */
+export const expectationReserveMs = 300;
+
+/** Why a request can't be sent anywhere, and when to ask again. */
+export type NoEndpoint = {reason: string; retryAfterMs: number};
+
+/** When the caller gives up if nothing came; monotonic ms. */
+export const patienceEnd = ({arrivedAt, deadlineAt, route}: CallerRequest): number => Math.min(deadlineAt, arrivedAt + (route.patienceMs ?? Number.POSITIVE_INFINITY));
+
+/** How long a request can still wait, ms. */
+export const patienceOf = ({clock}: GatewayCore, request: CallerRequest): number => patienceEnd(request) - expectationReserveMs - clock.now();
--- /dev/null
+++ b/packages/mastvalve-gateway/src/requests/prepare-attempt.ts
@@ -0,0 +1,62 @@
+/**
+ * All that must be settled before a request is handed over: an endpoint with room, a retry if it is one, and a key that still holds.
+ */
+
+import type {Workspace} from 'mastvalve-access';
+import {isGranted} from '../access/access-checker.js';
+import type {GatewayCore} from '../server/gateway-core.js';
+import type {CallerRequest} from './caller-request.js';
+import {claimEndpoint, type ClaimedEndpoint} from './claim-endpoint.js';
+import {giveUp, giveUpKey, refuseQuarantined} from './give-up.js';
+import type {Progress} from './progress.js';
+import type {Reply} from './reply.js';
+
+/** An attempt that may be made at once. */
+export type PreparedAttempt = ClaimedEndpoint & {workspace: Workspace | undefined};
+
+/** Prepares an attempt; undefined when the request is over. */
+export const prepareAttempt = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress): Promise<PreparedAttempt | undefined> => {
+	const claimed = await claimEndpoint(core, request, progress);
+	const workspace = settle(core, request, reply, progress, claimed);
+	if ('reason' in claimed) {
+		return undefined;
+	}
+
+	if (!workspace) {
+		core.limiter.giveBack(claimed.endpoint, claimed.grantedAt);
+		return undefined;
+	}
+
+	return {...claimed, workspace: workspace.current};
+};
+
+/** Whose request it is, if it may be handed over; otherwise its caller has been told. */
+const settle = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, claimed: Awaited<ReturnType<typeof claimEndpoint>>): {current: Workspace | undefined} | undefined => {
+	// It may have come under quarantine while it waited, or by the try before this one.
+	if (refuseQuarantined(core, request, reply, progress)) {
+		return undefined;
+	}
+
+	if ('reason' in claimed) {
+		giveUp(core, request, reply, progress, claimed);
+		return undefined;
+	}
+
+	if (progress.sent > 0 && !core.allowance.takeRetry(request.service)) {
+		giveUp(core, request, reply, progress, {reason: 'no retries are left'});
+		return undefined;
+	}
+
+	if (request.signal.aborted) {
+		return undefined;
+	}
+
+	// Seconds may have gone by since it arrived. A new connection takes up to 0.4 s from here, which the reserve of the evidence covers.
+	const access = core.access.judge(request.admission.key, request.route);
+	if (!isGranted(access)) {
+		giveUpKey(core, request, reply, progress, access.kind);
+		return undefined;
+	}
+
+	return {current: access.workspace};
+};
--- a/packages/mastvalve-gateway/src/requests/progress.ts
+++ b/packages/mastvalve-gateway/src/requests/progress.ts
@@ -8,6 +8,10 @@
 /** What became of the tries so far. */
 export type Progress = {
 	tried: Set<string>;
+	/** When limited endpoints that had no room for it may be asked again, by endpoint; monotonic ms. */
+	askAgainAt: Map<string, number>;
+	/** Limited endpoints in whose lines it stands. */
+	lines: Set<string>;
 	sent: number;
 	unsent: number;
 	/** Whether some endpoint may have run it. */
@@ -23,6 +27,6 @@
 	}
 
 	return {
-		tried: new Set(), sent: 0, unsent: 0, mayHaveRun: false, position,
+		tried: new Set(), askAgainAt: new Map(), lines: new Set(), sent: 0, unsent: 0, mayHaveRun: false, position,
 	};
 };
--- a/packages/mastvalve-gateway/src/requests/send-attempt.ts
+++ b/packages/mastvalve-gateway/src/requests/send-attempt.ts
@@ -9,6 +9,7 @@
 import {exchange, type ExchangeOutcome} from '../upstream/exchange.js';
 import type {CallerRequest} from './caller-request.js';
 import type {Progress} from './progress.js';
+import {rankRequest} from './rank-request.js';
 
 /** A connection within a region is up in a few ms; a lost packet delays it by a second, ms. */
 const connectMs = 400;
@@ -21,7 +22,7 @@
 
 /** One attempt, up to the head of an answer. */
 export const sendAttempt = async (core: GatewayCore, request: CallerRequest, {endpoint, workspace}: Handover, progress: Progress): Promise<ExchangeOutcome> => {
-	const {caller, route, callerDeadlineAt, deadlineAt} = request;
+	const {caller, callerDeadlineAt, deadlineAt} = request;
 	const remainingMs = Math.max(1, Math.floor(Math.min(callerDeadlineAt, deadlineAt) - core.clock.now()));
 	const {configuration} = core.view;
 	return exchange({
@@ -30,7 +31,7 @@
 		method: request.method,
 		path: request.path,
 		headers: createEndpointHeaders(core.dialect, request.rawHeaders, {
-			remainingMs, endpointId: endpoint.id, priority: configuration?.rankPriority(workspace?.priority, route.priority) ?? route.priority, resumeAfter: progress.position?.lastEventId ?? caller.resumeAfter,
+			remainingMs, endpointId: endpoint.id, priority: rankRequest(core, request, workspace), resumeAfter: progress.position?.lastEventId ?? caller.resumeAfter,
 			bodyLength: hasBody(request) ? request.body.length : undefined, workspace: workspace?.name,
 		}, {needsKeys: configuration?.needsKeys ?? false}),
 		body: request.body,
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -5,17 +5,15 @@
 
 import type {FleetEndpoint} from 'mastvalve-fleet';
 import type {GatewayCore} from '../server/gateway-core.js';
-import {isGranted} from '../access/access-checker.js';
 import {ExchangeKind} from '../upstream/exchange.js';
 import type {CallerRequest} from './caller-request.js';
-import {
-	endOrRetry, giveUp, giveUpKey, refuseQuarantined,
-} from './give-up.js';
+import {endOrRetry, refuseQuarantined} from './give-up.js';
+import {prepareAttempt} from './prepare-attempt.js';
 import {createProgress, type Progress} from './progress.js';
 import type {Reply} from './reply.js';
 import {sendAttempt} from './send-attempt.js';
 import {takeAnswer} from './take-answer.js';
-import {hasTimeForSwap, waitForEndpoint} from './wait-for-endpoint.js';
+import {hasTimeForSwap} from './wait-for-endpoint.js';
 
 const okStatus = 200;
 
@@ -44,42 +42,23 @@
 
 /** One attempt; true when the request is over. */
 const tryOnce = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress): Promise<boolean> => {
-	const endpoint = await waitForEndpoint(core, request, progress);
-	// It may have come under quarantine while it waited, or by the try before this one.
-	if (refuseQuarantined(core, request, reply, progress)) {
-		return true;
-	}
-
-	if ('reason' in endpoint) {
-		giveUp(core, request, reply, progress, endpoint);
-		return true;
-	}
-
-	if (progress.sent > 0 && !core.allowance.takeRetry(request.service)) {
-		giveUp(core, request, reply, progress, {reason: 'no retries are left'});
-		return true;
-	}
-
-	if (request.signal.aborted) {
-		return true;
-	}
-
-	// Seconds may have gone by since it arrived. A new connection takes up to 0.4 s from here, which the reserve of the evidence covers.
-	const access = core.access.judge(request.admission.key, request.route);
-	if (!isGranted(access)) {
-		giveUpKey(core, request, reply, progress, access.kind);
+	const attempt = await prepareAttempt(core, request, reply, progress);
+	if (!attempt) {
 		return true;
 	}
 
+	const {endpoint, grantedAt} = attempt;
 	progress.tried.add(endpoint.id);
 	const use = core.board.begin(endpoint.id, request.caller.promptTokens);
 	const sentAt = core.clock.now();
-	const outcome = await sendAttempt(core, request, {endpoint, workspace: access.workspace}, progress);
+	const outcome = await sendAttempt(core, request, attempt, progress);
 	core.observer.recordAttempt(outcome.kind);
 	if (outcome.kind === ExchangeKind.Answered) {
 		recordHead(core, request, endpoint, outcome.res.statusCode ?? 0, core.clock.now() - sentAt);
 		progress.sent += 1;
-		const isOver = await takeAnswer(core, request, reply, progress, {endpoint, outcome, read: use.read});
+		const isOver = await takeAnswer(core, request, reply, progress, {
+			endpoint, grantedAt, outcome, read: use.read,
+		});
 		use.end();
 		return isOver;
 	}
--- a/packages/mastvalve-gateway/src/requests/take-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/take-answer.ts
@@ -9,6 +9,7 @@
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {ExchangeKind, ExchangeOutcome} from '../upstream/exchange.js';
 import {isRepeatable, type CallerRequest} from './caller-request.js';
+import type {ClaimedEndpoint} from './claim-endpoint.js';
 import {endOrRetry, hasTimeLeft} from './give-up.js';
 import type {Progress} from './progress.js';
 import {relayBody} from './relay.js';
@@ -46,13 +47,17 @@
 	}
 };
 
+/** Whether another endpoint has answered than the one that was meant. */
+const isOther = (endpoint: FleetEndpoint, {endpointName}: AnswerHeaders): boolean =>
+	endpointName !== undefined && endpointName !== parseIncarnation(endpoint.id).name;
+
 /** Remembers that an endpoint is another one, or lacks a model which it was thought to hold. */
 const recordMisdirection = (core: GatewayCore, {caller}: CallerRequest, endpoint: FleetEndpoint, head: AnswerHeaders): void => {
 	if (!head.isMisdirected) {
 		return;
 	}
 
-	if (head.endpointName !== undefined && head.endpointName !== parseIncarnation(endpoint.id).name) {
+	if (isOther(endpoint, head)) {
 		core.board.recordReplaced(endpoint.id);
 		return;
 	}
@@ -62,15 +67,20 @@
 };
 
 /** The head of an answer, and what ends the reading of the request. */
-export type Answered = {endpoint: FleetEndpoint; outcome: Extract<ExchangeOutcome, {kind: ExchangeKind.Answered}>; read: () => void};
+export type Answered = ClaimedEndpoint & {outcome: Extract<ExchangeOutcome, {kind: ExchangeKind.Answered}>; read: () => void};
 
 /** Takes an answer's head, and its body if it is one for the caller; true when the request is over. */
-export const takeAnswer = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, {endpoint, outcome, read}: Answered): Promise<boolean> => {
+export const takeAnswer = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, {endpoint, grantedAt, outcome, read}: Answered): Promise<boolean> => {
 	const {res, cancel, isBroken} = outcome;
 	const status = res.statusCode ?? 0;
 	const head = core.dialect.readAnswer(status, res.headers);
 	core.board.recordLoad(endpoint.id, head.load);
-	logLimit(core, request, endpoint.id, head);
+	const isForeign = head.requestId !== undefined && head.requestId !== request.requestId;
+	if (!isForeign && !isOther(endpoint, head)) {
+		logLimit(core, request, endpoint.id, head);
+		core.limiter.hear(endpoint, head.limit, grantedAt);
+	}
+
 	if (head.isNotRun) {
 		res.resume();
 		recordMisdirection(core, request, endpoint, head);
@@ -80,7 +90,6 @@
 		return endOrRetry(core, request, reply, progress, `the endpoint refused it with ${status}`);
 	}
 
-	const isForeign = head.requestId !== undefined && head.requestId !== request.requestId;
 	const isUnpromised = refusals.has(status);
 	if (isForeign || (isUnpromised && !isRepeatable(request.route))) {
 		cancel();
--- a/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
@@ -8,12 +8,12 @@
 import {WeightSource, type FleetEndpoint} from 'mastvalve-fleet';
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {CallerRequest} from './caller-request.js';
-import {chooseNow} from './choose-now.js';
+import {chooseNow, findRoomNow, type Tries} from './choose-now.js';
+import {expectationReserveMs, patienceEnd, type NoEndpoint} from './patience.js';
+import {waitForRoom} from './wait-for-room.js';
 
 /** Control's plan for a new want is here in this part of the objective; a refusal is early within a quarter of it. */
 const decisionShare = 0.2;
-/** An expected load may take longer by this, since callers wait for the first event behind it, ms. */
-const expectationReserveMs = 300;
 
 /** Held requests are decided on again this often, ms: a load may have failed, or its leader may be gone. */
 const recheckMs = 250;
@@ -23,12 +23,6 @@
 /** A load that is not under way may have to wait for other orders first; it ends after up to this many times its own time. */
 const loadReserve: Record<WeightSource, number> = {[WeightSource.Memory]: 3, [WeightSource.Disk]: 2, [WeightSource.Store]: 1.3};
 
-/** Why a request can't be sent anywhere, and when to ask again. */
-export type NoEndpoint = {reason: string; retryAfterMs: number};
-
-/** When the caller gives up if nothing came; monotonic ms. */
-const patienceEnd = ({arrivedAt, deadlineAt, route}: CallerRequest): number => Math.min(deadlineAt, arrivedAt + (route.patienceMs ?? Number.POSITIVE_INFINITY));
-
 /** Pause of a caller whose model is not expected; it may not be longer than a third of the time that is left, ms. */
 const unknownRetryMs = 1200;
 
@@ -78,17 +72,23 @@
 	return {reason: `no endpoint holds ${model} in time`, retryAfterMs: Math.max(50, Math.min(expectedMs, third))};
 };
 
-/** Endpoints that were tried, and how many of them were handed the request. */
-export type Tried = {tried: ReadonlySet<string>; sent: number};
+/** What a request has tried, and how many endpoints were handed it. */
+export type Tried = Tries & {sent: number};
 
 /** An endpoint, or why there is none. A request that was handed to nobody yet may wait, also when endpoints were out of reach. */
-export const waitForEndpoint = async (core: GatewayCore, request: CallerRequest, {tried, sent}: Tried): Promise<FleetEndpoint | NoEndpoint> => {
-	const now = chooseNow(core, request, tried);
+export const waitForEndpoint = async (core: GatewayCore, request: CallerRequest, tries: Tried): Promise<FleetEndpoint | NoEndpoint> => {
+	const now = chooseNow(core, request, tries);
+	const {tried, sent} = tries;
 	const {model, adapter} = request.caller;
 	if (now) {
 		return now;
 	}
 
+	const roomAt = findRoomNow(core, request, tries);
+	if (roomAt !== undefined) {
+		return waitForRoom(core, request, tries, roomAt);
+	}
+
 	if (model === undefined || sent > 0 || core.isDraining()) {
 		return {reason: 'no endpoint can take it', retryAfterMs: 100};
 	}
@@ -138,7 +138,7 @@
 				return;
 			}
 
-			const endpoint = chooseNow(core, request, tried);
+			const endpoint = chooseNow(core, request, tries);
 			if (endpoint) {
 				done(endpoint);
 			}
--- a/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
+++ b/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
@@ -15,8 +15,12 @@
 	failureDomain: string;
 	/** Endpoints that this request was sent to already. */
 	tried: ReadonlySet<string>;
+	/** When limited endpoints that had no room for it may be asked again, by endpoint, ms. */
+	askAgainAt: ReadonlyMap<string, number>;
 	now: number;
 	knowledgeOf: (id: string) => EndpointKnowledge;
+	/** Whether an endpoint has named how many requests it takes. */
+	isLimited: (endpoint: FleetEndpoint) => boolean;
 	random: () => number;
 	/** Time in which an engine without a queue begins an answer with this model, ms. */
 	headMs: number;
@@ -28,6 +32,11 @@
 const runningShare = 0.03;
 /** Bytes between failure domains are dear: another domain must be faster by this, ms. */
 const otherDomainMs = 25;
+/**
+ * An endpoint that has named a limit is spared while another one is as near, ms: room there must be claimed, and is kept for what
+ * nobody else takes in time.
+ */
+const limitedMs = 20;
 /**
  * An endpoint with own requests that has sent no byte for this long is doubtful, ms. Streams send several events a
  * second, and the longest reading of a prompt takes less.
@@ -70,16 +79,44 @@
 	return now < suspectUntil || isMute || isSilent;
 };
 
-/** Chooses; undefined when no endpoint may get the request. */
+/** Endpoints that could take the request, if they have room. */
+const listHolders = ({endpoints, model, adapter, tried, now, knowledgeOf}: EndpointChoiceInput): FleetEndpoint[] =>
+	endpoints.filter(endpoint => !tried.has(endpoint.id) && holdsModel(endpoint, model, adapter) && !hasDeclined(endpoint, knowledgeOf(endpoint.id), formatModel(model ?? '', adapter), now));
+
+/** The order in which endpoints are asked: sound ones first, and among equals those that may have room. */
+enum Rank {
+	Sound,
+	/** It had no room for this entry's last request; it may have for this one. */
+	SoundWithoutRoom,
+	Doubtful,
+	DoubtfulWithoutRoom,
+}
+
+const rankEndpoint = (endpoint: FleetEndpoint, knowledge: EndpointKnowledge, {now, isLimited}: EndpointChoiceInput): Rank => {
+	const hasNoRoom = now < knowledge.roomAt && isLimited(endpoint);
+	if (isDoubtful(endpoint, knowledge, now)) {
+		return hasNoRoom ? Rank.DoubtfulWithoutRoom : Rank.Doubtful;
+	}
+
+	return hasNoRoom ? Rank.SoundWithoutRoom : Rank.Sound;
+};
+
+/** Chooses; undefined when no endpoint may get the request now. */
 export const chooseEndpoint = (input: EndpointChoiceInput): FleetEndpoint | undefined => {
-	const {endpoints, model, adapter, failureDomain, tried, now, knowledgeOf, random} = input;
-	const candidates = endpoints
-		.filter(endpoint => !tried.has(endpoint.id) && holdsModel(endpoint, model, adapter) && !hasDeclined(endpoint, knowledgeOf(endpoint.id), formatModel(model ?? '', adapter), now))
+	const {askAgainAt, failureDomain, now, knowledgeOf, isLimited, random} = input;
+	const candidates = listHolders(input)
+		.filter(({id}) => now >= (askAgainAt.get(id) ?? Number.NEGATIVE_INFINITY))
 		.map(endpoint => {
 			const knowledge = knowledgeOf(endpoint.id);
 			const domainMs = endpoint.failureDomain === failureDomain ? 0 : otherDomainMs;
-			return {endpoint, isDoubted: isDoubtful(endpoint, knowledge, now), cost: estimateWait(knowledge, input) + domainMs + random()};
+			const spareMs = isLimited(endpoint) ? limitedMs : 0;
+			return {endpoint, rank: rankEndpoint(endpoint, knowledge, input), cost: estimateWait(knowledge, input) + domainMs + spareMs + random()};
 		});
-	const sound = candidates.filter(candidate => !candidate.isDoubted);
-	return (sound.length > 0 ? sound : candidates).toSorted((a, b) => a.cost - b.cost)[0]?.endpoint;
+	return candidates.toSorted((a, b) => a.rank - b.rank || a.cost - b.cost)[0]?.endpoint;
+};
+
+/** When the first of the endpoints that had no room for the request may be asked again, ms; undefined when there is none. */
+export const findRoomAt = (input: EndpointChoiceInput): number | undefined => {
+	const times = listHolders(input).flatMap(({id}) => input.askAgainAt.get(id) ?? []);
+	return times.length === 0 ? undefined : Math.min(...times);
 };
--- a/packages/mastvalve-gateway/src/routing/endpoint-board.ts
+++ b/packages/mastvalve-gateway/src/routing/endpoint-board.ts
@@ -31,6 +31,8 @@
 	busySince: number;
 	/** Models, with their adapters, that it said it does not hold, and the revision of it that had promised them. */
 	lacks: Map<string, number>;
+	/** It had no room for a request of this entry, and has some then, ms. */
+	roomAt: number;
 	/** What the last of its answers said of its limit. */
 	limitWord: LimitWord;
 	/** Whether another endpoint was met at its address. */
@@ -60,7 +62,7 @@
 
 	find(id: string): EndpointKnowledge {
 		const knowledge = this.known.get(id) ?? {
-			inFlight: 0, unread: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, delay: 0, delayAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, absentUntil: 0, heardAt: Number.NEGATIVE_INFINITY, busySince: 0, lacks: new Map<string, number>(), limitWord: {kind: LimitWordKind.Absent}, isReplaced: false,
+			inFlight: 0, unread: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, delay: 0, delayAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, absentUntil: 0, heardAt: Number.NEGATIVE_INFINITY, busySince: 0, lacks: new Map<string, number>(), roomAt: 0, limitWord: {kind: LimitWordKind.Absent}, isReplaced: false,
 		};
 		this.known.set(id, knowledge);
 		return knowledge;
@@ -123,6 +125,11 @@
 		}
 	}
 
+	/** It has named a limit, and has room again at this moment, ms. */
+	recordRoom(id: string, at: number): void {
+		this.find(id).roomAt = at;
+	}
+
 	/** An answer said something of its limit; whether that is news. */
 	recordLimitWord(id: string, word: LimitWord): boolean {
 		const knowledge = this.find(id);
--- a/packages/mastvalve-gateway/src/server/gateway-core.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-core.ts
@@ -4,7 +4,8 @@
 
 import type {Clock} from 'mastvalve-utils';
 import type {AccessChecker} from '../access/access-checker.js';
-import type {LimitClient} from '../access/limit-client.js';
+import type {EndpointLimiter} from '../limits/endpoint-limiter.js';
+import type {LimitClient} from '../limits/limit-client.js';
 import type {Dialect} from '../dialect.js';
 import type {FleetView} from '../fleet/fleet-view.js';
 import type {CrashWatch} from '../quarantine/crash-watch.js';
@@ -30,6 +31,7 @@
 	agent: UpstreamAgent;
 	access: AccessChecker;
 	limits: LimitClient;
+	limiter: EndpointLimiter;
 	allowance: RetryAllowance;
 	headTimes: HeadTimes;
 	demand: ModelDemand;
--- a/packages/mastvalve-gateway/src/server/gateway-node.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-node.ts
@@ -7,11 +7,12 @@
 import type {Clock} from 'mastvalve-utils';
 import type {Result} from 'neverthrow';
 import {AccessChecker} from '../access/access-checker.js';
-import {LimitClient} from '../access/limit-client.js';
 import type {Dialect} from '../dialect.js';
 import {DemandReporter} from '../fleet/demand-reporter.js';
 import {FleetFollower} from '../fleet/fleet-follower.js';
 import {FleetView} from '../fleet/fleet-view.js';
+import {EndpointLimiter} from '../limits/endpoint-limiter.js';
+import {LimitClient} from '../limits/limit-client.js';
 import {CrashReporter} from '../quarantine/crash-reporter.js';
 import {CrashWatch} from '../quarantine/crash-watch.js';
 import {probeListener} from '../quarantine/probe-listener.js';
@@ -100,7 +101,7 @@
 		const limits = new LimitClient({
 			// Another life of the entry has another history.
 			entry: `${instance} ${random()}`,
-			client, readLeader: () => this.follower.leader, now, windowMs: limitWindowMs, signal: this.ending.signal, onEvent,
+			client, readLeader: () => this.follower.leader, readEntries: () => this.reporter.entries, random, now, windowMs: limitWindowMs, signal: this.ending.signal, onEvent,
 		});
 		this.gateway = new Gateway({
 			failureDomain,
@@ -112,6 +113,9 @@
 			agent: this.upstream,
 			access: this.access,
 			limits,
+			limiter: new EndpointLimiter({
+				view: this.view, board, client: limits, now,
+			}),
 			allowance: new RetryAllowance(retries, now),
 			headTimes,
 			demand: this.demand,
--- a/packages/mastvalve-limits/src/index.ts
+++ b/packages/mastvalve-limits/src/index.ts
@@ -2,4 +2,9 @@
  * Limits of endpoints as pure policy: no sockets, no files, no clocks.
  */
 
+export * from './endpoint-limits.js';
+export type * from './handover-claim.js';
 export * from './limit-word.js';
+export * from './lone-rates.js';
+export * from './rate-bucket.js';
+export * from './waiting-line.js';
--- /dev/null
+++ b/packages/mastvalve-limits/src/lone-rates.ts
@@ -0,0 +1,49 @@
+/**
+ * How an entry goes on while nobody answers for the limits of endpoints: with its part of each limit, as one of the entries that
+ * control has counted. Parts begin at random points of their time, so that entries that were left alone at the same moment don't
+ * all send their first request at once.
+ */
+
+import {RateBucket} from './rate-bucket.js';
+
+/** When to look again at an endpoint of whose limit no part is known, ms: leaders are elected within 1.5 s. */
+const unknownPartMs = 1000;
+
+/** What it is made from. */
+export type LoneRatesOptions = {
+	/** Numbers in [0, 1). */
+	random: () => number;
+	/** How many entries share the limits; undefined when control has told none. */
+	readEntries: () => number | undefined;
+};
+
+/** The parts of one entry that is alone. Times are monotonic, ms. */
+export class LoneRates {
+	private readonly buckets = new Map<string, RateBucket>();
+
+	constructor(private readonly options: LoneRatesOptions) {}
+
+	/** Takes the room of a request; 0 when there was room, or the time until there is, ms. */
+	claim(endpoint: string, perSecond: number, now: number): number {
+		const entries = this.options.readEntries();
+		if (entries === undefined) {
+			return unknownPartMs;
+		}
+
+		const rate = perSecond / Math.max(1, entries);
+		const bucket = this.buckets.get(endpoint) ?? new RateBucket(rate, now, this.options.random());
+		this.buckets.set(endpoint, bucket);
+		bucket.setRate(rate, now);
+		const waitMs = bucket.waitMs(now);
+		if (waitMs === 0) {
+			bucket.take();
+		}
+
+		return waitMs;
+	}
+
+	/** Somebody answers again. */
+	clear(): void {
+		this.buckets.clear();
+	}
+}
--- /dev/null
+++ b/packages/mastvalve-limits/src/rate-bucket.ts
@@ -0,0 +1,48 @@
+/**
+ * Room for whole requests at a steady rate. Plain state: no clock.
+ */
+
+const msPerSecond = 1000;
+/**
+ * What may come at once, as time at the rate, ms: requests don't come evenly, and half a second's worth is far below what a
+ * span of some seconds may hold. One request always fits.
+ */
+const burstMs = 500;
+
+/** The bucket. Times are monotonic, ms. */
+export class RateBucket {
+	/** `level` is the room at the beginning, in requests. */
+	constructor(private perSecond: number, private at: number, private level: number) {}
+
+	/** Another rate holds from now on. */
+	setRate(perSecond: number, now: number): void {
+		this.refill(now);
+		this.perSecond = perSecond;
+		this.level = Math.min(this.level, this.capacity);
+	}
+
+	/** Time after which there is room for a request behind as many others, ms; 0 when there is room now. */
+	waitMs(now: number, before = 0): number {
+		this.refill(now);
+		return Math.max(0, Math.ceil((before + 1 - this.level) / this.perSecond * msPerSecond));
+	}
+
+	/** Takes the room of a request. */
+	take(): void {
+		this.level -= 1;
+	}
+
+	/** Room that was taken and not used comes back. */
+	giveBack(): void {
+		this.level = Math.min(this.capacity, this.level + 1);
+	}
+
+	private get capacity(): number {
+		return Math.max(1, this.perSecond * burstMs / msPerSecond);
+	}
+
+	private refill(now: number): void {
+		this.level = Math.min(this.capacity, this.level + ((now - this.at) * this.perSecond / msPerSecond));
+		this.at = now;
+	}
+}
