A limited engine counts in placement for what it takes

Ruled out: that waiting requests alone would tell, since a model that some engine holds is passed over there.

Change: holders count by the part of their time that their limit comes to; a model that waits for room counts as waiting while all of its engines are limited; limited engines are the last choice for a load. Without limits nothing changes.

Two scenarios failed before (nothing was moved with 3 requests a second at a limit of 1.7, nor with one that waits), pass after.

--- a/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
@@ -79,6 +79,7 @@
 			loading: (this.loading ?? recorded?.loading)?.model,
 			retiring: this.retiring ?? recorded?.retiring,
 			loadingAdapters: this.ledger.comingAdapters,
+			limitPerSecond: endpoint.limitPerSecond,
 			inMemory: endpoint.inMemory,
 			onDisk: endpoint.onDisk,
 		};
--- a/packages/mastvalve-fleet/__tests__/placement.feature
+++ b/packages/mastvalve-fleet/__tests__/placement.feature
@@ -16,6 +16,22 @@
     When "e" is waited for, with 12.0 requests a second
     Then it is loaded from the disk
 
+  # The load: an engine in need takes a few requests a second; its callers are sent back, while other engines have time and places.
+  Scenario: A model whose only engine takes fewer requests than come gets another one
+    Given 2 engines with a place for one more model, of which one holds "a" and takes 1.7 requests a second
+    When "a" is asked for, with 3.0 requests a second
+    Then "a" is loaded at the other engine
+
+  Scenario: A model whose engines take what comes gets no other one
+    Given 2 engines with a place for one more model, of which one holds "a" and takes 30.0 requests a second
+    When "a" is asked for, with 3.0 requests a second
+    Then nothing is moved
+
+  Scenario: A model that waits for room at its only engine gets another one
+    Given 2 engines with a place for one more model, of which one holds "a" and takes 1.7 requests a second
+    When "a" is waited for, with 0.4 requests a second
+    Then "a" is loaded at the other engine
+
   Scenario: The last engine of a model that is asked for does not lose it to a second engine of another
     Given 2 full engines that hold different models, all asked for
     Then a model with more demand gets no second engine in their place
--- a/packages/mastvalve-fleet/__tests__/placement.steps.ts
+++ b/packages/mastvalve-fleet/__tests__/placement.steps.ts
@@ -74,6 +74,19 @@
 	assert.equal(planModelMove(this.plan)?.source, WeightSource.Disk);
 });
 
+Given('2 engines with a place for one more model, of which one holds {string} and takes {float} requests a second', function (this: PlacementWorld, model: string, limitPerSecond: number) {
+	this.plan = planInput([engine('1', [model, 'b'], {limitPerSecond}), engine('2', ['c', 'd'])], {});
+});
+
+When('{string} is asked for, with {float} requests a second', function (this: PlacementWorld, model: string, rate: number) {
+	this.plan = planInput(this.plan.engines, {[model]: rate});
+});
+
+Then('{string} is loaded at the other engine', function (this: PlacementWorld, model: string) {
+	const move = planModelMove(this.plan);
+	assert.deepEqual([move?.load, move?.engine], [model, '2']);
+});
+
 Given('2 full engines that hold different models, all asked for', function (this: PlacementWorld) {
 	this.plan = planInput([engine('1', ['a', 'b', 'c']), engine('2', ['d', 'e', 'f'])], {
 		a: 3.5, b: 3, c: 3, d: 3, e: 3, f: 3,
--- a/packages/mastvalve-fleet/src/engines/engine-state.ts
+++ b/packages/mastvalve-fleet/src/engines/engine-state.ts
@@ -23,6 +23,8 @@
 	retiring: string | undefined;
 	/** Adapters whose load was ordered, as `model/adapter`. */
 	loadingAdapters: string[];
+	/** Requests a second that it takes; undefined for as many as its time allows. */
+	limitPerSecond?: number;
 	inMemory: string[];
 	onDisk: string[];
 };
--- a/packages/mastvalve-fleet/src/engines/engine-use.ts
+++ b/packages/mastvalve-fleet/src/engines/engine-use.ts
@@ -21,12 +21,25 @@
 const countBy = (models: readonly string[]): Map<string, number> =>
 	models.reduce((counts, model) => counts.set(model, (counts.get(model) ?? 0) + 1), new Map<string, number>());
 
+const sumBy = (amounts: ReadonlyArray<{name: string; amount: number}>): Map<string, number> =>
+	amounts.reduce((sums, {name, amount}) => sums.set(name, (sums.get(name) ?? 0) + amount), new Map<string, number>());
+
+/** Models that an engine holds and keeps, and the one that is on its way there. */
+const listHeld = ({holds, retiring, loading}: EngineState): string[] => {
+	const kept = holds.map(({name}) => name).filter(name => name !== retiring);
+	return loading === undefined || holds.some(({name}) => name === loading) ? kept : [...kept, loading];
+};
+
 /** The use of all engines. */
 export class EngineUse {
 	/** Engines that hold a model, by model. */
 	private readonly present: Map<string, number>;
 	/** The same with those to which it is on its way. */
 	private readonly holders: Map<string, number>;
+	/** What those can take of the model, in whole engines. */
+	private readonly capacities: Map<string, number>;
+	/** Models that some engine without a limit holds, or is about to. */
+	private readonly open: ReadonlySet<string>;
 	private readonly used: Map<string, number>;
 	/** Mean of that over the engines that hold a model, by model. */
 	private readonly usedByHolders: Map<string, number>;
@@ -34,9 +47,11 @@
 	constructor(private readonly input: EngineUseInput) {
 		const {engines} = input;
 		const held = engines.flatMap(({holds, retiring}) => holds.map(({name}) => name).filter(name => name !== retiring));
-		const coming = engines.flatMap(({holds, loading}) => (loading === undefined || holds.some(({name}) => name === loading) ? [] : [loading]));
 		this.present = countBy(held);
-		this.holders = countBy([...held, ...coming]);
+		this.holders = countBy(engines.flatMap(engine => listHeld(engine)));
+		const holdings = engines.flatMap(engine => listHeld(engine).map(name => ({name, limitPerSecond: engine.limitPerSecond})));
+		this.capacities = sumBy(holdings.map(({name, limitPerSecond}) => ({name, amount: this.shareOfLimit(name, limitPerSecond)})));
+		this.open = new Set(holdings.filter(({limitPerSecond}) => limitPerSecond === undefined).map(({name}) => name));
 		this.used = new Map(engines.map(engine => [engine.id, this.sumShares(engine)]));
 		this.usedByHolders = this.averageByModel();
 	}
@@ -51,6 +66,11 @@
 		return this.present.get(model) ?? 0;
 	}
 
+	/** Whether requests for a model find an engine that takes as many as it has time for, or will soon. */
+	isOpen(model: string): boolean {
+		return this.open.has(model);
+	}
+
 	/** Part of its time that an engine spends on all requests. */
 	usedShare(engine: EngineState): number {
 		return this.used.get(engine.id) ?? 0;
@@ -80,7 +100,12 @@
 
 	/** Part of its time that an engine spends on the requests of one of the models that it holds. */
 	private shareOf(model: string, rate: number): number {
-		return rate * this.input.headMsOf(model) / msPerSecond / Math.max(1, this.countHolders(model));
+		return rate * this.input.headMsOf(model) / msPerSecond / (this.capacities.get(model) ?? 1);
+	}
+
+	/** The part of its time that an engine gives to a model: all of it, or what its limit comes to. */
+	private shareOfLimit(model: string, limitPerSecond: number | undefined): number {
+		return limitPerSecond === undefined ? 1 : Math.min(1, limitPerSecond * this.input.headMsOf(model) / msPerSecond);
 	}
 
 	private sumShares({holds, retiring}: EngineState): number {
--- a/packages/mastvalve-fleet/src/engines/load-ways.ts
+++ b/packages/mastvalve-fleet/src/engines/load-ways.ts
@@ -78,7 +78,8 @@
 		engine,
 		held: new Set(engine.holds.map(({name}) => name)),
 		places: listPlaces(input, engine),
-		usedCost: input.use.usedShare(engine) * usedEngineCost,
+		// An engine that takes few requests would bring a model little more room than none.
+		usedCost: (engine.limitPerSecond === undefined ? input.use.usedShare(engine) : 1) * usedEngineCost,
 		storeCost: adapterDemand(input, engine) * blockedAdapterCost,
 	}));
 
--- a/packages/mastvalve-fleet/src/engines/plan-models.ts
+++ b/packages/mastvalve-fleet/src/engines/plan-models.ts
@@ -66,7 +66,7 @@
 /** Loads for requests that wait. What gives way may not be worth much more than what comes. */
 const proposeForWaiting = (input: Planning): Proposal[] =>
 	input.wanted
-		.filter(({model}) => input.use.countHolders(model) === 0)
+		.filter(({model}) => !input.use.isOpen(model))
 		.map(wanted => {
 			const worth = worthOfLoad(input, wanted);
 			return {worth, listWays: () => listWaysForWaiting(input, wanted.model, worth).filter(way => way.evictedWorth < worth * maxEvictedFactor)};
