A request stands in one line for room, and goes where it is due first

Change: a request that has another endpoint with room takes no place; otherwise it asks the one that has room first, stands in its line or is refused at once.

--- a/packages/mastvalve-fleet-control/__tests__/__fixtures__/desk-series.ts
+++ b/packages/mastvalve-fleet-control/__tests__/__fixtures__/desk-series.ts
@@ -8,7 +8,7 @@
 } from 'mastvalve-fleet';
 import {EngineDesk} from '../../src/engines/engine-desk.js';
 import {Answering, StandInEngine} from './stand-in-engine.js';
-import {VirtualTime} from './virtual-time.js';
+import {VirtualTime} from '../../../../features/support/virtual-time.js';
 
 /** Room for three models and two adapters; every model takes one of three places. */
 const spec: EngineSpec = {
--- a/packages/mastvalve-fleet-control/__tests__/__fixtures__/stand-in-engine.ts
+++ b/packages/mastvalve-fleet-control/__tests__/__fixtures__/stand-in-engine.ts
@@ -8,7 +8,7 @@
 import {
 	OrderOutcome, type EnginePort, type EngineStatus, type SentOrder,
 } from '../../src/engines/engine-port.js';
-import type {VirtualTime} from './virtual-time.js';
+import type {VirtualTime} from '../../../../features/support/virtual-time.js';
 
 /** How the next order is answered. */
 export enum Answering {
--- a/packages/mastvalve-fleet-control/__tests__/engine-desk.steps.ts
+++ b/packages/mastvalve-fleet-control/__tests__/engine-desk.steps.ts
@@ -15,7 +15,7 @@
 	adapterSteps, brokenLedgers, createDesk, mayMove, modelSteps, playAdapters, playModels, tryMove,
 } from './__fixtures__/desk-series.js';
 import {Answering, StandInEngine} from './__fixtures__/stand-in-engine.js';
-import {VirtualTime} from './__fixtures__/virtual-time.js';
+import {VirtualTime} from '../../../features/support/virtual-time.js';
 
 type DeskWorld = World & {time: VirtualTime; engine: StandInEngine; desk: EngineDesk; mayOrder: boolean; begunAt: number | undefined};
 
--- a/packages/mastvalve-fleet-control/__tests__/engine-director.steps.ts
+++ b/packages/mastvalve-fleet-control/__tests__/engine-director.steps.ts
@@ -13,7 +13,7 @@
 } from 'mastvalve-fleet';
 import {EngineDirector} from '../src/engines/engine-director.js';
 import {Answering, StandInEngine} from './__fixtures__/stand-in-engine.js';
-import {VirtualTime} from './__fixtures__/virtual-time.js';
+import {VirtualTime} from '../../../features/support/virtual-time.js';
 
 type DirectorWorld = World & {time: VirtualTime; engine: StandInEngine; machine: FleetMachine; director: EngineDirector; term: number | undefined; index: number; events: string[]; records: Holdings[]};
 
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -13,7 +13,9 @@
 	type ConfigurationChange, type ConfigurationFrame, type ExpectedLoad, type FleetEndpoint, type Route,
 } from 'mastvalve-fleet';
 import {readLimitWord} from 'mastvalve-limits';
-import {assumeType, createRandom, systemClock} from 'mastvalve-utils';
+import {
+	assumeType, createRandom, systemClock, waitFor,
+} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 import {findFreePorts} from '../../../../features/support/free-ports.js';
 import {
@@ -102,7 +104,7 @@
 		const board = new EndpointBoard(now);
 		const limits = new LimitClient({
 			entry: 'entry',
-			client: {call: async ({body}) => this.answerClaims(body)}, readLeader: () => 'leader', readEntries: () => 1, random: createRandom(1), now, windowMs: 8000, signal: this.ending.signal, onEvent: () => undefined,
+			client: {call: async ({body}) => this.answerClaims(body)}, readLeader: () => 'leader', readEntries: () => 1, random: createRandom(1), now, windowMs: 8000, signal: this.ending.signal, wait: waitFor, onEvent: () => undefined,
 		});
 		this.gateway = new Gateway({
 			failureDomain: 'a',
--- a/packages/mastvalve-gateway/__tests__/limited-endpoints.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/limited-endpoints.steps.ts
@@ -17,6 +17,10 @@
 };
 
 const okStatus = 200;
+const refusedStatus = 503;
+const msPerSecond = 1000;
+/** What is left of a request's 2 s when the answer must begin, ms. */
+const patienceMs = 1700;
 /** Lines that a failed scenario shows. */
 const shownLines = 5;
 
@@ -52,6 +56,23 @@
 	assert.ok(most <= limit, `${most} requests in ${spanMs} ms`);
 });
 
+When('endpoint {int} answers with {string}', function (this: LimitWorld, index: number, status: string) {
+	this.limited.answerWith(index, status);
+});
+
+Then('endpoint {int} got at least {int} requests from {int} ms after it had named its limit', function (this: LimitWorld, index: number, least: number, afterMs: number) {
+	const got = this.limited.countSince(index, afterMs);
+	assert.ok(got >= least, `${got} requests`);
+});
+
+Then('each refused request was told to come again later than it could have waited', function (this: LimitWorld) {
+	const refused = this.results.filter(({status}) => status === refusedStatus);
+	assert.ok(refused.length > 0);
+	assert.deepEqual(this.results.filter(({status}) => status !== okStatus && status !== refusedStatus), []);
+	const early = refused.filter(({retryAfter, tookMs}) => ((retryAfter ?? 0) * msPerSecond) + tookMs < patienceMs);
+	assert.deepEqual(early, []);
+});
+
 Then('all requests were answered', function (this: LimitWorld) {
 	const others = this.results.filter(({status}) => status !== okStatus);
 	assert.deepEqual(others, []);
--- a/packages/mastvalve-gateway/src/limits/limit-client.ts
+++ b/packages/mastvalve-gateway/src/limits/limit-client.ts
@@ -7,7 +7,6 @@
 import {GrantHistory, LoneLimits, type LimitClaim} from 'mastvalve-access';
 import type {LimitAnswers} from 'mastvalve-fleet-control';
 import {LoneRates, type HandoverClaim, type ToldWord} from 'mastvalve-limits';
-import {waitFor} from 'mastvalve-utils';
 import {emptyQuestion, LeaderAccount, type LeaderAccountOptions} from './leader-account.js';
 import {
 	LimitBatch, type ClaimOutcome, type HandoverOutcome,
@@ -21,6 +20,8 @@
 	random: () => number;
 	/** How many entries share the limits of endpoints; undefined when control has told none. */
 	readEntries: () => number | undefined;
+	/** Waits so many ms, or until the signal aborts. */
+	wait: (ms: number, signal: AbortSignal) => Promise<void>;
 	onEvent: (kind: string, detail: string) => void;
 };
 
@@ -193,7 +194,7 @@
 	}
 
 	private async findLeader(): Promise<void> {
-		const {signal, onEvent} = this.options;
+		const {signal, wait, onEvent} = this.options;
 		while (this.isAlone && !signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop
 			const answers = await this.account.ask(emptyQuestion);
@@ -205,7 +206,7 @@
 				void this.callWhileDue();
 			} else {
 				// eslint-disable-next-line no-await-in-loop
-				await waitFor(probePauseMs, signal);
+				await wait(probePauseMs, signal);
 			}
 		}
 	}
--- a/packages/mastvalve-gateway/src/requests/choose-now.ts
+++ b/packages/mastvalve-gateway/src/requests/choose-now.ts
@@ -3,7 +3,9 @@
  */
 
 import type {FleetEndpoint} from 'mastvalve-fleet';
-import {chooseEndpoint, findRoomAt, type EndpointChoiceInput} from '../routing/choose-endpoint.js';
+import {
+	chooseEndpoint, findRoomAt, hasOtherWithRoom, type EndpointChoiceInput,
+} from '../routing/choose-endpoint.js';
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {CallerRequest} from './caller-request.js';
 
@@ -34,6 +36,10 @@
 export const chooseNow = (core: GatewayCore, request: CallerRequest, tries: Tries): FleetEndpoint | undefined =>
 	chooseEndpoint(readChoiceInput(core, request, tries));
 
+/** Whether another endpoint than one may have room for the request. */
+export const hasOtherNow = (core: GatewayCore, request: CallerRequest, tries: Tries, id: string): boolean =>
+	hasOtherWithRoom(readChoiceInput(core, request, tries), id);
+
 /** When a limited endpoint has room for a request that nobody else can take; undefined when it waits for none. */
 export const findRoomNow = (core: GatewayCore, request: CallerRequest, tries: Tries): number | undefined =>
 	findRoomAt(readChoiceInput(core, request, tries));
--- a/packages/mastvalve-gateway/src/requests/claim-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/claim-endpoint.ts
@@ -6,8 +6,8 @@
 import type {AccountMoment} from 'mastvalve-limits';
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {CallerRequest} from './caller-request.js';
-import {chooseNow} from './choose-now.js';
-import {patienceOf, type NoEndpoint} from './patience.js';
+import {hasOtherNow} from './choose-now.js';
+import {patienceOf, refuseForRoom, type NoEndpoint} from './patience.js';
 import type {Progress} from './progress.js';
 import {rankRequest} from './rank-request.js';
 import {waitForEndpoint} from './wait-for-endpoint.js';
@@ -19,16 +19,16 @@
 	grantedAt: AccountMoment | undefined;
 };
 
-/** Claims room at one endpoint; undefined when it has none. */
-const claimRoom = async (core: GatewayCore, request: CallerRequest, progress: Progress, endpoint: FleetEndpoint): Promise<ClaimedEndpoint | undefined> => {
+/** Claims room at one endpoint, or says that the request can't wait for any; undefined when it has a place in a line or goes elsewhere. */
+const claimRoom = async (core: GatewayCore, request: CallerRequest, progress: Progress, endpoint: FleetEndpoint): Promise<ClaimedEndpoint | NoEndpoint | undefined> => {
 	if (core.limiter.limitOf(endpoint) === undefined) {
 		return {endpoint, grantedAt: undefined};
 	}
 
-	const {askAgainAt, lines, tried} = progress;
+	const {askAgainAt, lines} = progress;
 	const {id} = endpoint;
-	const other = chooseNow(core, request, {tried, askAgainAt: new Map([...askAgainAt, [id, Number.POSITIVE_INFINITY]])});
-	const patienceMs = other ? 0 : patienceOf(core, request);
+	const hasOther = hasOtherNow(core, request, progress, id);
+	const patienceMs = hasOther ? 0 : Math.max(0, patienceOf(core, request));
 	// The limit is on what all entries send together: one that only minds its own requests can't keep to it.
 	const {isTaken, waitMs, grantedAt} = await core.limiter.claim(endpoint, {urgency: rankRequest(core, request), patienceMs, isDue: lines.delete(id)});
 	if (isTaken) {
@@ -40,7 +40,7 @@
 		lines.add(id);
 	}
 
-	return undefined;
+	return hasOther || lines.has(id) ? undefined : refuseForRoom(waitMs);
 };
 
 /** Finds an endpoint, or says why there is none. */
--- a/packages/mastvalve-gateway/src/requests/patience.ts
+++ b/packages/mastvalve-gateway/src/requests/patience.ts
@@ -11,6 +11,13 @@
 /** Why a request can't be sent anywhere, and when to ask again. */
 export type NoEndpoint = {reason: string; retryAfterMs: number};
 
+/** Shortest time after which a refused caller comes again, ms. */
+const minRetryMs = 50;
+
+/** No endpoint has room for it in time; some has after `waitMs`. */
+export const refuseForRoom = (waitMs: number): NoEndpoint =>
+	({reason: 'the endpoints that could take it are at the limits that they have named', retryAfterMs: Math.max(minRetryMs, waitMs)});
+
 /** When the caller gives up if nothing came; monotonic ms. */
 export const patienceEnd = ({arrivedAt, deadlineAt, route}: CallerRequest): number => Math.min(deadlineAt, arrivedAt + (route.patienceMs ?? Number.POSITIVE_INFINITY));
 
--- a/packages/mastvalve-gateway/src/requests/wait-for-room.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-for-room.ts
@@ -7,17 +7,14 @@
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {CallerRequest} from './caller-request.js';
 import {chooseNow, type Tries} from './choose-now.js';
-import {patienceOf, type NoEndpoint} from './patience.js';
-
-/** Shortest time after which a refused caller comes again, ms. */
-const minRetryMs = 50;
+import {patienceOf, refuseForRoom, type NoEndpoint} from './patience.js';
 
 /** Waits until `roomAt`, monotonic ms, or until an endpoint comes up that may take the request. */
 export const waitForRoom = async (core: GatewayCore, request: CallerRequest, tries: Tries, roomAt: number): Promise<FleetEndpoint | NoEndpoint> => {
 	const {clock, view, demand, onDrain, log, observer} = core;
 	const {caller: {model, adapter}, signal} = request;
 	const startedAt = clock.now();
-	const refusal: NoEndpoint = {reason: 'the endpoints that could take it are at the limits that they have named', retryAfterMs: Math.max(minRetryMs, roomAt - startedAt)};
+	const refusal = refuseForRoom(roomAt - startedAt);
 	if (roomAt - startedAt > patienceOf(core, request) || core.isDraining()) {
 		return refusal;
 	}
--- a/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
+++ b/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
@@ -92,29 +92,42 @@
 	DoubtfulWithoutRoom,
 }
 
-const rankEndpoint = (endpoint: FleetEndpoint, knowledge: EndpointKnowledge, {now, isLimited}: EndpointChoiceInput): Rank => {
-	const hasNoRoom = now < knowledge.roomAt && isLimited(endpoint);
-	if (isDoubtful(endpoint, knowledge, now)) {
-		return hasNoRoom ? Rank.DoubtfulWithoutRoom : Rank.Doubtful;
+const hasRoom = (endpoint: FleetEndpoint, {now, knowledgeOf, isLimited}: EndpointChoiceInput): boolean =>
+	now >= knowledgeOf(endpoint.id).roomAt || !isLimited(endpoint);
+
+const rankEndpoint = (endpoint: FleetEndpoint, input: EndpointChoiceInput): Rank => {
+	if (isDoubtful(endpoint, input.knowledgeOf(endpoint.id), input.now)) {
+		return hasRoom(endpoint, input) ? Rank.Doubtful : Rank.DoubtfulWithoutRoom;
 	}
 
-	return hasNoRoom ? Rank.SoundWithoutRoom : Rank.Sound;
+	return hasRoom(endpoint, input) ? Rank.Sound : Rank.SoundWithoutRoom;
+};
+
+/** What one more request there costs, ms: the time until there is room, or the expected wait. */
+const estimateCost = (endpoint: FleetEndpoint, input: EndpointChoiceInput): number => {
+	const {failureDomain, now, knowledgeOf, isLimited} = input;
+	const knowledge = knowledgeOf(endpoint.id);
+	const domainMs = endpoint.failureDomain === failureDomain ? 0 : otherDomainMs;
+	const spareMs = isLimited(endpoint) ? limitedMs : 0;
+	const roomMs = hasRoom(endpoint, input) ? 0 : knowledge.roomAt - now;
+	return estimateWait(knowledge, input) + domainMs + spareMs + roomMs;
 };
 
+/** Endpoints that could take the request, and may be asked now. */
+const listAskable = (input: EndpointChoiceInput): FleetEndpoint[] =>
+	listHolders(input).filter(({id}) => input.now >= (input.askAgainAt.get(id) ?? Number.NEGATIVE_INFINITY));
+
 /** Chooses; undefined when no endpoint may get the request now. */
 export const chooseEndpoint = (input: EndpointChoiceInput): FleetEndpoint | undefined => {
-	const {askAgainAt, failureDomain, now, knowledgeOf, isLimited, random} = input;
-	const candidates = listHolders(input)
-		.filter(({id}) => now >= (askAgainAt.get(id) ?? Number.NEGATIVE_INFINITY))
-		.map(endpoint => {
-			const knowledge = knowledgeOf(endpoint.id);
-			const domainMs = endpoint.failureDomain === failureDomain ? 0 : otherDomainMs;
-			const spareMs = isLimited(endpoint) ? limitedMs : 0;
-			return {endpoint, rank: rankEndpoint(endpoint, knowledge, input), cost: estimateWait(knowledge, input) + domainMs + spareMs + random()};
-		});
+	const candidates = listAskable(input)
+		.map(endpoint => ({endpoint, rank: rankEndpoint(endpoint, input), cost: estimateCost(endpoint, input) + input.random()}));
 	return candidates.toSorted((a, b) => a.rank - b.rank || a.cost - b.cost)[0]?.endpoint;
 };
 
+/** Whether another endpoint than one may have room for the request now. */
+export const hasOtherWithRoom = (input: EndpointChoiceInput, id: string): boolean =>
+	listAskable(input).some(endpoint => endpoint.id !== id && hasRoom(endpoint, input));
+
 /** When the first of the endpoints that had no room for the request may be asked again, ms; undefined when there is none. */
 export const findRoomAt = (input: EndpointChoiceInput): number | undefined => {
 	const times = listHolders(input).flatMap(({id}) => input.askAgainAt.get(id) ?? []);
--- a/packages/mastvalve-gateway/src/server/gateway-node.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-node.ts
@@ -4,7 +4,7 @@
 
 import type {PeerClient} from 'mastvalve-cluster';
 import type {MastvalveError} from 'mastvalve-types';
-import type {Clock} from 'mastvalve-utils';
+import {waitFor, type Clock} from 'mastvalve-utils';
 import type {Result} from 'neverthrow';
 import {AccessChecker} from '../access/access-checker.js';
 import type {Dialect} from '../dialect.js';
@@ -101,7 +101,7 @@
 		const limits = new LimitClient({
 			// Another life of the entry has another history.
 			entry: `${instance} ${random()}`,
-			client, readLeader: () => this.follower.leader, readEntries: () => this.reporter.entries, random, now, windowMs: limitWindowMs, signal: this.ending.signal, onEvent,
+			client, readLeader: () => this.follower.leader, readEntries: () => this.reporter.entries, random, now, windowMs: limitWindowMs, signal: this.ending.signal, wait: waitFor, onEvent,
 		});
 		this.gateway = new Gateway({
 			failureDomain,
