Entries share the retries that operators allow for all of them together

Callers would have seen a service that gets more repeats than it is to get, when many entries have failures at once. Cause: the setting was read by nothing, and each entry had 3 retries of its own in a window; its comment held for the part that grows with requests only. An entry that control has told no number has only the part that grows with its requests.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -119,7 +119,7 @@
 			limiter: new EndpointLimiter({
 				view: this.view, board, client: limits, now,
 			}),
-			allowance: new RetryAllowance({ratio: 1, slack: 5, windowMs: 10_000}, now),
+			allowance: new RetryAllowance({ratio: 1, slack: 5, windowMs: 10_000}, now, () => 1),
 			headTimes: this.headTimes,
 			demand: this.demand,
 			quarantine,
--- a/packages/mastvalve-gateway/__tests__/gateway.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/gateway.steps.ts
@@ -464,8 +464,8 @@
 When('{int} entries get a request each and every one of them fails', function (this: RetryWorld, entries: number) {
 	const made = Array.from({length: entries}, () => {
 		const allowance = new RetryAllowance({
-			ratio: 0.2, slack: 3, windowMs: retryWindowMs,
-		}, () => 0);
+			ratio: 0.2, slack: this.allowedRetries, windowMs: retryWindowMs,
+		}, () => 0, () => entries);
 		allowance.recordRequest('s');
 		return Array.from({length: retryTries}).filter(() => allowance.takeRetry('s')).length;
 	});
--- a/packages/mastvalve-gateway/src/routing/retry-allowance.ts
+++ b/packages/mastvalve-gateway/src/routing/retry-allowance.ts
@@ -1,13 +1,14 @@
 /**
- * This entry's share of the retries that a service may get: a part of its own first tries in a sliding window, and a
- * few besides. The sum over all entries stays below what operators allow, since each uses only its own requests.
+ * This entry's share of the retries that a service may get: a part of its own first tries in a sliding window, and its part of those
+ * that need no first try, as one of the entries that control has counted. So the sum over all entries stays below what operators
+ * allow.
  */
 
 /** Bounds of the allowance. */
 export type RetryBounds = {
 	/** Retries for each first try. */
 	ratio: number;
-	/** Retries in a window that need no first try. */
+	/** Retries in a window that need no first try, of all entries together. */
 	slack: number;
 	windowMs: number;
 };
@@ -18,7 +19,8 @@
 export class RetryAllowance {
 	private readonly services = new Map<string, Times>();
 
-	constructor(private readonly bounds: RetryBounds, private readonly now: () => number) {}
+	/** `readEntries` tells how many entries share the bounds; undefined while control has told none. */
+	constructor(private readonly bounds: RetryBounds, private readonly now: () => number, private readonly readEntries: () => number | undefined) {}
 
 	/** A request for a service came. */
 	recordRequest(service: string): void {
@@ -28,8 +30,10 @@
 	/** Takes a retry, if one is left. */
 	takeRetry(service: string): boolean {
 		const {ratio, slack} = this.bounds;
+		// A number of its own for each entry would add up to more than all of them may make, once there are many.
+		const ownSlack = slack / (this.readEntries() ?? Number.POSITIVE_INFINITY);
 		const times = this.timesOf(service);
-		if (times.retries.length + 1 > (ratio * times.first.length) + slack) {
+		if (times.retries.length + 1 > (ratio * times.first.length) + ownSlack) {
 			return false;
 		}
 
--- a/packages/mastvalve-gateway/src/server/gateway-node.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-node.ts
@@ -116,7 +116,7 @@
 			limiter: new EndpointLimiter({
 				view: this.view, board, client: limits, now,
 			}),
-			allowance: new RetryAllowance(retries, now),
+			allowance: new RetryAllowance(retries, now, () => this.reporter.entries),
 			headTimes,
 			demand: this.demand,
 			quarantine,
