--- a/packages/mastvalve-fleet-control/src/fleet-metrics.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-metrics.ts
@@ -2,11 +2,30 @@
  * Metrics of a control instance, read when they are asked for.
  */
 
+import {EndpointPhase} from 'mastvalve-fleet';
 import {Gauge, type Registry} from 'prom-client';
 import type {FleetControl} from './fleet-control.js';
 
 type FleetGauge = {name: string; help: string; read: (control: FleetControl) => number};
 
+/** One sample for each endpoint that has named a limit. */
+const registerLimits = (registry: Registry, readControl: () => FleetControl | undefined): void => {
+	const limits = new Gauge({
+		name: 'mastvalve_endpoint_limit_per_second',
+		help: 'Requests a second that an endpoint takes from all entries together, while it names a limit',
+		labelNames: ['endpoint'],
+		registers: [registry],
+		collect() {
+			limits.reset();
+			readControl()?.machine.list().forEach(({id, phase, limitPerSecond}) => {
+				if (limitPerSecond !== undefined && phase !== EndpointPhase.Gone) {
+					limits.set({endpoint: id}, limitPerSecond);
+				}
+			});
+		},
+	});
+};
+
 /** Registers the metrics; an instance that keeps no log has none of them. */
 export const registerFleetMetrics = (registry: Registry, readControl: () => FleetControl | undefined): void => {
 	const gauges: FleetGauge[] = [
@@ -19,6 +38,7 @@
 		{name: 'mastvalve_endpoints', help: 'Endpoints that are remembered', read: control => control.machine.list().length},
 		{name: 'mastvalve_quarantined_requests', help: 'Requests that are handed to no endpoint, since several crashed under them', read: control => control.machine.listQuarantined().length},
 	];
+	registerLimits(registry, readControl);
 	gauges.forEach(({name, help, read}) => {
 		const gauge = new Gauge({
 			name,
--- a/packages/mastvalve-gateway/src/requests/claim-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/claim-endpoint.ts
@@ -31,6 +31,7 @@
 	const patienceMs = hasOther ? 0 : Math.max(0, patienceOf(core, request));
 	// The limit is on what all entries send together: one that only minds its own requests can't keep to it.
 	const {isTaken, waitMs, grantedAt} = await core.limiter.claim(endpoint, {urgency: rankRequest(core, request), patienceMs, isDue: lines.delete(id)});
+	core.observer.recordRoom(isTaken);
 	if (isTaken) {
 		return {endpoint, grantedAt};
 	}
--- a/packages/mastvalve-gateway/src/server/gateway-metrics.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-metrics.ts
@@ -22,8 +22,11 @@
 	const refusals = new Counter({
 		name: 'mastvalve_refusals_total', help: 'Callers that were not let in, by reason', labelNames: ['reason'], registers: [registry],
 	});
+	const rooms = new Counter({
+		name: 'mastvalve_limited_endpoint_requests_total', help: 'Requests for room at endpoints that have named a limit, by outcome', labelNames: ['outcome'], registers: [registry],
+	});
 	const waits = new Histogram({
-		name: 'mastvalve_model_wait_seconds', help: 'Time that requests waited for a model or adapter', labelNames: ['outcome'], buckets, registers: [registry],
+		name: 'mastvalve_model_wait_seconds', help: 'Time that requests waited for a model, an adapter or room at a limited endpoint', labelNames: ['outcome'], buckets, registers: [registry],
 	});
 	const inFlight = new Gauge({
 		name: 'mastvalve_in_flight',
@@ -43,6 +46,9 @@
 		recordAttempt(outcome) {
 			attempts.inc({outcome});
 		},
+		recordRoom(hasRoom) {
+			rooms.inc({outcome: hasRoom ? 'taken' : 'refused'});
+		},
 		recordWait(isServed, durationMs) {
 			waits.observe({outcome: isServed ? 'served' : 'refused'}, durationMs / msPerSecond);
 		},
--- a/packages/mastvalve-gateway/src/server/gateway-observer.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-observer.ts
@@ -10,7 +10,9 @@
 	recordRefusal: (reason: string) => void;
 	/** An attempt at an endpoint is over. */
 	recordAttempt: (outcome: string) => void;
-	/** A request has stopped waiting for a model or adapter. */
+	/** A limited endpoint was asked for room; whether it had any. */
+	recordRoom: (hasRoom: boolean) => void;
+	/** A request has stopped waiting for a model, an adapter or room. */
 	recordWait: (isServed: boolean, durationMs: number) => void;
 };
 
@@ -19,5 +21,6 @@
 	recordRequest: () => undefined,
 	recordRefusal: () => undefined,
 	recordAttempt: () => undefined,
+	recordRoom: () => undefined,
 	recordWait: () => undefined,
 };
