Red: three series in which an order needs more adapter slots than an engine has

In each an adapter is ordered again while the engine holds it, since its unloading was taken while a request used it.

--- a/packages/mastvalve-fleet-control/__tests__/engine-desk.feature
+++ b/packages/mastvalve-fleet-control/__tests__/engine-desk.feature
@@ -75,6 +75,17 @@
   Scenario: Whatever orders for adapters are lost or late, and however often the holder changes or may not order, no order needs more slots than there are
     Then 150 random series of adapter moves, lost orders, late orders, pauses of the holder and new holders overfill no slots
 
+  # Orders needed more slots than an engine has, in series in which an adapter was ordered although the engine held it: its
+  # unloading had been taken while a request used it, so it was still there when the next order for it came.
+  Scenario Outline: An adapter that is still there is ordered again (series of seed <seed>)
+    Then the series of seed <seed> overfills no slots
+
+    Examples:
+      | seed  |
+      | 99    |
+      | 1003  |
+      | 31337 |
+
   # Symptom, by reading: more loads from the weight store could begin in a window than its rate allows. Sequence: an order to load
   # from the store got no answer and was given up when the holder lost its right to order; it was carried out seconds later.
   # Cause: it counted as begun when it was given up.
--- a/packages/mastvalve-fleet-control/__tests__/engine-desk.steps.ts
+++ b/packages/mastvalve-fleet-control/__tests__/engine-desk.steps.ts
@@ -15,6 +15,7 @@
 import {
 	adapterSteps, brokenLedgers, createDesk, mayMove, modelSteps, playAdapters, playModels, tryMove,
 } from './__fixtures__/desk-series.js';
+import {foundSeries} from './__fixtures__/found-series.js';
 import {Answering, StandInEngine} from './__fixtures__/stand-in-engine.js';
 
 type DeskWorld = World & {time: VirtualTime; engine: StandInEngine; desk: EngineDesk; mayOrder: boolean; begunAt: number | undefined};
@@ -332,6 +333,11 @@
 	}), {numRuns: runs, seed: 21});
 });
 
+Then('the series of seed {int} overfills no slots', async (seed: number) => {
+	const engine = await playAdapters(foundSeries[seed]!);
+	assert.deepEqual(engine.excessive, []);
+});
+
 Then('an account in which {string} lets some of {int} random series overfill the slots', {timeout: 60_000}, async (fault: string, runs: number) => {
 	const found = await fc.check(fc.asyncProperty(adapterSteps, async series => {
 		const engine = await playAdapters(series, brokenLedgers[fault]);
