No load goes out beside an order that may still come late

Cause: what an engine tells of itself was taken for all there is, also while an order that got no answer could still be carried out. Planners keep away from such engines but by an unload, which voids the late order; but what is sent was checked against the account alone, so a planner that errs, or a plan made earlier, could order beyond the room. Change: the check before each order withholds loads while an order may come late; an unload of an adapter that was counted ends that, like any other order that was taken.

--- a/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-desk.ts
@@ -170,7 +170,7 @@
 	/** Gives an order if it fits beside all that is or may be in the engine; otherwise its state is read again. */
 	private async give(order: EngineOrder): Promise<OrderEffect> {
 		const spec = this.options.readSpec();
-		if (!spec || !this.ledger.mayOrder(order, this.recordedHolds, spec)) {
+		if (!spec || this.mayMeetLateOrder(order) || !this.ledger.mayOrder(order, this.recordedHolds, spec)) {
 			this.options.onEvent('order.withheld', `${order.kind} ${order.model}${order.adapter === undefined ? '' : `/${order.adapter}`} at ${this.options.id}: it may not fit`);
 			this.orders.forget();
 			return OrderEffect.None;
@@ -185,6 +185,11 @@
 		return effect;
 	}
 
+	/** What an order that may still come late needs is in no status of the engine; once an unload was counted, that order is void. */
+	private mayMeetLateOrder({kind}: EngineOrder): boolean {
+		return kind === EngineOrderKind.Load && this.orders.hasLateOrder;
+	}
+
 	private get recordedHolds(): HeldModel[] {
 		return this.options.readEndpoint()?.holds ?? [];
 	}
--- a/packages/mastvalve-fleet-control/src/engines/order-sequence.ts
+++ b/packages/mastvalve-fleet-control/src/engines/order-sequence.ts
@@ -154,6 +154,8 @@
 					// Whether it was counted differs by order; the count is read again before the next one.
 					if (order.kind === EngineOrderKind.Unload && order.adapter !== undefined) {
 						this.advance(expectedCount);
+						// It was counted, so a copy of an earlier order is void.
+						this.lateOrderUntil = undefined;
 					} else {
 						this.count = undefined;
 					}
