--- a/packages/mastvalve-proofs/__tests__/access.proofs.ts
+++ b/packages/mastvalve-proofs/__tests__/access.proofs.ts
@@ -159,8 +159,21 @@
 	), ms: fc.nat(1000),
 });
 
+/** A key that is taken away while an entry that has just been sure of it is suspended, with a request that waits. */
+const revokedWhileSuspended: readonly KeyStepKind[] = [
+	KeyStepKind.Ask, KeyStepKind.Answer, KeyStepKind.Arrive, KeyStepKind.Revoke, KeyStepKind.Suspend, KeyStepKind.Suspend, KeyStepKind.Arrive, KeyStepKind.HandOver,
+];
+
+const keyEpisodeArbitrary = fc.tuple(...revokedWhileSuspended.map(kind => fc.record<KeyStep>({kind: fc.constant(kind), ms: fc.nat(1000)})));
+
+/** Single steps, and now and then steps that follow each other as a fault needs them. */
+const keyStepsArbitrary = fc.array(fc.oneof(
+	{weight: 30, arbitrary: keyStepArbitrary.map(step => [step])},
+	{weight: 1, arbitrary: keyEpisodeArbitrary},
+), {minLength: 60, maxLength: 200}).map(parts => parts.flat());
+
 const runKeys = (broken: KeyFault) => async (variant: Variant, run: ProofRun): Promise<ProofOutcome> => checkProperty(
-	fc.array(keyStepArbitrary, {minLength: 60, maxLength: 200}),
+	keyStepsArbitrary,
 	steps => {
 		const model = new KeyModel(variant === Variant.Real ? KeyFault.None : broken);
 		steps.forEach(step => {
--- a/packages/mastvalve-proofs/__tests__/answers.proofs.ts
+++ b/packages/mastvalve-proofs/__tests__/answers.proofs.ts
@@ -200,7 +200,7 @@
 	twin: 'a request is given up on and started all the same',
 	run: async (variant, run) => checkProperty(
 		fc.array(fc.record({
-			kind: fc.constantFrom('offer', 'offer', 'finish', 'expire', 'take', 'hang-up'), priority: fc.constantFrom(...prioritiesByUrgency), slack: fc.integer({min: 1, max: 400}), pick: fc.nat(50),
+			kind: fc.constantFrom('offer', 'offer', 'offer', 'finish', 'finish', 'expire', 'expire', 'take', 'hang-up'), priority: fc.constantFrom(...prioritiesByUrgency), slack: fc.oneof(fc.integer({min: 1, max: 20}), fc.integer({min: 1, max: 400})), pick: fc.nat(50),
 		}), {minLength: 10, maxLength: 120}),
 		steps => {
 			const limits = {
--- a/packages/mastvalve-proofs/__tests__/cluster-model.ts
+++ b/packages/mastvalve-proofs/__tests__/cluster-model.ts
@@ -101,8 +101,8 @@
 		[StepKind.Advance]: (_node, pick) => {
 			this.advance(1 + (pick % maxAdvanceMs));
 		},
-		[StepKind.Propose]: node => {
-			this.propose(node);
+		[StepKind.Propose]: (node, pick) => {
+			this.propose(node, pick);
 		},
 		[StepKind.Read]: node => {
 			this.read(node);
@@ -232,9 +232,10 @@
 		});
 	}
 
-	/** A client proposes to whoever leads, or to any when nobody does. */
-	private propose(fallback: Node): void {
-		const node = this.nodes.find(candidate => candidate.replica?.role === Role.Leader && !candidate.isFrozen) ?? fallback;
+	/** A client proposes to one that believes it leads, or to any when none does. */
+	private propose(fallback: Node, pick: number): void {
+		const leaders = this.nodes.filter(candidate => candidate.replica?.role === Role.Leader && !candidate.isFrozen);
+		const node = leaders[pick % Math.max(1, leaders.length)] ?? fallback;
 		this.proposals += 1;
 		this.run(node, replica => {
 			replica.propose(this.proposals);
--- a/packages/mastvalve-proofs/__tests__/log.proofs.ts
+++ b/packages/mastvalve-proofs/__tests__/log.proofs.ts
@@ -57,8 +57,31 @@
 	pick: fc.nat(1000),
 });
 
-const clusterArbitrary = (size: number, weights: Weights) =>
-	fc.record({seed: fc.nat(), size: fc.constant(size), steps: fc.array(stepArbitrary(weights), {minLength: 60, maxLength: 400, size: 'max'})});
+/** Time goes by, and all messages arrive: as long as an election takes, and some more. */
+const electionSteps = (kinds: readonly StepKind[]): StepKind[] => Array.from({length: 8}, () => [StepKind.Advance, StepKind.DeliverAll, ...kinds]).flat();
+
+/** A node that is cut off or frozen while others elect a leader and commit, and reads then; `pick` of 0 to 1,000 for each step. */
+const isolationEpisode = fc.tuple(fc.constantFrom(StepKind.Cut, StepKind.Freeze), fc.nat(1000), fc.array(fc.integer({min: 40, max: 110}), {minLength: 40, maxLength: 40})).map(([isolate, node, picks]): Step[] => [
+	{kind: isolate, pick: node},
+	...electionSteps([StepKind.Propose, StepKind.DeliverAll, StepKind.DeliverAll]).map((kind, index) => ({kind, pick: picks[index % picks.length] ?? 0})),
+	{kind: isolate === StepKind.Freeze ? StepKind.Thaw : StepKind.Read, pick: node},
+]);
+
+/** Several nodes miss their leader and call for votes at once, and the votes arrive one by one in any order: two rounds of them. */
+const splitElectionEpisode = fc.tuple(fc.array(fc.integer({min: 60, max: 119}), {minLength: 2, maxLength: 2}), fc.array(fc.nat(1000), {minLength: 70, maxLength: 70})).map(([waits, picks]): Step[] => [
+	...waits.map(pick => ({kind: StepKind.Advance, pick})),
+	...picks.map(pick => ({kind: StepKind.Deliver, pick})),
+	{kind: StepKind.DeliverAll, pick: 0},
+	...[0, 1].map(pick => ({kind: StepKind.Propose, pick})),
+	{kind: StepKind.DeliverAll, pick: 0},
+]);
+
+const clusterArbitrary = (size: number, weights: Weights, episode: fc.Arbitrary<Step[]> | undefined) =>
+	fc.record({
+		seed: fc.nat(), size: fc.constant(size), steps: fc.array(episode
+			? fc.oneof({weight: 25, arbitrary: stepArbitrary(weights).map(step => [step])}, {weight: 1, arbitrary: episode})
+			: stepArbitrary(weights).map(step => [step]), {minLength: 60, maxLength: 400, size: 'max'}).map(parts => parts.flat()),
+	});
 
 const runSteps = (options: ClusterOptions, steps: readonly Step[]): ClusterModel => {
 	const model = new ClusterModel(options);
@@ -72,11 +95,13 @@
 type BrokenCluster = {rules?: Partial<ReplicaRules>} & Pick<ClusterOptions, 'losesLastWrite' | 'keepsIdentity' | 'trustsSteadyClock'>;
 
 /** What differs between the proofs on a cluster. */
-type ClusterProofOptions = {broken: BrokenCluster; size?: number; weights?: Weights};
+type ClusterProofOptions = {broken: BrokenCluster; size?: number; weights?: Weights;
+/** Steps that follow each other as the twin's fault needs them, now and then among the others. */
+	episode?: fc.Arbitrary<Step[]>;};
 
-const createClusterProof = (row: Pick<Proof, 'property' | 'failure' | 'scenario' | 'twin'>, {broken, size = 3, weights = keptDisks}: ClusterProofOptions): Proof => ({
+const createClusterProof = (row: Pick<Proof, 'property' | 'failure' | 'scenario' | 'twin'>, {broken, size = 3, weights = keptDisks, episode}: ClusterProofOptions): Proof => ({
 	...row,
-	run: async (variant, run) => checkProperty(clusterArbitrary(size, weights), ({seed, steps}) => {
+	run: async (variant, run) => checkProperty(clusterArbitrary(size, weights, episode), ({seed, steps}) => {
 		const {rules, ...faults}: BrokenCluster = variant === Variant.Broken ? broken : {};
 		const model = runSteps({
 			size, seed, rules: {...defaultReplicaRules, ...rules}, ...faults,
@@ -151,13 +176,13 @@
 		failure: 'split elections, repeated votes, restarts',
 		scenario: 'one leader a term (5 replicas)',
 		twin: 'a second vote in a term is given',
-	}, {broken: {rules: {mayVote: () => true}}, size: 5}),
+	}, {broken: {rules: {mayVote: () => true}}, size: 5, episode: splitElectionEpisode}),
 	createClusterProof({
 		property: Property.Configuration,
 		failure: 'a leader that is cut off or frozen and still believes that it leads',
 		scenario: 'a fresh read shows all that was acknowledged',
 		twin: 'the lease outlives the election timeout',
-	}, {broken: {rules: {leaseEnd: outliveElections}}, weights: isolationSteps}),
+	}, {broken: {rules: {leaseEnd: outliveElections}}, weights: isolationSteps, episode: isolationEpisode}),
 	createClusterProof({
 		property: Property.Configuration,
 		failure: 'a leader that is suspended, for which no time goes by meanwhile',
--- a/packages/mastvalve-proofs/src/index.ts
+++ b/packages/mastvalve-proofs/src/index.ts
@@ -5,3 +5,4 @@
 export * from './check-property.js';
 export * from './proof.js';
 export * from './run-proofs.js';
+export * from './summarise-seeds.js';
--- a/packages/mastvalve-proofs/src/proof.ts
+++ b/packages/mastvalve-proofs/src/proof.ts
@@ -46,4 +46,4 @@
 };
 
 /** A proof with both of its outcomes. */
-export type ProofRow = Omit<Proof, 'run'> & {cases: number; brokenViolations: number; realViolations: number; counterexample?: string};
+export type ProofRow = Omit<Proof, 'run'> & {cases: number; brokenCases: number; brokenViolations: number; realViolations: number; counterexample?: string};
--- a/packages/mastvalve-proofs/src/run-proofs.ts
+++ b/packages/mastvalve-proofs/src/run-proofs.ts
@@ -13,7 +13,7 @@
 	const real = await proof.run(Variant.Real, run);
 	const {property, failure, scenario, twin} = proof;
 	return {
-		property, failure, scenario, twin, cases: real.cases, brokenViolations: broken.violations, realViolations: real.violations, counterexample: real.counterexample,
+		property, failure, scenario, twin, cases: real.cases, brokenCases: broken.cases, brokenViolations: broken.violations, realViolations: real.violations, counterexample: real.counterexample,
 	};
 };
 
