--- a/packages/mastvalve-gateway/__tests__/limited-endpoints.feature
+++ b/packages/mastvalve-gateway/__tests__/limited-endpoints.feature
@@ -43,6 +43,13 @@
     Then endpoint 0 got at most 8 requests in any 4000 ms from 500 ms after it had named its limit
     And all requests were answered
 
+  # Requests that came up while a call to a leader was on its way, and that leader turned out to be gone, waited until there was
+  # another one: the entry had gone on alone by then, and nobody looked at what had gathered meanwhile.
+  Scenario: What asks for room while the leader is found to be gone is answered soon, too
+    Given an entry whose leader answers nothing
+    When a request asks for room, and 10 ms later another one for room and one for its workspace
+    Then all 3 are answered within 400 ms
+
   # In virtual time: the parts that decide are the real ones, messages come late and pass each other.
   Scenario Outline: Together <entries> entries keep to the limits of endpoints that name one, and use them
     Given <entries> entries in virtual time that share <endpoints> endpoints, <share> of all requests through one of them
--- /dev/null
+++ b/packages/mastvalve-gateway/__tests__/lone-entry.steps.ts
@@ -0,0 +1,63 @@
+/**
+ * Steps of an entry that no leader answers.
+ */
+
+import {strict as assert} from 'node:assert';
+import {
+	After, Given, Then, When, type World,
+} from '@cucumber/cucumber';
+import {PeerError} from 'mastvalve-cluster';
+import {systemClock, waitFor} from 'mastvalve-utils';
+import {err} from 'neverthrow';
+import {LimitClient} from '../src/index.js';
+
+type LoneWorld = World & {loneClient: LimitClient; loneEnding: AbortController; answeredAfterMs: number[]};
+
+const silenceMs = 150;
+
+Given('an entry whose leader answers nothing', function (this: LoneWorld) {
+	this.answeredAfterMs = [];
+	this.loneEnding = new AbortController();
+	this.loneClient = new LimitClient({
+		entry: 'entry',
+		client: {
+			async call({address, path}) {
+				await waitFor(silenceMs);
+				return err(new PeerError(address, path, 'no answer'));
+			},
+		},
+		readLeader: () => 'leader',
+		readEntries: () => 1,
+		random: () => 0,
+		now: () => systemClock.now(),
+		windowMs: 8000,
+		signal: this.loneEnding.signal,
+		wait: waitFor,
+		onEvent: () => undefined,
+	});
+});
+
+After(function (this: LoneWorld) {
+	this.loneEnding?.abort();
+});
+
+When('a request asks for room, and {int} ms later another one for room and one for its workspace', async function (this: LoneWorld, pauseMs: number) {
+	const startedAt = systemClock.now();
+	const note = async (answer: Promise<unknown>): Promise<void> => {
+		await answer;
+		this.answeredAfterMs.push(systemClock.now() - startedAt);
+	};
+
+	const claim = {
+		endpoint: 'e', urgency: 0, patienceMs: 0, isDue: false,
+	};
+	void note(this.loneClient.claimHandover(claim, 1));
+	await waitFor(pauseMs);
+	void note(this.loneClient.claimHandover(claim, 1));
+	void note(this.loneClient.claim('w', 1));
+});
+
+Then('all {int} are answered within {int} ms', async function (this: LoneWorld, count: number, limitMs: number) {
+	await waitFor(limitMs);
+	assert.equal(this.answeredAfterMs.filter(ms => ms <= limitMs).length, count);
+});
