What gathers while a call to the leader fails is decided as soon as the entry goes on alone

Callers would have waited for the next leader, up to their deadline. Cause: the loop of calls ends once the entry is alone, and what had come up during the last call stayed behind. Change: both batches are decided alone.

--- a/packages/mastvalve-gateway/src/limits/limit-client.ts
+++ b/packages/mastvalve-gateway/src/limits/limit-client.ts
@@ -119,21 +119,29 @@
 
 		this.isCalling = true;
 		while (this.next.isDue && !this.isAlone) {
-			const batch = this.next;
-			this.next = new LimitBatch();
+			const batch = this.takeNext();
 			// One call after the other.
 			// eslint-disable-next-line no-await-in-loop
 			const answers = await this.account.ask(batch.toQuestion());
 			if (answers) {
 				this.settle(batch, answers);
 			} else {
+				this.goAlone();
 				this.settleAlone(batch);
+				// Nobody else looks at what has come up during the call: it would wait for the next leader.
+				this.settleAlone(this.takeNext());
 			}
 		}
 
 		this.isCalling = false;
 	}
 
+	private takeNext(): LimitBatch {
+		const batch = this.next;
+		this.next = new LimitBatch();
+		return batch;
+	}
+
 	private settle({returned, claims, handovers}: LimitBatch, {waitMs, handoverWaitMs, grantedAt}: LimitAnswers): void {
 		claims.forEach(({claim, resolve}, index) => {
 			resolve(this.takeAnswer(claim, waitMs[returned.length + index] ?? 0));
@@ -145,8 +153,7 @@
 	}
 
 	private settleAlone({claims, handovers, words}: LimitBatch): void {
-		this.goAlone();
-		this.next.words.unshift(...words);
+		this.next.words.push(...words);
 		claims.forEach(({claim, resolve}) => {
 			resolve(this.decideAlone(claim));
 		});
