--- a/packages/mastvalve-fleet/src/state/fleet-machine.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-machine.ts
@@ -10,12 +10,11 @@
 import type {StatedConfiguration} from '../configuration/serving-configuration.js';
 import {CrashHistory, type CrashSnapshot} from '../quarantine/crash-history.js';
 import type {CrashReport} from '../quarantine/crash-report.js';
-import {applyHoldings, applyReport, isNews} from './apply-report.js';
-import {ChangeFeed, type FeedPlace} from './change-feed.js';
-import {FleetCommandKind, type FleetCommand, type RecordedLimit} from './fleet-command.js';
-import {EndpointPhase, type EndpointReport, type FleetEndpoint} from './fleet-endpoint.js';
-import {isEarlierIncarnation, parseIncarnation} from './endpoint-incarnation.js';
-import {EndpointStore} from './endpoint-store.js';
+import {isNews} from './apply-report.js';
+import type {FeedPlace} from './change-feed.js';
+import {EndpointRegister} from './endpoint-register.js';
+import {FleetCommandKind, type FleetCommand} from './fleet-command.js';
+import type {EndpointReport, FleetEndpoint} from './fleet-endpoint.js';
 import type {FleetPlace, FleetUpdate} from './fleet-update.js';
 
 /** The state as plain data. */
@@ -32,16 +31,6 @@
 	crashes?: CrashSnapshot;
 };
 
-/** An endpoint in JSON without its lists, a model that it holds, an adapter or a copy of weights, bytes. */
-const endpointBytes = 330;
-const heldBytes = 40;
-const nameBytes = 14;
-
-const estimateEndpoint = ({holds, inMemory, onDisk}: FleetEndpoint): number => {
-	const adapters = holds.reduce((sum, held) => sum + held.adapters.length, 0);
-	return endpointBytes + (holds.length * heldBytes) + ((adapters + inMemory.length + onDisk.length) * nameBytes);
-};
-
 /** The state machine. */
 export class FleetMachine {
 	/** Log index of the last change. */
@@ -50,8 +39,7 @@
 	private configuredAt = 0;
 	/** The control instance that gives orders to engines. */
 	private orderHolder: string | undefined;
-	private readonly endpoints = new EndpointStore();
-	private changes = new ChangeFeed<FleetEndpoint>(estimateEndpoint);
+	private readonly endpoints = new EndpointRegister();
 	private history = new ConfigurationHistory();
 	private crashes = new CrashHistory();
 
@@ -70,17 +58,11 @@
 		return this.endpoints.find(id);
 	}
 
-	/**
-	 * Whether a heartbeat is of an endpoint to use: not the late word of an earlier incarnation, and of a service that the configuration
-	 * names. A stranger at the address of an endpoint ends nobody. The one that is known is believed over an earlier birth only while it is heard: the
-	 * clock of its machine may have been set back before the next start.
-	 */
-	mayTake({id, service}: EndpointReport): boolean {
+	/** Whether a heartbeat is of an endpoint to use (`endpoint-register.ts`), and of a service that the configuration names. */
+	mayTake(report: EndpointReport): boolean {
 		const services = this.stated?.configuration.services;
-		const isServed = services === undefined || services.some(({name}) => name === service);
-		const current = this.endpoints.findCurrent(parseIncarnation(id).name);
-		const isHeard = current?.phase === EndpointPhase.Ready || current?.phase === EndpointPhase.Leaving;
-		return isServed && !(isHeard && isEarlierIncarnation(id, current.id));
+		const isServed = services === undefined || services.some(({name}) => name === report.service);
+		return isServed && this.endpoints.mayTake(report);
 	}
 
 	/** Whether a heartbeat says anything that the state doesn't; only then it needs the log. */
@@ -106,7 +88,7 @@
 
 	takeSnapshot(): FleetSnapshot {
 		return {
-			stated: this.stated, configuredAt: this.configuredAt, history: this.history.takeSnapshot(), forgotten: this.changes.forgottenUpTo, endpoints: this.list(), orderHolder: this.orderHolder, crashes: this.crashes.takeSnapshot(),
+			stated: this.stated, configuredAt: this.configuredAt, history: this.history.takeSnapshot(), forgotten: this.endpoints.feed.forgottenUpTo, endpoints: this.list(), orderHolder: this.orderHolder, crashes: this.crashes.takeSnapshot(),
 		};
 	}
 
@@ -117,14 +99,7 @@
 		this.history = ConfigurationHistory.restore(snapshot.stated?.configuration, snapshot.configuredAt, snapshot.history);
 		this.orderHolder = snapshot.orderHolder;
 		this.crashes = CrashHistory.restore(snapshot.crashes);
-		this.endpoints.clear();
-		this.changes = new ChangeFeed(estimateEndpoint, snapshot.forgotten);
-		snapshot.endpoints.forEach(endpoint => {
-			this.endpoints.put(endpoint);
-		});
-		snapshot.endpoints.toSorted((a, b) => a.revision - b.revision).forEach(endpoint => {
-			this.changes.put(endpoint.id, endpoint, endpoint.revision);
-		});
+		this.endpoints.restore(snapshot.endpoints, snapshot.forgotten);
 		this.revision = index;
 		this.onChange();
 	}
@@ -133,7 +108,7 @@
 	changesSince(place: FleetPlace): FleetUpdate {
 		return {
 			revision: this.revision,
-			endpoints: this.changes.readAfter(place.endpoints),
+			endpoints: this.endpoints.feed.readAfter(place.endpoints),
 			configuration: this.history.feed.readAfter(place.configuration),
 			quarantine: this.crashes.feed.readAfter(place.quarantine),
 		};
@@ -141,7 +116,7 @@
 
 	/** Whether there are changes behind a follower's place. */
 	hasChangesSince(place: FleetPlace): boolean {
-		return this.changes.hasMore(place.endpoints) || this.history.feed.hasMore(place.configuration) || this.crashes.feed.hasMore(place.quarantine);
+		return this.endpoints.feed.hasMore(place.endpoints) || this.history.feed.hasMore(place.configuration) || this.crashes.feed.hasMore(place.quarantine);
 	}
 
 	/** Whether a follower has read changes that this copy of the state lacks yet. */
@@ -156,28 +131,23 @@
 			}
 
 			case FleetCommandKind.Report: {
-				return this.report(command.report, index);
+				return this.touch(this.mayTake(command.report) && this.endpoints.report(command.report, index), index);
 			}
 
 			case FleetCommandKind.Leave: {
-				return this.leave(command.id, index);
+				return this.touch(this.endpoints.leave(command.id, index), index);
 			}
 
 			case FleetCommandKind.MarkSilent: {
-				command.ids
-					.filter(id => this.endpoints.find(id)?.phase === EndpointPhase.Ready)
-					.forEach(id => {
-						this.setPhase(id, EndpointPhase.Silent, index);
-					});
-				return true;
+				return this.touch(this.endpoints.markSilent(command.ids, index), index);
 			}
 
 			case FleetCommandKind.Forget: {
-				return this.forget(command.ids, index);
+				return this.touch(this.endpoints.forget(command.ids, index), index);
 			}
 
 			case FleetCommandKind.RecordHoldings: {
-				return this.replace(applyHoldings(this.endpoints.find(command.holdings.id), command.holdings, index), index);
+				return this.touch(this.endpoints.recordHoldings(command.holdings, index), index);
 			}
 
 			case FleetCommandKind.ClaimOrders: {
@@ -195,7 +165,7 @@
 			}
 
 			case FleetCommandKind.RecordLimits: {
-				return command.limits.map(limit => this.recordLimit(limit, index)).some(Boolean);
+				return this.touch(this.endpoints.recordLimits(command.limits, index), index);
 			}
 		}
 	}
@@ -214,37 +184,6 @@
 		return version;
 	}
 
-	/** A new incarnation at an address, or of a name, tells that the former one has ended. */
-	private report(report: EndpointReport, index: number): boolean {
-		if (!this.mayTake(report)) {
-			return false;
-		}
-
-		const known = this.endpoints.find(report.id);
-		const former = known ? [] : this.listReplaced(report);
-		former.filter(({phase}) => phase !== EndpointPhase.Gone).forEach(({id}) => {
-			this.setPhase(id, EndpointPhase.Gone, index);
-		});
-		const {name} = parseIncarnation(report.id);
-		return this.replace(applyReport(known, report, index, former.find(({id}) => parseIncarnation(id).name === name)), index);
-	}
-
-	/** Endpoints whose end the first heartbeat of a new incarnation shows: the ones at its address, and the one of its name. */
-	private listReplaced({id, address}: EndpointReport): FleetEndpoint[] {
-		const current = this.endpoints.findCurrent(parseIncarnation(id).name);
-		return this.list().filter(other => other === current || (other.address === address && other.phase !== EndpointPhase.Gone));
-	}
-
-	/** An endpoint has told that it ends, so what it cut off then is no crash. */
-	private leave(name: string, index: number): boolean {
-		const known = this.endpoints.findCurrent(name);
-		return known
-			? this.replace({
-				...known, phase: EndpointPhase.Gone, isLeaving: true, revision: index,
-			}, index)
-			: false;
-	}
-
 	/** What ran at endpoints that crashed is under suspicion. An endpoint that had told that it leaves did not crash. */
 	private recordCrashes(reports: readonly CrashReport[], index: number): string[] {
 		const quarantined = reports
@@ -254,48 +193,8 @@
 		return quarantined;
 	}
 
-	/** What an incarnation has named holds for that one only. */
-	private recordLimit({endpoint, perSecond}: RecordedLimit, index: number): boolean {
-		const known = this.endpoints.find(endpoint);
-		const isNews = known && known.phase !== EndpointPhase.Gone && known.limitPerSecond !== perSecond;
-		return isNews ? this.replace({...known, limitPerSecond: perSecond, revision: index}, index) : false;
-	}
-
 	private touch(isChanged: boolean, index: number): boolean {
 		this.revision = isChanged ? index : this.revision;
 		return isChanged;
 	}
-
-	private setPhase(id: string, phase: EndpointPhase, index: number): boolean {
-		const known = this.endpoints.find(id);
-		return known ? this.replace({...known, phase, revision: index}, index) : false;
-	}
-
-	private replace(endpoint: FleetEndpoint | undefined, index: number): boolean {
-		if (!endpoint || endpoint === this.endpoints.find(endpoint.id)) {
-			return false;
-		}
-
-		this.endpoints.put(endpoint);
-		this.changes.put(endpoint.id, endpoint, index);
-		this.revision = index;
-		return true;
-	}
-
-	/**
-	 * Forgets endpoints that have ended; others end by this. Followers that know of the end lose nothing, so nothing is
-	 * sent again to them.
-	 */
-	private forget(ids: readonly string[], index: number): boolean {
-		const known = ids.flatMap(id => this.endpoints.find(id) ?? []);
-		known.forEach(({id, phase}) => {
-			if (phase === EndpointPhase.Gone) {
-				this.endpoints.drop(id);
-				this.changes.forget(id);
-			} else {
-				this.setPhase(id, EndpointPhase.Gone, index);
-			}
-		});
-		return known.length > 0;
-	}
 }
