--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -6,7 +6,7 @@
 import type {LimitTolerance} from 'mastvalve-access';
 import {ControlGroup, type ControlGroupOptions, type PeerHandler} from 'mastvalve-cluster';
 import {
-	FleetCommandKind, FleetMachine, quarantineMs, type CrashReport, type EndpointReport, type FleetCommand, type StatedConfiguration,
+	FleetCommandKind, FleetMachine, type CrashReport, type EndpointReport, type FleetCommand, type StatedConfiguration,
 } from 'mastvalve-fleet';
 import {ControlUnavailableError, UnknownEndpointError, type MastvalveError} from 'mastvalve-types';
 import {
@@ -17,13 +17,13 @@
 import type {DemandAnswer, DemandReport} from './demand-report.js';
 import {EngineDirector} from './engines/engine-director.js';
 import type {EnginePort} from './engines/engine-port.js';
+import {FleetDuties} from './fleet-duties.js';
 import {FollowService} from './follow-service.js';
 import type {FollowRequest} from './follow.js';
 import {createForwardedHandlers} from './forwarded-control.js';
 import {LimitPublisher} from './limit-publisher.js';
 import {LimitService, type LimitQuestion} from './limit-service.js';
-import {QuarantineClock} from './quarantine-clock.js';
-import {Liveness, type LivenessTimes} from './liveness.js';
+import {Liveness} from './liveness.js';
 import {SureMoment} from './sure-moment.js';
 
 /** What a control instance is made from. */
@@ -42,10 +42,6 @@
 	engines: EnginePort;
 };
 
-/** Heartbeats that an endpoint may miss before others are preferred; they come late by seconds at times. */
-const missedHeartbeats = 4;
-const forgetGoneAfterMs = 120_000;
-const forgetSilentAfterMs = 90_000;
 const dutyPauseMs = 300;
 const directPauseMs = 100;
 /** An incomplete group takes the first changes after this long all the same, ms. */
@@ -68,21 +64,18 @@
 
 	readonly group: ControlGroup;
 	private readonly liveness = new Liveness();
-	private readonly quarantineClock = new QuarantineClock();
+	private readonly duties: FleetDuties;
 	private readonly followers: FollowService;
 	private readonly ending = new AbortController();
-	private readonly times: LivenessTimes;
 	private readonly startedAt: number;
 	private readonly director: EngineDirector;
 	private readonly sure: SureMoment;
 	private readonly limits: LimitService;
 	private readonly limitPublisher: LimitPublisher;
-	private wasLeading = false;
 
 	private constructor(private readonly options: FleetControlOptions, readonly machine: FleetMachine, group: ControlGroup) {
 		this.group = group;
 		this.startedAt = options.clock.now();
-		this.times = {silentAfterMs: missedHeartbeats * options.heartbeatMs, forgetGoneAfterMs, forgetSilentAfterMs};
 		this.sure = new SureMoment({
 			group,
 			clock: options.clock,
@@ -106,6 +99,16 @@
 			machine, group, clock: options.clock, sure: this.sure, ending: this.ending.signal,
 		});
 		this.director = this.createDirector();
+		this.duties = new FleetDuties({
+			group,
+			machine,
+			liveness: this.liveness,
+			clock: options.clock,
+			heartbeatMs: options.heartbeatMs,
+			propose: async command => this.propose(command),
+			publishLimits: async () => this.limitPublisher.publish(),
+			onEvent: options.onEvent,
+		});
 	}
 
 	/** Calls of other processes of mastvalve. */
@@ -141,7 +144,7 @@
 		await Promise.all([
 			this.group.run(),
 			...(this.options.mustProveKeys ? [this.sure.run(this.ending.signal)] : []),
-			repeatUntilAborted(this.ending.signal, dutyPauseMs, async () => this.carryOutDuties(), onError),
+			repeatUntilAborted(this.ending.signal, dutyPauseMs, async () => this.duties.carryOut(), onError),
 			repeatUntilAborted(this.ending.signal, directPauseMs, async () => this.director.runRound(), onError),
 		]);
 	}
@@ -247,46 +250,4 @@
 	private async propose(command: FleetCommand): Promise<Result<unknown, MastvalveError>> {
 		return this.group.propose(command);
 	}
-
-	private async carryOutDuties(): Promise<void> {
-		if (!this.group.isLeading) {
-			this.wasLeading = false;
-			await this.passHeard();
-			return;
-		}
-
-		if (!this.wasLeading) {
-			this.wasLeading = true;
-			this.liveness.reset();
-			this.quarantineClock.reset();
-		}
-
-		await this.limitPublisher.publish();
-		const now = this.options.clock.now();
-		const endpoints = this.machine.list();
-		const silent = this.liveness.listSilent(endpoints, now, this.times);
-		if (silent.length > 0) {
-			await this.propose({kind: FleetCommandKind.MarkSilent, ids: silent});
-			this.options.onEvent('endpoint.silent', `no heartbeat for ${this.times.silentAfterMs} ms: ${silent.join(', ')}`);
-		}
-
-		const expired = this.quarantineClock.listExpired(this.machine.listQuarantined(), now);
-		if (expired.length > 0) {
-			await this.propose({kind: FleetCommandKind.ReleaseQuarantine, fingerprints: expired});
-			this.options.onEvent('quarantine.ended', `after ${quarantineMs} ms: ${expired.join(', ')}`);
-		}
-
-		const forgettable = this.liveness.listForgettable(endpoints, now, this.times);
-		if (forgettable.length > 0) {
-			await this.propose({kind: FleetCommandKind.Forget, ids: forgettable});
-		}
-	}
-
-	/** The leader hears from the others whom they have heard. */
-	private async passHeard(): Promise<void> {
-		const ids = this.liveness.takeFresh();
-		if (ids.length > 0) {
-			await this.group.callLeader('/heard', ids);
-		}
-	}
 }
