--- a/packages/mastvalve-cluster/src/membership/control-group.ts
+++ b/packages/mastvalve-cluster/src/membership/control-group.ts
@@ -109,7 +109,7 @@
 
 	/**
 	 * Whether what is applied here is at most `staleAfterMs` old. What is committed and still being written doesn't make it
-	 * old: refusing followers during a write sent 18 of 31 away within 3 ms, to instances in other failure domains.
+	 * old: followers that are refused during a write go to instances in other failure domains, all at once.
 	 */
 	get isCurrent(): boolean {
 		const now = this.options.clock.now();
--- a/packages/mastvalve-cluster/src/peer/peer-client.ts
+++ b/packages/mastvalve-cluster/src/peer/peer-client.ts
@@ -47,7 +47,7 @@
 	/**
 	 * Posts JSON and reads JSON. A peer with which no byte moves counts as out of reach, and its connection is given up. The
 	 * limit is on silence, not on the whole: a limit on the whole is one that a large answer on a slow link never keeps, so
-	 * it would be begun again and again (1.2 MB at 7 Mbit/s take 1.4 s).
+	 * it would be begun again and again.
 	 */
 	async call<T>({address, path, body, silenceMs, signal}: PeerCall): Promise<Result<T, PeerError>> {
 		return new Promise(resolve => {
--- a/packages/mastvalve-fleet-control/src/control-node.ts
+++ b/packages/mastvalve-fleet-control/src/control-node.ts
@@ -56,8 +56,8 @@
 
 	/**
 	 * Where callers with something large are to go instead: to an instance that keeps the log, since this one would carry it
-	 * twice over a link that callers' requests need. Passed on over links of 7 Mbit/s, configurations of 1,400 to 4,200 routes took 28 s
-	 * and more until they were acknowledged. Undefined when this instance keeps the log, or knows none that does.
+	 * twice over a link that callers' requests need. Large configurations passed on over slow
+	 * links are acknowledged too late. Undefined when this instance keeps the log, or knows none that does.
 	 */
 	findDecider(): string | undefined {
 		return this.keepsLog ? undefined : this.options.readLeader() ?? this.directory?.listKeepers()[0];
--- a/packages/mastvalve-fleet-control/src/engines/engine-demand.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-demand.ts
@@ -9,8 +9,8 @@
 
 /**
  * Requests a second, for each engine, that are expected of the first models of the list until the first request comes, so
- * that they find engines before anybody waits; 4 in all, which is what an engine takes in with ease. Taking it from what
- * engines hold instead lost 0.04 of what requests are worth (nine busy days with each, side by side).
+ * that they find engines before anybody waits; 4 in all, which is what an engine takes in with ease. What engines
+ * hold at the start tells less of what will be asked for.
  */
 const expectedRates = [1.2, 0.6, 1.3, 1.4, 0.6, 0.5, 0.4, 0.3, 0.3];
 /** Time to begin an answer before any was told, ms: entries begin with the same. */
--- a/packages/mastvalve-fleet-control/src/engines/engine-director.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-director.ts
@@ -50,8 +50,8 @@
 /** Reports of this time are answered by one round, ms. */
 const gatherMs = 10;
 /**
- * Part of its time that an instance may spend on planning: heartbeats and acknowledgements pass through the same process. With
- * rounds of 20 ms and 68 reports a second, rounds took 57 percent of the time without a bound.
+ * Part of its time that an instance may spend on planning: heartbeats and acknowledgements pass through the same process, and
+ * each report of an entry asks for a round.
  */
 const planningShare = 0.1;
 /** A round that took long because the process stood still keeps the next one waiting for this at most, ms: less than a load takes. */
--- a/packages/mastvalve-fleet-control/src/engines/engine-round.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-round.ts
@@ -1,6 +1,6 @@
 /**
- * The engines as one round of planning sees them: described once, and again where the round itself has begun something. With
- * 82 engines and 213 models, describing all of them for each step of a round was most of its time.
+ * The engines as one round of planning sees them: described once, and again where the round itself has begun something. Describing
+ * all of them for each step of a round would be most of its time.
  */
 
 import type {EngineState, FleetEndpoint} from 'mastvalve-fleet';
--- a/packages/mastvalve-fleet-control/src/engines/order-sequence.ts
+++ b/packages/mastvalve-fleet-control/src/engines/order-sequence.ts
@@ -43,7 +43,7 @@
 const resendPauseMs = 250;
 /** Pause after a refused order, so that a wrong belief costs few orders, ms. */
 const refusedPauseMs = 100;
-/** What an engine says of itself is up to some hundred ms old (0.1 to 0.2 s were seen), ms. */
+/** What an engine says of itself is up to some hundred ms old, ms. */
 const statusAgeMs = 500;
 /** An unanswered order that was not carried out in this time never will be, ms: late ones came 2 to 12 s late. */
 export const lateOrderMs = 13_000;
--- a/packages/mastvalve-fleet/src/configuration/configuration-history.ts
+++ b/packages/mastvalve-fleet/src/configuration/configuration-history.ts
@@ -18,7 +18,7 @@
 
 /** Removed routes and workspaces that are remembered beside as many as there are routes. */
 const minRemembered = 1000;
-/** A route in JSON without its names, and each of its targets, bytes: measured on decoded configurations. */
+/** A route in JSON without its names, and each of its targets, bytes. */
 const routeBytes = 220;
 const targetBytes = 30;
 /** A workspace without its name, and each of its key digests. */
--- a/packages/mastvalve-fleet/src/engines/engine-use.ts
+++ b/packages/mastvalve-fleet/src/engines/engine-use.ts
@@ -86,7 +86,7 @@
 		return Math.max(own, this.usedByHolders.get(model) ?? 0);
 	}
 
-	/** One pass over all engines: looking for the holders of each model anew took a third of a round with 213 models. */
+	/** One pass over all engines: looking for the holders of each model anew makes rounds grow with the square of the models. */
 	private averageByModel(): Map<string, number> {
 		const sums = new Map<string, {used: number; engines: number}>();
 		this.input.engines.forEach(engine => {
--- a/packages/mastvalve-fleet/src/engines/load-ways.ts
+++ b/packages/mastvalve-fleet/src/engines/load-ways.ts
@@ -100,7 +100,7 @@
  * All ways to bring a model to an engine now; one with a free place for it needs no other. `need` is what goes unserved until the
  * load ends, in requests a second, so that a busy model takes the place next to its weights also when that gives more away. The
  * load that it answers: demand moves to models whose weights lie on the disks of a few engines. With one price for each source,
- * 21 of 86 loads from the store were of models whose weights a free engine had near, 8.6 s instead of 1.7 s away (one run).
+ * models would be fetched from the store although a free engine has their weights near.
  */
 export const listWays = (input: Planning, load: string, need: number): LoadWay[] => {
 	const size = sizeOf(input.spec, load);
--- a/packages/mastvalve-fleet/src/engines/plan-models.ts
+++ b/packages/mastvalve-fleet/src/engines/plan-models.ts
@@ -84,9 +84,8 @@
 
 /**
  * Whether a way takes nothing from a resident model for the sake of a guess. Engines hold at the start what they were used
- * for before; that is evidence, and what is supposed before the first request isn't. With a guess by rank at 82 full engines,
- * 186 resident models became 63 before the first request, and 0.13 of the requests of the first 10 s came late; 0.02 with this
- * rule (single plays).
+ * for before; that is evidence, and what is supposed before the first request isn't. A guess that takes
+ * places at full engines leaves most models nowhere before the first request, and their first callers wait for loads.
  */
 const sparesResident = ({use}: Planning, {evict}: LoadWay): boolean => evict === undefined || use.countPresent(evict) > 1;
 
--- a/packages/mastvalve-gateway/src/routing/endpoint-board.ts
+++ b/packages/mastvalve-gateway/src/routing/endpoint-board.ts
@@ -44,8 +44,8 @@
 const maxSuspicionMs = 6000;
 
 /**
- * A process that does not listen has ended, and control notes it within this time by missing heartbeats or the next incarnation's first one, ms. Trying
- * three such endpoints refused a request after 11 ms of the 5,000 that its caller had.
+ * A process that does not listen has ended, and control notes it within this time by missing heartbeats or the next incarnation's first
+ * one, ms. Until then such endpoints would use up the tries of requests at once.
  */
 const absentMs = 5000;
 
--- a/packages/mastvalve-gateway/src/routing/head-times.ts
+++ b/packages/mastvalve-gateway/src/routing/head-times.ts
@@ -2,8 +2,8 @@
  * How long engines without a queue take to begin an answer, by model: learned from this entry's own requests.
  *
  * It is learned as a time for each prompt token, and told for a prompt of the mean size. Prompts are heavy-tailed: the largest
- * tenth is most of what an engine reads. A typical answer's time (the lower quartile was 77 ms where the mean prompt takes
- * about 120) let engines of busy models count as half used when they were full.
+ * tenth is most of what an engine reads. A typical answer's time would let engines of busy models count as half used when
+ * they are full.
  *
  * The lower quartile of the time for a token is followed, since requests that queue, or meet a slow engine, take longer than
  * the reading of their prompts.
