A fault soak of the bundle: real processes, signals in series and overlapping, endpoints that name limits

The bundle that the platform runs, as separate processes on loopback: control instances, entries, endpoints that send heartbeats and count, callers that keep connections open until the process is gone. Faults by a seed: kills, planned stops and suspensions of entries and of control, all of control at once, limits that are named, changed and ended.

--- /dev/null
+++ b/scripts/soak.ts
@@ -0,0 +1,54 @@
+/**
+ * `npm run soak -- --seeds N`: runs of the fault soak on seeds that nobody has chosen, several at a time; `--seed S` repeats one. Ends
+ * with 1 if any has found something; the logs of those stay.
+ */
+
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {SoakRun} from '../platform/__tests__/soak/soak-run.js';
+
+const {values} = parseArgs({
+	options: {
+		seeds: {type: 'string', default: '5'},
+		seed: {type: 'string'},
+		jobs: {type: 'string', default: '2'},
+		controls: {type: 'string', default: '3'},
+		entries: {type: 'string', default: '5'},
+		endpoints: {type: 'string', default: '3'},
+		faults: {type: 'string', default: '12'},
+		seconds: {type: 'string', default: '12'},
+		rate: {type: 'string', default: '40'},
+		bundle: {type: 'string', default: 'target/mastvalve-platform.cjs'},
+	},
+});
+
+const maxSeed = 1_000_000;
+const waiting = values.seed === undefined ? Array.from({length: Number(values.seeds)}, () => Math.floor(Math.random() * maxSeed)) : [Number(values.seed)];
+const total = waiting.length;
+const failed: string[] = [];
+let done = 0;
+
+const playOne = async (seed: number): Promise<void> => {
+	const run = await SoakRun.play({
+		seed, controls: Number(values.controls), entries: Number(values.entries), endpoints: Number(values.endpoints), faults: Number(values.faults), faultsMs: Number(values.seconds) * 1000, perSecond: Number(values.rate), bundle: values.bundle,
+	});
+	done += 1;
+	if (run.findings.length > 0) {
+		failed.push(`npm run soak -- --seed ${seed} --controls ${values.controls} --entries ${values.entries}: ${run.findings.slice(0, 3).join('; ')} (${run.findings.length} findings, logs in ${run.folder})`);
+	}
+
+	if (process.stderr.isTTY) {
+		process.stderr.write(`\r${done} of ${total} seeds, ${failed.length} with findings`);
+	}
+};
+
+const work = async (): Promise<void> => {
+	for (let seed = waiting.pop(); seed !== undefined; seed = waiting.pop()) {
+		// eslint-disable-next-line no-await-in-loop
+		await playOne(seed);
+	}
+};
+
+await Promise.all(Array.from({length: Number(values.jobs)}, work));
+process.stdout.write(`${total} seeds, ${failed.length} with findings\n${failed.join('\n')}\n`);
+process.exitCode = failed.length === 0 ? 0 : 1;
