Red: a lower limit that an entry hears while no leader answers is not kept

The property counts what came from entries that had passed the limit on half a second before, as the rule says: a first version that counted all arrivals also held it against entries that nobody could have told.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/limited-fleet.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/limited-fleet.ts
@@ -51,11 +51,14 @@
 /** The longest time of an answer, where a test asks for none, ms. */
 const usualAnswerMs = 900;
 const dutyMs = 300;
+/** An entry that has passed on a limit keeps to it after this long, ms. */
+const toldMs = 500;
 /** A refused request can wait for so long, ms. */
 const patienceMs = 4000;
 
-type Entry = {isCut: boolean; board: EndpointBoard; limiter: EndpointLimiter; view: Map<string, FleetEndpoint>; buckets: Map<string, RateBucket>; ending: AbortController};
-type Arrival = {at: number; urgency: number};
+type Entry = {isCut: boolean; board: EndpointBoard; limiter: EndpointLimiter; view: Map<string, FleetEndpoint>; buckets: Map<string, RateBucket>; ending: AbortController; told: Map<string, {word: string | undefined; at: number}>};
+/** `isTold` says whether its entry had passed on an answer that names the present limit, long enough before. */
+type Arrival = {at: number; urgency: number; isTold: boolean};
 type VirtualEndpoint = {id: string; word: string | undefined; namedAt: number; arrivals: Arrival[]};
 
 /** The fleet. */
@@ -129,6 +132,11 @@
 		endpoint.namedAt = this.time.clock.now();
 	}
 
+	/** What an endpoint names. */
+	wordOf(index: number): string | undefined {
+		return this.endpoints[index]?.word;
+	}
+
 	/** Requests come for some time, at random moments; a part of them is urgent. */
 	async load(perSecond: number, ms: number, urgentShare = 1): Promise<void> {
 		const end = this.time.clock.now() + ms;
@@ -152,6 +160,13 @@
 		return Math.max(0, ...times.map(from => times.filter(at => at >= from && at <= from + spanMs).length));
 	}
 
+	/** The same of entries that had been told the limit. */
+	countMostTold(index: number, spanMs: number): number {
+		const {namedAt} = this.endpoints[index]!;
+		const times = this.listArrivals(index, namedAt).filter(({isTold}) => isTold).map(({at}) => at);
+		return Math.max(0, ...times.map(from => times.filter(at => at >= from && at <= from + spanMs).length));
+	}
+
 	/** Requests that an endpoint got from a moment on. */
 	listArrivals(index: number, fromMs: number): Arrival[] {
 		return this.endpoints[index]!.arrivals.filter(({at}) => at >= fromMs);
@@ -185,7 +200,7 @@
 			view: {find: id => view.get(id)}, board, client, now,
 		});
 		const entry: Entry = {
-			isCut: false, board, limiter, view, buckets: new Map(), ending,
+			isCut: false, board, limiter, view, buckets: new Map(), ending, told: new Map(),
 		};
 		return entry;
 	}
@@ -299,9 +314,16 @@
 	private handOver(entry: Entry, endpoint: VirtualEndpoint, urgency: number, grantedAt: AccountMoment | undefined): void {
 		void (async () => {
 			await this.time.wait(wayMs);
-			endpoint.arrivals.push({at: this.time.clock.now(), urgency});
-			const word = readLimitWord(endpoint.word);
+			const told = entry.told.get(endpoint.id);
+			const at = this.time.clock.now();
+			endpoint.arrivals.push({at, urgency, isTold: told !== undefined && told.word === endpoint.word && at - told.at >= toldMs});
+			const named = endpoint.word;
+			const word = readLimitWord(named);
 			await this.time.wait(minAnswerMs + (this.random() * ((this.options.maxAnswerMs ?? usualAnswerMs) - minAnswerMs)));
+			if (entry.told.get(endpoint.id)?.word !== named) {
+				entry.told.set(endpoint.id, {word: named, at: this.time.clock.now()});
+			}
+
 			const isUnheard = word.kind === LimitWordKind.Absent && this.options.fault === LimitFault.AnyAnswerEnds;
 			const toldAt = isUnheard ? {term: this.term, number: Number.MAX_SAFE_INTEGER} : grantedAt;
 			entry.limiter.hear(entry.view.get(endpoint.id) ?? createEndpoint(endpoint.id), word, toldAt);
--- a/packages/mastvalve-gateway/__tests__/limited-endpoints.feature
+++ b/packages/mastvalve-gateway/__tests__/limited-endpoints.feature
@@ -96,6 +96,15 @@
       | 31      | a third of the entries is cut off    |
       | 31      | entries restart one after the other  |
 
+  # An endpoint that had named 4 requests a second named 0.5 while no leader answered. The entries heard that and went on with their
+  # parts of 4, since what the log had told them went before what they heard themselves: 9 requests in 4 s, 8 allowed.
+  Scenario: A lower limit holds while no leader answers, too
+    Given 1 entries in virtual time that share 1 endpoints, 0 of all requests through one of them
+    When the endpoints name a limit of "4" a second, and 25 requests a second come for 6 s
+    And no leader answers any more
+    And the endpoints name a limit of "0.5" a second, and 25 requests a second come for 12 s
+    Then each endpoint got at most 8 requests in any 4 s from 1500 ms after it had named its limit
+
   Scenario: An endpoint gets more again once it names a higher limit, and all once it names none
     Given 31 entries in virtual time that share 1 endpoints, 0 of all requests through one of them
     When the endpoints name a limit of "1.7" a second, and 20 requests a second come for 10 s
--- a/packages/mastvalve-gateway/__tests__/limited-fleet.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/limited-fleet.steps.ts
@@ -139,6 +139,10 @@
 	assert.ok(urgent.length >= share * got.length, `${urgent.length} of ${got.length} were urgent`);
 });
 
+When('no leader answers any more', function (this: FleetWorld) {
+	this.fleet.loseLeader();
+});
+
 Then('nobody was refused after it had waited', function (this: FleetWorld) {
 	assert.equal(this.fleet.refusedLate, 0);
 });
--- /dev/null
+++ b/packages/mastvalve-proofs/__tests__/endpoint-limits.proofs.ts
@@ -0,0 +1,107 @@
+/**
+ * Proofs of the limits that endpoints name: all entries together keep to them, whatever becomes of leaders and entries.
+ */
+
+import {strict as assert} from 'node:assert';
+import fc from 'fast-check';
+import {LimitedFleet, LimitFault} from '../../mastvalve-gateway/__tests__/__fixtures__/limited-fleet.js';
+import {
+	checkProperty, Property, Variant, type Proof, type ProofOutcome, type ProofRun,
+} from '../src/index.js';
+
+/** What happens beside the load. */
+enum Disturbance {
+	LoseLeader = 'lose-leader',
+	Elect = 'elect',
+	Cut = 'cut',
+	Heal = 'heal',
+	Restart = 'restart',
+	/** The endpoint names another limit. */
+	Rename = 'rename',
+}
+
+type LimitCase = {seed: number; entries: number; firstShare: number; perSecond: number; maxAnswerMs: number; steps: Array<{kind: Disturbance; pick: number}>};
+
+const spanMs = 4000;
+const stepMs = 1000;
+/** Requests a second, above all limits. */
+const load = 25;
+const words = ['0.5', '1.7', '4'];
+
+const limitCase = fc.record<LimitCase>({
+	seed: fc.nat(1_000_000),
+	entries: fc.constantFrom(1, 3, 5, 12, 31),
+	firstShare: fc.constantFrom(0, 0, 0.5, 0.9),
+	perSecond: fc.nat(words.length - 1),
+	maxAnswerMs: fc.constantFrom(200, 900, 4000),
+	steps: fc.array(fc.record({kind: fc.constantFrom(...Object.values(Disturbance)), pick: fc.nat(100)}), {minLength: 6, maxLength: 10}),
+});
+
+const disturb = (fleet: LimitedFleet, entries: number, {kind, pick}: LimitCase['steps'][number]): void => {
+	const actions: Record<Disturbance, () => void> = {
+		[Disturbance.LoseLeader]() {
+			fleet.loseLeader();
+		},
+		[Disturbance.Elect]() {
+			fleet.elect();
+		},
+		[Disturbance.Cut]() {
+			fleet.cut(1 / 3, true);
+		},
+		[Disturbance.Heal]() {
+			fleet.cut(1, false);
+		},
+		[Disturbance.Restart]() {
+			fleet.restart(pick % entries);
+		},
+		[Disturbance.Rename]() {
+			fleet.name(0, words[pick % words.length]);
+		},
+	};
+	actions[kind]();
+};
+
+/** From entries that had been told, the endpoint got no more than one and a half times what its newest limit allows, and five. */
+const assertKept = (fleet: LimitedFleet): void => {
+	const perSecond = Number(fleet.wordOf(0));
+	const most = fleet.countMostTold(0, spanMs);
+	const allowed = (1.5 * perSecond * spanMs / 1000) + 5;
+	assert.ok(most <= allowed, `${most} requests in ${spanMs} ms with a limit of ${perSecond}; ${allowed} are allowed`);
+};
+
+const playCase = async ({perSecond, steps, ...options}: LimitCase, fault: LimitFault): Promise<void> => {
+	const fleet = new LimitedFleet({...options, endpoints: 1, fault});
+	try {
+		await fleet.load(load, stepMs * 3);
+		fleet.name(0, words[perSecond]);
+		await fleet.load(load, stepMs);
+		await steps.reduce<Promise<void>>(async (before, step) => {
+			await before;
+			assertKept(fleet);
+			disturb(fleet, options.entries, step);
+			await fleet.load(load, stepMs);
+		}, Promise.resolve());
+		await fleet.load(load, spanMs);
+		assertKept(fleet);
+	} finally {
+		fleet.close();
+	}
+};
+
+const runLimits = (broken: LimitFault) => async (variant: Variant, run: ProofRun): Promise<ProofOutcome> =>
+	checkProperty(limitCase, async each => playCase(each, variant === Variant.Real ? LimitFault.None : broken), {...run, variant});
+
+const twins: ReadonlyArray<[LimitFault, string]> = [
+	[LimitFault.EachForItself, 'each entry keeps to the limit by what it sends itself'],
+	[LimitFault.Untold, 'what an entry hears of a limit is told to nobody'],
+	[LimitFault.AnyAnswerEnds, 'any answer that names no limit ends it'],
+];
+
+/** The proofs. */
+export const endpointLimitsProofs: Proof[] = twins.map(([fault, twin]): Proof => ({
+	property: Property.Configuration,
+	failure: 'an endpoint names limits while leaders are lost and follow each other, and entries are cut off and restarted',
+	scenario: 'all entries together keep to the limit that an endpoint has named',
+	twin,
+	run: runLimits(fault),
+}));
