A lower limit that an entry hears itself holds, also while no leader answers

Callers would have seen an endpoint that asks for less get what it asked for before, until there is a leader again. Cause: what the log had told of a limit went before what the entry heard, and what it heard itself was forgotten after 2 s, counting on a leader to tell it to all. Change: the lower of the two holds, and without a leader what was heard doesn't end by time.

--- a/packages/mastvalve-gateway/src/limits/endpoint-limiter.ts
+++ b/packages/mastvalve-gateway/src/limits/endpoint-limiter.ts
@@ -21,9 +21,11 @@
 	now: () => number;
 };
 
-/** A limit that this entry has heard itself holds here until control has told of it, or for this long, ms; answers name it again and again. */
+/** A limit that this entry has heard itself holds here for this long, ms: until the leader, which hears it at once, has told all. Without a leader it holds on. */
 const ownWordMs = 2000;
 
+type OwnWord = {perSecond: number; until: number};
+
 /** What a request asks of a limited endpoint. */
 export type HandoverWish = Omit<HandoverClaim, 'endpoint'>;
 
@@ -32,14 +34,19 @@
 /** The limiter. */
 export class EndpointLimiter {
 	/** Limits that this entry has heard itself, by endpoint. */
-	private readonly own = new Map<string, {perSecond: number; until: number}>();
+	private readonly own = new Map<string, OwnWord>();
 
 	constructor(private readonly options: EndpointLimiterOptions) {}
 
 	/** Requests a second that an endpoint takes from all entries together; undefined when it has named no limit. */
 	limitOf({id, limitPerSecond}: FleetEndpoint): number | undefined {
 		const own = this.own.get(id);
-		return limitPerSecond ?? (own && this.options.now() < own.until ? own.perSecond : undefined);
+		if (!own || !this.isValid(own)) {
+			return limitPerSecond;
+		}
+
+		// Which of the two is newer can't be told; the lower one harms nobody.
+		return Math.min(own.perSecond, limitPerSecond ?? Number.POSITIVE_INFINITY);
 	}
 
 	/** Claims room for a request; an endpoint without a limit always has some. */
@@ -73,13 +80,17 @@
 		}
 	}
 
+	private isValid({until}: OwnWord): boolean {
+		return this.options.client.isAlone || this.options.now() < until;
+	}
+
 	/** Whether control and this entry itself did not know this limit. */
 	private noteOwn({id, limitPerSecond}: FleetEndpoint, perSecond: number): boolean {
 		const now = this.options.now();
 		const known = this.options.view.find(id)?.limitPerSecond ?? limitPerSecond;
 		const own = this.own.get(id);
-		const isOwn = own?.perSecond === perSecond && now < own.until;
-		[...this.own].filter(([, {until}]) => until <= now).forEach(([other]) => {
+		const isOwn = own?.perSecond === perSecond && this.isValid(own);
+		[...this.own].filter(([, each]) => !this.isValid(each)).forEach(([other]) => {
 			this.own.delete(other);
 		});
 		this.own.set(id, {perSecond, until: now + ownWordMs});
--- a/packages/mastvalve-gateway/src/limits/limit-client.ts
+++ b/packages/mastvalve-gateway/src/limits/limit-client.ts
@@ -36,7 +36,8 @@
 export class LimitClient {
 	private next = new LimitBatch();
 	private isCalling = false;
-	private isAlone = false;
+	/** Whether no leader answers. */
+	isAlone = false;
 	private readonly account: LeaderAccount;
 	private readonly history: GrantHistory;
 	private readonly lone: LoneLimits;
