--- a/packages/mastvalve-gateway/src/limits/limit-client.ts
+++ b/packages/mastvalve-gateway/src/limits/limit-client.ts
@@ -34,10 +34,10 @@
 
 /** The client. */
 export class LimitClient {
-	private next = new LimitBatch();
-	private isCalling = false;
 	/** Whether no leader answers. */
 	isAlone = false;
+	private next = new LimitBatch();
+	private isCalling = false;
 	private readonly account: LeaderAccount;
 	private readonly history: GrantHistory;
 	private readonly lone: LoneLimits;
