--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -124,7 +124,9 @@
 			}],
 			['/limits', async body => {
 				const answers = this.limits.settle(assumeType<LimitQuestion>(body));
-				void this.limitPublisher.publish();
+				this.limitPublisher.publish().catch((error: unknown) => {
+					this.options.onError(`limits of endpoints were not recorded and will be: ${describeError(error)}`);
+				});
 				return answers ? ok(answers) : err(new ControlUnavailableError('This control instance does not lead.'));
 			}],
 			['/crashes', async body => this.takeCrashes(assumeType<CrashReport[]>(body))],
--- a/packages/mastvalve-fleet-control/src/limit-publisher.ts
+++ b/packages/mastvalve-fleet-control/src/limit-publisher.ts
@@ -39,8 +39,9 @@
 		}
 
 		this.isPublishing = true;
-		const isRecorded = await propose({kind: FleetCommandKind.RecordLimits, limits});
-		this.isPublishing = false;
+		const isRecorded = await propose({kind: FleetCommandKind.RecordLimits, limits}).finally(() => {
+			this.isPublishing = false;
+		});
 		if (isRecorded) {
 			limits.forEach(({endpoint, perSecond}) => {
 				if (perSecond === undefined) {
--- a/packages/mastvalve-gateway/src/requests/prepare-attempt.ts
+++ b/packages/mastvalve-gateway/src/requests/prepare-attempt.ts
@@ -17,7 +17,7 @@
 /** Prepares an attempt; undefined when the request is over. */
 export const prepareAttempt = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress): Promise<PreparedAttempt | undefined> => {
 	const claimed = await claimEndpoint(core, request, progress);
-	const workspace = settle(core, request, reply, progress, claimed);
+	const workspace = judgeAttempt(core, request, reply, progress, claimed);
 	if ('reason' in claimed) {
 		return undefined;
 	}
@@ -31,7 +31,7 @@
 };
 
 /** Whose request it is, if it may be handed over; otherwise its caller has been told. */
-const settle = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, claimed: Awaited<ReturnType<typeof claimEndpoint>>): {current: Workspace | undefined} | undefined => {
+const judgeAttempt = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, claimed: Awaited<ReturnType<typeof claimEndpoint>>): {current: Workspace | undefined} | undefined => {
 	// It may have come under quarantine while it waited, or by the try before this one.
 	if (refuseQuarantined(core, request, reply, progress)) {
 		return undefined;
