--- a/packages/mastvalve-proofs/__tests__/endpoint-limits.proofs.ts
+++ b/packages/mastvalve-proofs/__tests__/endpoint-limits.proofs.ts
@@ -10,7 +10,7 @@
 } from '../src/index.js';
 
 /** What happens beside the load. */
-enum Disturbance {
+export enum Disturbance {
 	LoseLeader = 'lose-leader',
 	Elect = 'elect',
 	Cut = 'cut',
@@ -69,7 +69,8 @@
 	assert.ok(most <= allowed, `${most} requests in ${spanMs} ms with a limit of ${perSecond}; ${allowed} are allowed`);
 };
 
-const playCase = async ({perSecond, steps, ...options}: LimitCase, fault: LimitFault): Promise<void> => {
+/** Plays a case; throws when the limit is not kept. */
+export const playCase = async ({perSecond, steps, ...options}: LimitCase, fault: LimitFault): Promise<void> => {
 	const fleet = new LimitedFleet({...options, endpoints: 1, fault});
 	try {
 		await fleet.load(load, stepMs * 4);
