--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -12,7 +12,7 @@
 	ConfigurationChangeKind, EndpointPhase, RouteKind,
 	type ConfigurationChange, type ConfigurationFrame, type ExpectedLoad, type FleetEndpoint, type Route,
 } from 'mastvalve-fleet';
-import {readLimitWord} from 'mastvalve-limits';
+import {readLimitWord, readRetryAfter} from 'mastvalve-limits';
 import {
 	assumeType, createRandom, systemClock, waitFor,
 } from 'mastvalve-utils';
@@ -44,8 +44,8 @@
 		...(resumeAfter === undefined ? [] : ['x-resume', resumeAfter]),
 		...(bodyLength === undefined ? [] : ['content-length', String(bodyLength)]),
 	],
-	readAnswer: (_status, headers) => ({
-		requestId: textOf(headers['x-id']), endpointName: textOf(headers['x-endpoint']), isNotRun: headers['x-not-run'] !== undefined, isMisdirected: headers['x-misdirected'] !== undefined, load: undefined, limit: readLimitWord(textOf(headers['x-limit'])),
+	readAnswer: (_status, headers, rawHeaders) => ({
+		requestId: textOf(headers['x-id']), endpointName: textOf(headers['x-endpoint']), isNotRun: headers['x-not-run'] !== undefined, isMisdirected: headers['x-misdirected'] !== undefined, load: undefined, limit: readLimitWord(textOf(headers['x-limit'])), retryAfter: readRetryAfter(rawHeaders.filter((_, index) => rawHeaders[index - 1]?.toLowerCase() === 'retry-after')), isLeaving: headers['x-leaving'] === '1',
 	}),
 };
 
--- a/packages/mastvalve-gateway/src/dialect.ts
+++ b/packages/mastvalve-gateway/src/dialect.ts
@@ -4,7 +4,7 @@
 
 import type {IncomingHttpHeaders} from 'node:http';
 import type {PresentedKey} from 'mastvalve-access';
-import type {LimitWord} from 'mastvalve-limits';
+import type {LimitWord, RetryAfter} from 'mastvalve-limits';
 
 /** What a caller's headers say. */
 export type CallerHeaders = {
@@ -54,6 +54,10 @@
 	load: ReportedLoad | undefined;
 	/** What it says of the requests that it takes from all entries together. */
 	limit: LimitWord;
+	/** How long its sender asks this entry to send nothing. */
+	retryAfter: RetryAfter;
+	/** Its sender is about to end and takes no new requests. */
+	isLeaving: boolean;
 };
 
 /** Load that an endpoint tells with an answer. */
@@ -78,5 +82,6 @@
 	readKey: (rawHeaders: readonly string[]) => PresentedKey;
 	/** What the entry adds, as a flat list of names and values. */
 	writeEndpoint: (added: EndpointHeaders) => string[];
-	readAnswer: (statusCode: number, headers: IncomingHttpHeaders) => AnswerHeaders;
+	/** `rawHeaders` is a flat list of names and values, in which fields that stand twice are seen. */
+	readAnswer: (statusCode: number, headers: IncomingHttpHeaders, rawHeaders: readonly string[]) => AnswerHeaders;
 };
--- a/packages/mastvalve-gateway/src/requests/take-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/take-answer.ts
@@ -3,7 +3,7 @@
  */
 
 import {parseIncarnation, type FleetEndpoint} from 'mastvalve-fleet';
-import {LimitWordKind} from 'mastvalve-limits';
+import {LimitWordKind, RetryAfterKind} from 'mastvalve-limits';
 import type {AnswerHeaders} from '../dialect.js';
 import {formatModel} from '../routing/model-demand.js';
 import type {GatewayCore} from '../server/gateway-core.js';
@@ -73,7 +73,7 @@
 export const takeAnswer = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, {endpoint, grantedAt, outcome, read}: Answered): Promise<boolean> => {
 	const {res, cancel, isBroken} = outcome;
 	const status = res.statusCode ?? 0;
-	const head = core.dialect.readAnswer(status, res.headers);
+	const head = core.dialect.readAnswer(status, res.headers, res.rawHeaders);
 	core.board.recordLoad(endpoint.id, head.load);
 	const isForeign = head.requestId !== undefined && head.requestId !== request.requestId;
 	if (!isForeign && !isOther(endpoint, head)) {
@@ -85,7 +85,7 @@
 		res.resume();
 		recordMisdirection(core, request, endpoint, head);
 		core.log('attempt.refused', {
-			request: request.requestId, endpoint: endpoint.id, status, load: head.load,
+			request: request.requestId, endpoint: endpoint.id, status, load: head.load, retryAfterMs: head.retryAfter.kind === RetryAfterKind.Delay ? head.retryAfter.delayMs : undefined, isLeaving: head.isLeaving,
 		});
 		return endOrRetry(core, request, reply, progress, `the endpoint refused it with ${status}`);
 	}
--- a/packages/mastvalve-limits/src/index.ts
+++ b/packages/mastvalve-limits/src/index.ts
@@ -7,4 +7,5 @@
 export * from './limit-word.js';
 export * from './lone-rates.js';
 export * from './rate-bucket.js';
+export * from './retry-after.js';
 export * from './waiting-line.js';
