Failing tests: backoff and leaving that endpoints report in answers are ignored

Five entries, three endpoints, 40 requests a second. An endpoint that says in its answers that it is leaving gets requests for all 4 s of the load, from entries that it has told long before.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
@@ -51,6 +51,8 @@
 	}
 
 	readonly logged: LoggedLine[] = [];
+	/** Which entry was sent a request, by its identity. */
+	readonly entryOf = new Map<string, number>();
 	private readonly entries: RunningEntry[] = [];
 	private requests = 0;
 
@@ -74,6 +76,7 @@
 	/** Sends a request to an entry. */
 	async call(index: number, path: string, body: string): Promise<CallResult> {
 		this.requests += 1;
+		this.entryOf.set(`request-${this.requests}`, index);
 		const [host, port] = this.addresses[index]!.split(':');
 		const startedAt = systemClock.now();
 		return new Promise<CallResult>(resolve => {
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/limited-endpoints.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/limited-endpoints.ts
@@ -1,5 +1,6 @@
 /**
- * Endpoints that count what they get, and name in their answers the requests a second that they take from all entries together.
+ * Endpoints that count what they get, and say in their answers what they still take: a limit for all entries together, a backoff for
+ * the entry that is refused, or that they are leaving.
  */
 
 import type {EndpointReport} from 'mastvalve-fleet';
@@ -21,10 +22,18 @@
 	status: string;
 	/** Since when it names one, ms. */
 	namedAt: number;
+	/** Value of `Retry-After` while it refuses everything. */
+	retryAfter: string | undefined;
+	isLeaving: boolean;
 	/** When requests came, ms. */
 	arrivals: number[];
+	/** The same with what was answered. */
+	answers: CountedAnswer[];
 };
 
+/** A request that came; what its answer asked for is undefined for one that was taken. */
+export type CountedAnswer = {request: string; at: number; retryAfter: string | undefined; isLeaving: boolean};
+
 /** All endpoints of a test. */
 export class LimitedEndpoints {
 	private readonly all: LimitedEndpoint[] = [];
@@ -48,6 +57,21 @@
 		this.all[index]!.status = status;
 	}
 
+	/** From now on one of them refuses everything and asks for this backoff; undefined to take requests again. */
+	refuse(index: number, retryAfter: string | undefined): void {
+		this.all[index]!.retryAfter = retryAfter;
+	}
+
+	/** From now on one of them says in its answers that it is leaving; its heartbeats say nothing of it. */
+	leave(index: number): void {
+		this.all[index]!.isLeaving = true;
+	}
+
+	/** All that one of them got, with its answers. */
+	listAnswers(index: number): readonly CountedAnswer[] {
+		return this.all[index]!.answers;
+	}
+
 	/** How many requests one of them got since it has named its last word. */
 	countSince(index: number, fromMs = 0): number {
 		const {arrivals, namedAt} = this.all[index]!;
@@ -70,13 +94,25 @@
 	private async begin(index: number): Promise<void> {
 		const endpoint = await startScriptedEndpoint((socket, text) => {
 			const limited = this.all[index]!;
-			limited.arrivals.push(systemClock.now());
+			const at = systemClock.now();
+			const {retryAfter, isLeaving} = limited;
+			limited.arrivals.push(at);
+			limited.answers.push({
+				request: idOf(text), at, retryAfter, isLeaving,
+			});
+			if (retryAfter !== undefined) {
+				socket.write(formatAnswer(idOf(text), '', '503 Service Unavailable', `x-not-run: 1\r\nretry-after: ${retryAfter}\r\n`));
+				return;
+			}
+
+			const leaving = isLeaving ? 'x-leaving: 1\r\n' : '';
+			const limit = limited.word === undefined ? '' : `x-limit: ${limited.word}\r\n`;
 			setTimeout(() => {
-				socket.write(formatAnswer(idOf(text), 'whole', limited.status, limited.word === undefined ? '' : `x-limit: ${limited.word}\r\n`));
+				socket.write(formatAnswer(idOf(text), 'whole', limited.status, leaving + limit));
 			}, runMs);
 		});
 		this.all[index] = {
-			endpoint, word: undefined, status: '200 OK', namedAt: 0, arrivals: [],
+			endpoint, word: undefined, status: '200 OK', namedAt: 0, retryAfter: undefined, isLeaving: false, arrivals: [], answers: [],
 		};
 		const report: EndpointReport = {
 			id: `endpoint-${index}`, sequence: 1, service: 's', address: endpoint.address, failureDomain: 'a', release: '', slots: 64, isLeaving: false, remainingMs: undefined, holds: [], inMemory: [], onDisk: [],
