Entries back off from endpoints that ask for it with Retry-After

Callers saw refusals although other endpoints were free: an endpoint that answered 503 with Retry-After kept getting requests, each of which used up an attempt. Cause: the field was read by nobody, and a refusal changed nothing in what an entry knows of the endpoint, whose falling reported load made it the preferred one.

An entry now keeps one backoff state for each incarnation of an endpoint (EndpointBackoff, pure): nothing until the longest backoff that was asked for is over, with up to a tenth more so that entries don't return together; then one request, and one more in progress for each that is taken (slow start). First attempts, retries and resumed streams are judged by it at the moment of the hand-over, also after they have waited for a permit of the endpoint's limit. Requests wait for the end of a backoff in order of urgency: as long as they can if the endpoint took requests again after its last backoff, otherwise only while the answer can be in time. Others are refused at once with the time of the next capacity instead of a fixed 0.1 s.

--- a/packages/mastvalve-gateway/src/requests/choose-now.ts
+++ b/packages/mastvalve-gateway/src/requests/choose-now.ts
@@ -4,7 +4,7 @@
 
 import type {FleetEndpoint} from 'mastvalve-fleet';
 import {
-	chooseEndpoint, findRoomAt, hasOtherWithRoom, type EndpointChoiceInput,
+	chooseEndpoint, hasOtherWithRoom, listExpectedCapacity, type EndpointChoiceInput, type ExpectedCapacity,
 } from '../routing/choose-endpoint.js';
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {CallerRequest} from './caller-request.js';
@@ -40,6 +40,6 @@
 export const hasOtherNow = (core: GatewayCore, request: CallerRequest, tries: Tries, id: string): boolean =>
 	hasOtherWithRoom(readChoiceInput(core, request, tries), id);
 
-/** When a limited endpoint has room for a request that nobody else can take; undefined when it waits for none. */
-export const findRoomNow = (core: GatewayCore, request: CallerRequest, tries: Tries): number | undefined =>
-	findRoomAt(readChoiceInput(core, request, tries));
+/** What is expected of the endpoints that could take the request. */
+export const listCapacityNow = (core: GatewayCore, request: CallerRequest, tries: Tries): ExpectedCapacity[] =>
+	listExpectedCapacity(readChoiceInput(core, request, tries));
--- a/packages/mastvalve-gateway/src/requests/give-up.ts
+++ b/packages/mastvalve-gateway/src/requests/give-up.ts
@@ -8,6 +8,7 @@
 import {isRepeatable, type CallerRequest} from './caller-request.js';
 import type {Progress} from './progress.js';
 import type {Reply} from './reply.js';
+import {findRetryAfterMs} from './wait-for-capacity.js';
 
 /** Endpoints that may be out of reach before a request is given up; nothing was handed to them. */
 const maxUnsent = 3;
@@ -20,7 +21,7 @@
 export type GivenUp = {
 	reason: string;
 	/** When it may come again, ms. */
-	retryAfterMs?: number;
+	retryAfterMs?: number | undefined;
 	code?: string;
 	/** 503 when nothing else is told. */
 	status?: number;
@@ -38,7 +39,7 @@
 		return false;
 	}
 
-	giveUp(core, request, reply, progress, {reason});
+	giveUp(core, request, reply, progress, {reason, retryAfterMs: findRetryAfterMs(core, request)});
 	return true;
 };
 
--- a/packages/mastvalve-gateway/src/requests/patience.ts
+++ b/packages/mastvalve-gateway/src/requests/patience.ts
@@ -18,6 +18,10 @@
 export const refuseForRoom = (waitMs: number): NoEndpoint =>
 	({reason: 'the endpoints that could take it are at the limits that they have named', retryAfterMs: Math.max(minRetryMs, waitMs)});
 
+/** Endpoints that could take it restrict what they take, and none of them does in time. */
+export const refuseForCapacity = (waitMs: number): NoEndpoint =>
+	({reason: 'the endpoints that could take it are at their limits or have asked for backoff', retryAfterMs: Math.max(minRetryMs, waitMs)});
+
 /** When the caller gives up if nothing came; monotonic ms. */
 export const patienceEnd = ({arrivedAt, deadlineAt, route}: CallerRequest): number => Math.min(deadlineAt, arrivedAt + (route.patienceMs ?? Number.POSITIVE_INFINITY));
 
--- a/packages/mastvalve-gateway/src/requests/prepare-attempt.ts
+++ b/packages/mastvalve-gateway/src/requests/prepare-attempt.ts
@@ -3,7 +3,9 @@
  */
 
 import type {Workspace} from 'mastvalve-access';
+import {AdmissionKind} from 'mastvalve-limits';
 import {isGranted} from '../access/access-checker.js';
+import type {EndpointUse} from '../routing/endpoint-board.js';
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {CallerRequest} from './caller-request.js';
 import {claimEndpoint, type ClaimedEndpoint} from './claim-endpoint.js';
@@ -11,12 +13,28 @@
 import type {Progress} from './progress.js';
 import type {Reply} from './reply.js';
 
-/** An attempt that may be made at once. */
-export type PreparedAttempt = ClaimedEndpoint & {workspace: Workspace | undefined};
+/** An attempt that may be made at once, and counts at its endpoint already. */
+export type PreparedAttempt = ClaimedEndpoint & {workspace: Workspace | undefined; use: EndpointUse};
+
+/** Whether an endpoint that was chosen before may still get the request: others may have used its capacity meanwhile, or it has asked for backoff. */
+const mayStillTake = (core: GatewayCore, {endpoint}: ClaimedEndpoint): boolean =>
+	core.board.find(endpoint.id).backoff.judge(core.clock.now()).kind === AdmissionKind.Now;
+
+const claimOpenEndpoint = async (core: GatewayCore, request: CallerRequest, progress: Progress): Promise<Awaited<ReturnType<typeof claimEndpoint>>> => {
+	let claimed = await claimEndpoint(core, request, progress);
+	while (!('reason' in claimed) && !mayStillTake(core, claimed)) {
+		core.limiter.giveBack(claimed.endpoint, claimed.grantedAt);
+		// One endpoint after the other.
+		// eslint-disable-next-line no-await-in-loop
+		claimed = await claimEndpoint(core, request, progress);
+	}
+
+	return claimed;
+};
 
 /** Prepares an attempt; undefined when the request is over. */
 export const prepareAttempt = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress): Promise<PreparedAttempt | undefined> => {
-	const claimed = await claimEndpoint(core, request, progress);
+	const claimed = await claimOpenEndpoint(core, request, progress);
 	const workspace = judgeAttempt(core, request, reply, progress, claimed);
 	if ('reason' in claimed) {
 		return undefined;
@@ -27,7 +45,7 @@
 		return undefined;
 	}
 
-	return {...claimed, workspace: workspace.current};
+	return {...claimed, workspace: workspace.current, use: core.board.begin(claimed.endpoint.id, request.caller.promptTokens)};
 };
 
 /** Whose request it is, if it may be handed over; otherwise its caller has been told. */
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -47,9 +47,8 @@
 		return true;
 	}
 
-	const {endpoint, grantedAt} = attempt;
+	const {endpoint, grantedAt, use} = attempt;
 	progress.tried.add(endpoint.id);
-	const use = core.board.begin(endpoint.id, request.caller.promptTokens);
 	const sentAt = core.clock.now();
 	const outcome = await sendAttempt(core, request, attempt, progress);
 	core.observer.recordAttempt(outcome.kind);
@@ -57,7 +56,7 @@
 		recordHead(core, request, endpoint, outcome.res.statusCode ?? 0, core.clock.now() - sentAt);
 		progress.sent += 1;
 		const isOver = await takeAnswer(core, request, reply, progress, {
-			endpoint, grantedAt, outcome, read: use.read,
+			endpoint, grantedAt, outcome, use,
 		});
 		use.end();
 		return isOver;
--- a/packages/mastvalve-gateway/src/requests/take-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/take-answer.ts
@@ -2,15 +2,14 @@
  * Takes an endpoint's answer: passes it on if it is one for the caller, and learns from it.
  */
 
-import {parseIncarnation, type FleetEndpoint} from 'mastvalve-fleet';
-import {LimitWordKind, RetryAfterKind} from 'mastvalve-limits';
-import type {AnswerHeaders} from '../dialect.js';
-import {formatModel} from '../routing/model-demand.js';
+import {RetryAfterKind} from 'mastvalve-limits';
+import type {EndpointUse} from '../routing/endpoint-board.js';
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {ExchangeKind, ExchangeOutcome} from '../upstream/exchange.js';
 import {isRepeatable, type CallerRequest} from './caller-request.js';
 import type {ClaimedEndpoint} from './claim-endpoint.js';
 import {endOrRetry, hasTimeLeft} from './give-up.js';
+import {learnFromHead, recordMisdirection} from './learn-from-head.js';
 import type {Progress} from './progress.js';
 import {relayBody} from './relay.js';
 import type {Reply} from './reply.js';
@@ -38,48 +37,18 @@
 	});
 };
 
-/** One line when the word of an endpoint on its limit is another than that of its answer before. */
-const logLimit = (core: GatewayCore, {requestId}: CallerRequest, endpoint: string, {limit}: AnswerHeaders): void => {
-	if (core.board.recordLimitWord(endpoint, limit)) {
-		core.log('endpoint.limit-told', {
-			request: requestId, endpoint, word: limit.kind, perSecond: limit.kind === LimitWordKind.Named ? limit.perSecond : undefined,
-		});
-	}
-};
-
-/** Whether another endpoint has answered than the one that was meant. */
-const isOther = (endpoint: FleetEndpoint, {endpointName}: AnswerHeaders): boolean =>
-	endpointName !== undefined && endpointName !== parseIncarnation(endpoint.id).name;
-
-/** Remembers that an endpoint is another one, or lacks a model which it was thought to hold. */
-const recordMisdirection = (core: GatewayCore, {caller}: CallerRequest, endpoint: FleetEndpoint, head: AnswerHeaders): void => {
-	if (!head.isMisdirected) {
-		return;
-	}
-
-	if (isOther(endpoint, head)) {
-		core.board.recordReplaced(endpoint.id);
-		return;
-	}
-
-	core.board.recordLack(endpoint.id, formatModel(caller.model ?? '', caller.adapter), endpoint.revision);
-	core.demand.recordMisdirected(endpoint.id);
-};
-
-/** The head of an answer, and what ends the reading of the request. */
-export type Answered = ClaimedEndpoint & {outcome: Extract<ExchangeOutcome, {kind: ExchangeKind.Answered}>; read: () => void};
+/** The head of an answer, and the use of the endpoint that has sent it. */
+export type Answered = ClaimedEndpoint & {outcome: Extract<ExchangeOutcome, {kind: ExchangeKind.Answered}>; use: EndpointUse};
 
 /** Takes an answer's head, and its body if it is one for the caller; true when the request is over. */
-export const takeAnswer = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, {endpoint, grantedAt, outcome, read}: Answered): Promise<boolean> => {
+export const takeAnswer = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: Progress, {endpoint, grantedAt, outcome, use}: Answered): Promise<boolean> => {
 	const {res, cancel, isBroken} = outcome;
 	const status = res.statusCode ?? 0;
 	const head = core.dialect.readAnswer(status, res.headers, res.rawHeaders);
-	core.board.recordLoad(endpoint.id, head.load);
 	const isForeign = head.requestId !== undefined && head.requestId !== request.requestId;
-	if (!isForeign && !isOther(endpoint, head)) {
-		logLimit(core, request, endpoint.id, head);
-		core.limiter.hear(endpoint, head.limit, grantedAt);
-	}
+	learnFromHead(core, request, {
+		endpoint, grantedAt, use, status,
+	}, head);
 
 	if (head.isNotRun) {
 		res.resume();
@@ -115,7 +84,7 @@
 		return false;
 	}
 
-	res.once('data', read);
+	res.once('data', use.read);
 	res.on('data', () => {
 		core.board.recordByte(endpoint.id);
 	});
--- /dev/null
+++ b/packages/mastvalve-gateway/src/requests/wait-for-capacity.ts
@@ -0,0 +1,109 @@
+/**
+ * Waits for capacity at endpoints that restrict what they take, and only while it is expected before the caller gives up. What can't be
+ * served in time is refused at once, with the time of the next capacity.
+ */
+
+import type {FleetEndpoint} from 'mastvalve-fleet';
+import {AdmissionKind} from 'mastvalve-limits';
+import type {ExpectedCapacity} from '../routing/choose-endpoint.js';
+import type {GatewayCore} from '../server/gateway-core.js';
+import type {CallerRequest} from './caller-request.js';
+import {chooseNow, listCapacityNow, type Tries} from './choose-now.js';
+import {
+	expectationReserveMs, patienceEnd, refuseForCapacity, type NoEndpoint,
+} from './patience.js';
+import {rankRequest} from './rank-request.js';
+
+/** Timers may come a part of a millisecond before their time; a request that asks too early counts as one without a place in the line, ms. */
+const earlyTimerMs = 1;
+
+/** When the first endpoint has capacity, monotonic ms; `now` for one that waits for an answer in progress, undefined when there is none. */
+const findCapacityAt = (expected: readonly ExpectedCapacity[], now: number): number | undefined => {
+	const times = expected.map(({admission}) => (admission.kind === AdmissionKind.At ? admission.at : now));
+	return times.length === 0 ? undefined : Math.min(...times);
+};
+
+/** Time until a request that is refused now may be served, ms; undefined when some endpoint can take it now, or none ever. */
+export const findRetryAfterMs = (core: GatewayCore, request: CallerRequest): number | undefined => {
+	const now = core.clock.now();
+	const expected = listCapacityNow(core, request, {tried: new Set(), askAgainAt: new Map()});
+	const isFree = expected.some(({admission}) => admission.kind === AdmissionKind.Now);
+	const at = findCapacityAt(expected, now);
+	return isFree || at === undefined ? undefined : at - now;
+};
+
+/** Until when a request may wait for an endpoint; one that may well refuse it again is waited for only while the answer can be in time. */
+const waitEnd = (request: CallerRequest, {isReliable}: ExpectedCapacity): number => {
+	const latest = patienceEnd(request) - expectationReserveMs;
+	return isReliable ? latest : Math.min(latest, request.arrivedAt + request.route.objectiveMs);
+};
+
+/** When to look again: at the next capacity that is expected in time, or when waiting ends; undefined when nothing is worth waiting for. */
+const findNextLook = (request: CallerRequest, expected: readonly ExpectedCapacity[], now: number): number | undefined => {
+	const times = expected.flatMap(each => {
+		const endAt = waitEnd(request, each);
+		const at = each.admission.kind === AdmissionKind.At ? each.admission.at : endAt;
+		return now < endAt && at <= endAt ? [at] : [];
+	});
+	return times.length === 0 ? undefined : Math.min(...times);
+};
+
+/** Waits until an endpoint may take the request, or says why none will. */
+export const waitForCapacity = async (core: GatewayCore, request: CallerRequest, tries: Tries): Promise<FleetEndpoint | NoEndpoint> => {
+	const {clock, view, board, demand, onDrain, log, observer} = core;
+	const {caller: {model, adapter}, signal} = request;
+	const startedAt = clock.now();
+	const refuse = (expected: readonly ExpectedCapacity[]): NoEndpoint => {
+		const now = clock.now();
+		return refuseForCapacity((findCapacityAt(expected, now) ?? now) - now);
+	};
+
+	const first = listCapacityNow(core, request, tries);
+	if (findNextLook(request, first, startedAt) === undefined || core.isDraining()) {
+		return refuse(first);
+	}
+
+	const endWanting = model === undefined ? undefined : demand.wait(request.service, model, adapter, request.deadlineAt);
+	return new Promise(resolve => {
+		let timer: NodeJS.Timeout | undefined;
+		const done = (outcome: FleetEndpoint | NoEndpoint): void => {
+			clearTimeout(timer);
+			endWanting?.();
+			unsubscribeView();
+			unsubscribeBoard();
+			onDrain.delete(giveUp);
+			signal.removeEventListener('abort', giveUp);
+			log('request.waited-for-capacity', {
+				request: request.requestId, waitedMs: Math.round(clock.now() - startedAt), outcome: 'id' in outcome ? outcome.id : outcome.reason, revision: view.revision,
+			});
+			observer.recordWait('id' in outcome, clock.now() - startedAt);
+			resolve(outcome);
+		};
+
+		const giveUp = (): void => {
+			done(refuse(listCapacityNow(core, request, tries)));
+		};
+
+		const look = (): void => {
+			const endpoint = chooseNow(core, request, tries);
+			const lookAt = findNextLook(request, listCapacityNow(core, request, tries), clock.now());
+			if (endpoint) {
+				done(endpoint);
+			} else if (lookAt === undefined) {
+				giveUp();
+			} else {
+				clearTimeout(timer);
+				// All that wait look in their order, the most urgent first.
+				timer = setTimeout(() => {
+					board.announce();
+				}, Math.max(0, Math.ceil(lookAt - clock.now()) + earlyTimerMs));
+			}
+		};
+
+		const unsubscribeView = view.subscribe(look);
+		const unsubscribeBoard = board.subscribe(rankRequest(core, request), look);
+		onDrain.add(giveUp);
+		signal.addEventListener('abort', giveUp, {once: true});
+		look();
+	});
+};
--- a/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
@@ -8,9 +8,9 @@
 import {WeightSource, type FleetEndpoint} from 'mastvalve-fleet';
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {CallerRequest} from './caller-request.js';
-import {chooseNow, findRoomNow, type Tries} from './choose-now.js';
+import {chooseNow, listCapacityNow, type Tries} from './choose-now.js';
 import {expectationReserveMs, patienceEnd, type NoEndpoint} from './patience.js';
-import {waitForRoom} from './wait-for-room.js';
+import {waitForCapacity} from './wait-for-capacity.js';
 
 /** Control's plan for a new want is here in this part of the objective; a refusal is early within a quarter of it. */
 const decisionShare = 0.2;
@@ -84,9 +84,8 @@
 		return now;
 	}
 
-	const roomAt = findRoomNow(core, request, tries);
-	if (roomAt !== undefined) {
-		return waitForRoom(core, request, tries, roomAt);
+	if (listCapacityNow(core, request, tries).length > 0) {
+		return waitForCapacity(core, request, tries);
 	}
 
 	if (model === undefined || sent > 0 || core.isDraining()) {
--- a/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
+++ b/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
@@ -3,6 +3,7 @@
  */
 
 import {EndpointPhase, type FleetEndpoint} from 'mastvalve-fleet';
+import {AdmissionKind, type Admission} from 'mastvalve-limits';
 import type {EndpointKnowledge} from './endpoint-board.js';
 import {formatModel} from './model-demand.js';
 
@@ -113,9 +114,20 @@
 	return estimateWait(knowledge, input) + domainMs + spareMs + roomMs;
 };
 
+/** When an endpoint may be sent the request, or asked whether it may. */
+const judgeEndpoint = ({id}: FleetEndpoint, {askAgainAt, now, knowledgeOf}: EndpointChoiceInput): Admission => {
+	const askAt = askAgainAt.get(id) ?? Number.NEGATIVE_INFINITY;
+	const backoff = knowledgeOf(id).backoff.judge(now);
+	if (backoff.kind === AdmissionKind.At) {
+		return {...backoff, at: Math.max(backoff.at, askAt)};
+	}
+
+	return now < askAt ? {kind: AdmissionKind.At, at: askAt} : backoff;
+};
+
 /** Endpoints that could take the request, and may be asked now. */
 const listAskable = (input: EndpointChoiceInput): FleetEndpoint[] =>
-	listHolders(input).filter(({id}) => input.now >= (input.askAgainAt.get(id) ?? Number.NEGATIVE_INFINITY));
+	listHolders(input).filter(endpoint => judgeEndpoint(endpoint, input).kind === AdmissionKind.Now);
 
 /** Chooses; undefined when no endpoint may get the request now. */
 export const chooseEndpoint = (input: EndpointChoiceInput): FleetEndpoint | undefined => {
@@ -128,8 +140,14 @@
 export const hasOtherWithRoom = (input: EndpointChoiceInput, id: string): boolean =>
 	listAskable(input).some(endpoint => endpoint.id !== id && hasRoom(endpoint, input));
 
-/** When the first of the endpoints that had no room for the request may be asked again, ms; undefined when there is none. */
-export const findRoomAt = (input: EndpointChoiceInput): number | undefined => {
-	const times = listHolders(input).flatMap(({id}) => input.askAgainAt.get(id) ?? []);
-	return times.length === 0 ? undefined : Math.min(...times);
-};
+/** When one of the endpoints that hold what a request needs may take it, and whether that is likely. */
+export type ExpectedCapacity = {admission: Admission; isReliable: boolean};
+
+/** What is expected of each endpoint that could take the request, now or later. */
+export const listExpectedCapacity = (input: EndpointChoiceInput): ExpectedCapacity[] =>
+	listHolders(input).map(endpoint => {
+		const admission = judgeEndpoint(endpoint, input);
+		const {backoff} = input.knowledgeOf(endpoint.id);
+		const isBackedOff = backoff.judge(input.now).kind === AdmissionKind.At;
+		return {admission, isReliable: !isBackedOff || backoff.isReliable};
+	});
--- a/packages/mastvalve-gateway/src/routing/endpoint-board.ts
+++ b/packages/mastvalve-gateway/src/routing/endpoint-board.ts
@@ -2,7 +2,9 @@
  * What one entry has learned of the endpoints from its own requests. Nothing in it must survive.
  */
 
-import {LimitWordKind, type LimitWord} from 'mastvalve-limits';
+import {
+	EndpointBackoff, LimitWordKind, type LimitWord,
+} from 'mastvalve-limits';
 import type {ReportedLoad} from '../dialect.js';
 
 /** What is known of one endpoint. */
@@ -35,6 +37,8 @@
 	roomAt: number;
 	/** What the last of its answers said of its limit. */
 	limitWord: LimitWord;
+	/** What its refusals asked for. */
+	backoff: EndpointBackoff;
 	/** Whether another endpoint was met at its address. */
 	isReplaced: boolean;
 };
@@ -52,24 +56,54 @@
 /** Weight of the newest answer's delay. */
 const delayWeight = 0.4;
 
+type CapacityListener = {urgency: number; onChange: () => void};
+
+/** A request that was sent to an endpoint. */
+export type EndpointUse = {
+	/** Its prompt has been read. */
+	read: () => void;
+	/** The head of its answer is here; whether the endpoint took the request. */
+	answer: (isTaken: boolean) => void;
+	end: () => void;
+};
+
 const describeWord = (word: LimitWord): string => (word.kind === LimitWordKind.Named ? String(word.perSecond) : word.kind);
 
 /** The board. */
 export class EndpointBoard {
 	private readonly known = new Map<string, EndpointKnowledge>();
+	private readonly listeners = new Set<CapacityListener>();
 
 	constructor(private readonly now: () => number) {}
 
+	/** Calls back when an endpoint that restricts requests may take more or fewer than before, until the returned function is called. */
+	subscribe(urgency: number, onChange: () => void): () => void {
+		const listener = {urgency, onChange};
+		this.listeners.add(listener);
+		return () => {
+			this.listeners.delete(listener);
+		};
+	}
+
+	/** Calls back all that wait for capacity, the most urgent first. */
+	announce(): void {
+		[...this.listeners].toSorted((a, b) => a.urgency - b.urgency).forEach(listener => {
+			if (this.listeners.has(listener)) {
+				listener.onChange();
+			}
+		});
+	}
+
 	find(id: string): EndpointKnowledge {
 		const knowledge = this.known.get(id) ?? {
-			inFlight: 0, unread: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, delay: 0, delayAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, absentUntil: 0, heardAt: Number.NEGATIVE_INFINITY, busySince: 0, lacks: new Map<string, number>(), roomAt: 0, limitWord: {kind: LimitWordKind.Absent}, isReplaced: false,
+			inFlight: 0, unread: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, delay: 0, delayAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, absentUntil: 0, heardAt: Number.NEGATIVE_INFINITY, busySince: 0, lacks: new Map<string, number>(), roomAt: 0, limitWord: {kind: LimitWordKind.Absent}, backoff: new EndpointBackoff(), isReplaced: false,
 		};
 		this.known.set(id, knowledge);
 		return knowledge;
 	}
 
-	/** A request goes there; the result ends its reading and then itself. */
-	begin(id: string, promptTokens: number): {read: () => void; end: () => void} {
+	/** A request goes there. */
+	begin(id: string, promptTokens: number): EndpointUse {
 		const knowledge = this.find(id);
 		let unread = promptTokens;
 		let isOpen = true;
@@ -85,10 +119,19 @@
 			unread = 0;
 		};
 
+		const answerBackoff = knowledge.backoff.begin();
+		const answer = (isTaken: boolean): void => {
+			if (answerBackoff(isTaken)) {
+				this.announce();
+			}
+		};
+
 		return {
 			read,
+			answer,
 			end() {
 				read();
+				answer(false);
 				knowledge.inFlight -= isOpen ? 1 : 0;
 				isOpen = false;
 			},
@@ -138,6 +181,12 @@
 		return isNews;
 	}
 
+	/** It refused a request and asked this entry to back off; `random` is in [0, 1). */
+	recordBackoff(id: string, delayMs: number, random: number): void {
+		this.find(id).backoff.recordRefusal(this.now(), delayMs, random);
+		this.announce();
+	}
+
 	recordSuccess(id: string): void {
 		const knowledge = this.find(id);
 		knowledge.failures = 0;
--- a/packages/mastvalve-gateway/src/server/gateway-metrics.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-metrics.ts
@@ -25,6 +25,9 @@
 	const rooms = new Counter({
 		name: 'mastvalve_limited_endpoint_requests_total', help: 'Requests for room at endpoints that have named a limit, by outcome', labelNames: ['outcome'], registers: [registry],
 	});
+	const backoffs = new Counter({
+		name: 'mastvalve_endpoint_backoffs_total', help: 'Refusals of endpoints that asked this entry to back off', registers: [registry],
+	});
 	const waits = new Histogram({
 		name: 'mastvalve_model_wait_seconds', help: 'Time that requests waited for a model, an adapter or room at a limited endpoint', labelNames: ['outcome'], buckets, registers: [registry],
 	});
@@ -49,6 +52,9 @@
 		recordRoom(hasRoom) {
 			rooms.inc({outcome: hasRoom ? 'taken' : 'refused'});
 		},
+		recordBackoff() {
+			backoffs.inc();
+		},
 		recordWait(isServed, durationMs) {
 			waits.observe({outcome: isServed ? 'served' : 'refused'}, durationMs / msPerSecond);
 		},
--- a/packages/mastvalve-gateway/src/server/gateway-observer.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-observer.ts
@@ -12,6 +12,8 @@
 	recordAttempt: (outcome: string) => void;
 	/** A limited endpoint was asked for room; whether it had any. */
 	recordRoom: (hasRoom: boolean) => void;
+	/** An endpoint has refused a request and asked this entry to back off. */
+	recordBackoff: () => void;
 	/** A request has stopped waiting for a model, an adapter or room. */
 	recordWait: (isServed: boolean, durationMs: number) => void;
 };
@@ -22,5 +24,6 @@
 	recordRefusal: () => undefined,
 	recordAttempt: () => undefined,
 	recordRoom: () => undefined,
+	recordBackoff: () => undefined,
 	recordWait: () => undefined,
 };
