Endpoints whose answers say that they are leaving get no new requests

Callers' requests went on to an endpoint that had told the entry in its answers that it is about to end, as long as its heartbeats said ready: its answers were read for identity, refusals, load and limit only.

The entry that is told sends nothing more to that incarnation, with or without control, and reports it to the leader until the view shows it. The leader records MarkLeaving in the log, so entries that were not told and later ones learn it, and placement plans without the endpoint; a late heartbeat doesn't bring it back.

Scenarios: told entries (failed before), entries that start later, and no control instance. Retry-After of 'no endpoint can take it' after a refused attempt now is the time of the next capacity, too.

--- a/packages/mastvalve-bench/src/planning/planning-bench.ts
+++ b/packages/mastvalve-bench/src/planning/planning-bench.ts
@@ -76,7 +76,7 @@
 		const asked = Array.from({length: 6}, () => drawModel(random, models));
 		const requests = Object.fromEntries(asked.map(model => [`${model}/a1`, 1]));
 		director.hear({
-			entry: `entry-${index}`, requests, urgent: Object.fromEntries(asked.map(model => [model, 1])), headMs: {}, suspects: [], absent: [],
+			entry: `entry-${index}`, requests, urgent: Object.fromEntries(asked.map(model => [model, 1])), headMs: {}, suspects: [], absent: [], leaving: [],
 			wanted: wanted.filter(() => random() < 0.2).map(model => ({
 				service: 'llm', model, adapter: 'a2', waiting: 1, remainingMs: 60_000,
 			})),
--- a/packages/mastvalve-fleet-control/__tests__/engine-director.steps.ts
+++ b/packages/mastvalve-fleet-control/__tests__/engine-director.steps.ts
@@ -45,7 +45,7 @@
 
 const want = (world: DirectorWorld, ...models: string[]): void => {
 	world.director.hear({
-		entry: 'entry', requests: {}, urgent: {}, headMs: {}, suspects: [], absent: [], wanted: models.map(model => ({
+		entry: 'entry', requests: {}, urgent: {}, headMs: {}, suspects: [], absent: [], leaving: [], wanted: models.map(model => ({
 			service: 'llm', model, waiting: 1, remainingMs: 20_000,
 		})),
 	});
--- a/packages/mastvalve-fleet-control/__tests__/first-demand.steps.ts
+++ b/packages/mastvalve-fleet-control/__tests__/first-demand.steps.ts
@@ -116,7 +116,7 @@
 	await play(this, seconds * 1000, () => {
 		const count = rate * roundMs / 1000;
 		this.director.hear({
-			entry: 'entry', requests: {[model]: count}, urgent: {[model]: count}, headMs: {}, suspects: [], absent: [], wanted: [],
+			entry: 'entry', requests: {[model]: count}, urgent: {[model]: count}, headMs: {}, suspects: [], absent: [], leaving: [], wanted: [],
 		});
 	});
 });
@@ -145,7 +145,7 @@
 	await Array.from({length: entries * seconds}).reduce<Promise<void>>(async (before, _, index) => {
 		await before;
 		world.director.hear({
-			entry: `entry-${index % entries}`, requests: {}, urgent: {}, headMs: {}, suspects: [], absent: [], wanted: [],
+			entry: `entry-${index % entries}`, requests: {}, urgent: {}, headMs: {}, suspects: [], absent: [], leaving: [], wanted: [],
 		});
 		if (index % regularEvery === 0 && regularRounds > 0) {
 			await world.director.runRound();
--- a/packages/mastvalve-fleet-control/src/demand-report.ts
+++ b/packages/mastvalve-fleet-control/src/demand-report.ts
@@ -18,6 +18,8 @@
 	suspects: string[];
 	/** Endpoints at whose addresses nobody listened. */
 	absent: string[];
+	/** Endpoints whose answers said that they are leaving, until control has recorded it. */
+	leaving: string[];
 };
 
 /** What the leader answers. */
--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -6,7 +6,7 @@
 import type {LimitTolerance} from 'mastvalve-access';
 import {ControlGroup, type ControlGroupOptions, type PeerHandler} from 'mastvalve-cluster';
 import {
-	FleetCommandKind, FleetMachine, type CrashReport, type EndpointReport, type FleetCommand, type StatedConfiguration,
+	FleetCommandKind, FleetMachine, type CrashReport, type EndpointReport, type FleetCommand, type StatedConfiguration, takesRequests,
 } from 'mastvalve-fleet';
 import {ControlUnavailableError, UnknownEndpointError, type MastvalveError} from 'mastvalve-types';
 import {
@@ -118,7 +118,9 @@
 			...createForwardedHandlers(this),
 			['/follow', async (body, signal) => this.followers.follow(assumeType<FollowRequest>(body), signal)],
 			['/demand', async body => {
-				this.director.hear(assumeType<DemandReport>(body));
+				const report = assumeType<DemandReport>(body);
+				this.director.hear(report);
+				await this.markLeaving(report.leaving);
 				const answer: DemandAnswer = {entries: this.director.countEntries()};
 				return this.group.isLeading ? ok(answer) : err(new ControlUnavailableError('This control instance does not lead.'));
 			}],
@@ -226,6 +228,20 @@
 		return result.map(() => true as const);
 	}
 
+	/** Records that endpoints are leaving. Entries repeat what could not be committed with their next reports. */
+	private async markLeaving(reported: readonly string[]): Promise<void> {
+		const ids = reported.filter(id => {
+			const endpoint = this.machine.find(id);
+			return endpoint && takesRequests(endpoint);
+		});
+		if (ids.length === 0) {
+			return;
+		}
+
+		const result = await this.propose({kind: FleetCommandKind.MarkLeaving, ids});
+		this.options.onEvent('endpoint.leaving', `${ids.join(', ')}: their answers say so; ${result.isOk() ? 'recorded' : `not recorded yet: ${result.error.message}`}`);
+	}
+
 	private createDirector(): EngineDirector {
 		const {options, machine, group} = this;
 		return new EngineDirector({
--- a/packages/mastvalve-fleet/src/state/apply-report.ts
+++ b/packages/mastvalve-fleet/src/state/apply-report.ts
@@ -29,10 +29,12 @@
 		return known;
 	}
 
+	const phase = phaseAfter(known, report);
 	return {
 		...report,
+		isLeaving: phase === EndpointPhase.Leaving,
 		holds: keepAdapters(known, report),
-		phase: phaseAfter(known, report),
+		phase,
 		retiring: known?.retiring,
 		loading: known?.loading,
 		isOrdering: (known ?? former)?.isOrdering ?? false,
--- a/packages/mastvalve-fleet/src/state/endpoint-register.ts
+++ b/packages/mastvalve-fleet/src/state/endpoint-register.ts
@@ -10,7 +10,9 @@
 import {isEarlierIncarnation, parseIncarnation} from './endpoint-incarnation.js';
 import {EndpointStore} from './endpoint-store.js';
 import type {Holdings, RecordedLimit} from './fleet-command.js';
-import {EndpointPhase, type EndpointReport, type FleetEndpoint} from './fleet-endpoint.js';
+import {
+	EndpointPhase, takesRequests, type EndpointReport, type FleetEndpoint,
+} from './fleet-endpoint.js';
 
 /** An endpoint in JSON without its lists, a model that it holds, an adapter or a copy of weights, bytes. */
 const endpointBytes = 330;
@@ -90,6 +92,17 @@
 			.some(Boolean);
 	}
 
+	/** Endpoints that are in use have told entries that they are leaving. */
+	markLeaving(ids: readonly string[], index: number): boolean {
+		return ids
+			.flatMap(id => this.store.find(id) ?? [])
+			.filter(endpoint => takesRequests(endpoint))
+			.map(endpoint => this.replace({
+				...endpoint, phase: EndpointPhase.Leaving, isLeaving: true, revision: index,
+			}, index))
+			.some(Boolean);
+	}
+
 	/**
 	 * Forgets endpoints that have ended; others end by this. Followers that know of the end lose nothing, so nothing is
 	 * sent again to them.
--- a/packages/mastvalve-fleet/src/state/fleet-command.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-command.ts
@@ -12,6 +12,7 @@
 	Report = 'report',
 	Leave = 'leave',
 	MarkSilent = 'mark-silent',
+	MarkLeaving = 'mark-leaving',
 	Forget = 'forget',
 	RecordHoldings = 'record-holdings',
 	ClaimOrders = 'claim-orders',
@@ -43,6 +44,8 @@
 		/** The endpoint's name; its incarnation that was taken in last ends. */
 		| {kind: FleetCommandKind.Leave; id: string}
 		| {kind: FleetCommandKind.MarkSilent; ids: string[]}
+		/** Endpoints whose answers said that they are leaving, whatever their heartbeats say. */
+		| {kind: FleetCommandKind.MarkLeaving; ids: string[]}
 		| {kind: FleetCommandKind.Forget; ids: string[]}
 		| {kind: FleetCommandKind.RecordHoldings; holdings: Holdings}
 		| {kind: FleetCommandKind.ClaimOrders; holder: string}
--- a/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
@@ -60,3 +60,6 @@
 	/** Log index of the last change. */
 	revision: number;
 };
+
+/** Whether an endpoint takes new requests, as far as control knows. */
+export const takesRequests = ({phase}: FleetEndpoint): boolean => phase === EndpointPhase.Ready || phase === EndpointPhase.Silent;
--- a/packages/mastvalve-fleet/src/state/fleet-machine.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-machine.ts
@@ -142,6 +142,10 @@
 				return this.touch(this.endpoints.markSilent(command.ids, index), index);
 			}
 
+			case FleetCommandKind.MarkLeaving: {
+				return this.touch(this.endpoints.markLeaving(command.ids, index), index);
+			}
+
 			case FleetCommandKind.Forget: {
 				return this.touch(this.endpoints.forget(command.ids, index), index);
 			}
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
@@ -53,6 +53,8 @@
 	readonly logged: LoggedLine[] = [];
 	/** Which entry was sent a request, by its identity. */
 	readonly entryOf = new Map<string, number>();
+	/** Requests that were sent since an entry was last restarted. */
+	callsSinceRestart = 0;
 	private readonly entries: RunningEntry[] = [];
 	private requests = 0;
 
@@ -66,6 +68,7 @@
 	async restart(index: number): Promise<void> {
 		await this.end(index);
 		await this.begin(index);
+		this.callsSinceRestart = 0;
 	}
 
 	/** Waits until every entry knows as many endpoints. */
@@ -76,6 +79,7 @@
 	/** Sends a request to an entry. */
 	async call(index: number, path: string, body: string): Promise<CallResult> {
 		this.requests += 1;
+		this.callsSinceRestart += 1;
 		this.entryOf.set(`request-${this.requests}`, index);
 		const [host, port] = this.addresses[index]!.split(':');
 		const startedAt = systemClock.now();
--- a/packages/mastvalve-gateway/__tests__/endpoint-backoff.feature
+++ b/packages/mastvalve-gateway/__tests__/endpoint-backoff.feature
@@ -17,3 +17,39 @@
     And 160 requests come within 4000 ms, at one entry after the other
     Then no entry sent endpoint 0 a request later than 500 ms after it had been told
     And all requests were answered
+
+  Scenario: An entry that starts later learns from control that an endpoint is leaving
+    Given 3 entries that follow control
+    And 3 endpoints that count what they get
+    When endpoint 0 says in its answers that it is leaving
+    And 30 requests come within 1000 ms, at one entry after the other
+    And the entries are restarted
+    And 60 requests come within 1500 ms, at one entry after the other
+    Then endpoint 0 got nothing after the restart
+    And all requests were answered
+
+  Scenario: A leaving endpoint gets nothing more while no control instance answers
+    Given 3 entries that follow control
+    And 3 endpoints that count what they get
+    When control ends
+    And endpoint 0 says in its answers that it is leaving
+    And 60 requests come within 1500 ms, at one entry after the other
+    Then no entry sent endpoint 0 a request later than 500 ms after it had been told
+    And all requests were answered
+
+  Scenario: A request waits for the end of a backoff that leaves it in time
+    Given 1 entry that follows control
+    And 1 endpoints that count what they get
+    When endpoint 0 refuses everything with Retry-After "0.3"
+    And 1 requests come within 10 ms, at one entry after the other
+    And endpoint 0 takes requests again
+    And 10 requests come within 100 ms, at one entry after the other
+    Then all requests but the first were answered
+
+  Scenario: What can't be served before the backoff ends is refused at once, with the time left
+    Given 1 entry that follows control
+    And 1 endpoints that count what they get
+    When endpoint 0 refuses everything with Retry-After "5"
+    And 20 requests come within 1000 ms, at one entry after the other
+    Then endpoint 0 got 1 request
+    And every request was refused within 300 ms and told to come back after 3000 to 5500 ms
--- a/packages/mastvalve-gateway/__tests__/endpoint-backoff.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/endpoint-backoff.steps.ts
@@ -3,11 +3,28 @@
  */
 
 import {strict as assert} from 'node:assert';
-import {Then, When, type World} from '@cucumber/cucumber';
-import type {EntriesAndControl} from './__fixtures__/entries-and-control.js';
+import {
+	Given, Then, When, type World,
+} from '@cucumber/cucumber';
+import type {FleetUpdate} from 'mastvalve-fleet';
+import {AdmissionKind} from 'mastvalve-limits';
+import {
+	EndpointBoard, FleetView, forgetEnded, HeadTimes, ModelDemand,
+} from '../src/index.js';
+import type {CallResult, EntriesAndControl} from './__fixtures__/entries-and-control.js';
 import type {CountedAnswer, LimitedEndpoints} from './__fixtures__/limited-endpoints.js';
+import {createEndpoint} from './__fixtures__/running-gateway.js';
 
-type BackoffWorld = World & {following: EntriesAndControl; limited: LimitedEndpoints};
+type BackoffWorld = World & {
+	following: EntriesAndControl;
+	limited: LimitedEndpoints;
+	results: CallResult[];
+	view: FleetView;
+	board: EndpointBoard;
+};
+
+const okStatus = 200;
+const refusedStatus = 503;
 
 const msPerSecond = 1000;
 
@@ -42,3 +59,59 @@
 	assert.ok(told.length > 0);
 	assert.deepEqual([...new Set(late.map(({request}) => request))], []);
 });
+
+When('control ends', async function (this: BackoffWorld) {
+	await this.following.lone.close();
+});
+
+Then('endpoint {int} got nothing after the restart', function (this: BackoffWorld, index: number) {
+	const first = this.results.length - this.following.callsSinceRestart;
+	const late = this.limited.listAnswers(index).filter(({request}) => Number(request.split('-')[1]) > first);
+	assert.deepEqual(late, []);
+});
+
+Then('all requests but the first were answered', function (this: BackoffWorld) {
+	assert.deepEqual(this.results.map(({status}) => status).filter(status => status !== okStatus), [refusedStatus]);
+});
+
+Then('endpoint {int} got {int} request', function (this: BackoffWorld, index: number, count: number) {
+	assert.equal(this.limited.listAnswers(index).length, count);
+});
+
+Then('every request was refused within {int} ms and told to come back after {int} to {int} ms', function (this: BackoffWorld, withinMs: number, leastMs: number, mostMs: number) {
+	const others = this.results.filter(({status, tookMs, retryAfter = 0}) =>
+		status !== refusedStatus || tookMs > withinMs || retryAfter * msPerSecond < leastMs || retryAfter * msPerSecond > mostMs);
+	assert.deepEqual(others, []);
+});
+
+const createUpdate = (revision: number, ids: readonly string[], isLast: boolean): FleetUpdate => {
+	const cursor = {revision, key: ids.at(-1) ?? '', begunAt: revision};
+	return {
+		revision,
+		endpoints: {
+			isWhole: true, changes: ids.map(id => createEndpoint(id)), cursor, isLast,
+		},
+		configuration: {
+			isWhole: false, changes: [], cursor, isLast: true,
+		},
+		quarantine: {
+			isWhole: false, changes: [], cursor, isLast: true,
+		},
+	};
+};
+
+Given('a view of 2 endpoints, one of which has asked for backoff', function (this: BackoffWorld) {
+	this.view = new FleetView(() => 0);
+	this.board = new EndpointBoard(() => 0);
+	forgetEnded(this.view, this.board, new ModelDemand('entry', () => 0, () => undefined, new HeadTimes()));
+	this.view.apply(createUpdate(1, ['a', 'b'], true));
+	this.board.recordBackoff('b', msPerSecond, 0);
+});
+
+When('a whole state arrives whose first part lacks that endpoint', function (this: BackoffWorld) {
+	this.view.apply(createUpdate(2, ['a'], false));
+});
+
+Then('the endpoint is still backed off from', function (this: BackoffWorld) {
+	assert.equal(this.board.find('b').backoff.judge(1).kind, AdmissionKind.At);
+});
--- a/packages/mastvalve-gateway/src/fleet/fleet-view.ts
+++ b/packages/mastvalve-gateway/src/fleet/fleet-view.ts
@@ -3,14 +3,14 @@
  */
 
 import {
-	EndpointPhase, type FleetEndpoint, type FleetPlace, type FleetUpdate,
+	EndpointPhase, takesRequests, type FleetEndpoint, type FleetPlace, type FleetUpdate,
 } from 'mastvalve-fleet';
 import {ConfigurationDraft, type ActiveConfiguration} from './active-configuration.js';
 
 /** Endpoints that take new requests, by service. */
 const groupByService = (endpoints: readonly FleetEndpoint[]): Map<string, FleetEndpoint[]> =>
 	endpoints
-		.filter(({phase}) => phase === EndpointPhase.Ready || phase === EndpointPhase.Silent)
+		.filter(endpoint => takesRequests(endpoint))
 		.reduce((groups, endpoint) => {
 			const group = groups.get(endpoint.service) ?? [];
 			group.push(endpoint);
@@ -82,6 +82,12 @@
 		return this.endpoints.has(id);
 	}
 
+	/** Whether an endpoint takes new requests as far as control knows. */
+	isInUse(id: string): boolean {
+		const endpoint = this.endpoints.get(id);
+		return endpoint !== undefined && takesRequests(endpoint);
+	}
+
 	/** When this entry learned that a request is quarantined; monotonic ms. Undefined when it isn't. */
 	quarantinedAt(fingerprint: string): number | undefined {
 		return this.quarantined.get(fingerprint);
--- a/packages/mastvalve-gateway/src/index.ts
+++ b/packages/mastvalve-gateway/src/index.ts
@@ -20,6 +20,7 @@
 export {dropConnectionHeaders} from './requests/reply.js';
 export * from './routing/choose-endpoint.js';
 export * from './routing/endpoint-board.js';
+export * from './routing/forget-ended.js';
 export * from './routing/head-times.js';
 export * from './routing/model-demand.js';
 export * from './routing/retry-allowance.js';
--- a/packages/mastvalve-gateway/src/requests/learn-from-head.ts
+++ b/packages/mastvalve-gateway/src/requests/learn-from-head.ts
@@ -52,6 +52,14 @@
 	core.log('endpoint.backoff', {request: requestId, endpoint: id, delayMs: retryAfter.delayMs});
 };
 
+/** Control is told, since not all entries meet the endpoint, and heartbeats may go on as before. */
+const recordLeaving = (core: GatewayCore, {requestId}: CallerRequest, {id}: FleetEndpoint, {isLeaving}: AnswerHeaders): void => {
+	if (isLeaving && core.board.recordLeaving(id)) {
+		core.demand.recordLeaving(id);
+		core.log('endpoint.leaving-told', {request: requestId, endpoint: id});
+	}
+};
+
 /** A request that was answered: whom it went to, and its use of that endpoint. */
 export type HeadSource = ClaimedEndpoint & {use: EndpointUse; status: number};
 
@@ -63,6 +71,7 @@
 		logLimit(core, request, endpoint.id, head);
 		core.limiter.hear(endpoint, head.limit, grantedAt);
 		recordBackoff(core, request, endpoint, status, head);
+		recordLeaving(core, request, endpoint, head);
 	}
 
 	use.answer(!head.isNotRun && status !== unavailableStatus);
--- a/packages/mastvalve-gateway/src/requests/prepare-attempt.ts
+++ b/packages/mastvalve-gateway/src/requests/prepare-attempt.ts
@@ -3,7 +3,6 @@
  */
 
 import type {Workspace} from 'mastvalve-access';
-import {AdmissionKind} from 'mastvalve-limits';
 import {isGranted} from '../access/access-checker.js';
 import type {EndpointUse} from '../routing/endpoint-board.js';
 import type {GatewayCore} from '../server/gateway-core.js';
@@ -16,13 +15,10 @@
 /** An attempt that may be made at once, and counts at its endpoint already. */
 export type PreparedAttempt = ClaimedEndpoint & {workspace: Workspace | undefined; use: EndpointUse};
 
-/** Whether an endpoint that was chosen before may still get the request: others may have used its capacity meanwhile, or it has asked for backoff. */
-const mayStillTake = (core: GatewayCore, {endpoint}: ClaimedEndpoint): boolean =>
-	core.board.find(endpoint.id).backoff.judge(core.clock.now()).kind === AdmissionKind.Now;
-
+/** An endpoint that was chosen may have asked for backoff or begun to leave since then, or others may have used its capacity. */
 const claimOpenEndpoint = async (core: GatewayCore, request: CallerRequest, progress: Progress): Promise<Awaited<ReturnType<typeof claimEndpoint>>> => {
 	let claimed = await claimEndpoint(core, request, progress);
-	while (!('reason' in claimed) && !mayStillTake(core, claimed)) {
+	while (!('reason' in claimed) && !core.board.admits(claimed.endpoint.id)) {
 		core.limiter.giveBack(claimed.endpoint, claimed.grantedAt);
 		// One endpoint after the other.
 		// eslint-disable-next-line no-await-in-loop
--- a/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
@@ -10,7 +10,7 @@
 import type {CallerRequest} from './caller-request.js';
 import {chooseNow, listCapacityNow, type Tries} from './choose-now.js';
 import {expectationReserveMs, patienceEnd, type NoEndpoint} from './patience.js';
-import {waitForCapacity} from './wait-for-capacity.js';
+import {findRetryAfterMs, waitForCapacity} from './wait-for-capacity.js';
 
 /** Control's plan for a new want is here in this part of the objective; a refusal is early within a quarter of it. */
 const decisionShare = 0.2;
@@ -23,6 +23,8 @@
 /** A load that is not under way may have to wait for other orders first; it ends after up to this many times its own time. */
 const loadReserve: Record<WeightSource, number> = {[WeightSource.Memory]: 3, [WeightSource.Disk]: 2, [WeightSource.Store]: 1.3};
 
+/** Pause of a caller whose request no endpoint can take, ms. */
+const defaultRetryMs = 100;
 /** Pause of a caller whose model is not expected; it may not be longer than a third of the time that is left, ms. */
 const unknownRetryMs = 1200;
 
@@ -89,7 +91,7 @@
 	}
 
 	if (model === undefined || sent > 0 || core.isDraining()) {
-		return {reason: 'no endpoint can take it', retryAfterMs: 100};
+		return {reason: 'no endpoint can take it', retryAfterMs: findRetryAfterMs(core, request) ?? defaultRetryMs};
 	}
 
 	return new Promise(resolve => {
--- a/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
+++ b/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
@@ -70,8 +70,8 @@
 };
 
 /** Whether an endpoint said itself that it can't take a request for this model, or has ended. */
-const hasDeclined = (endpoint: FleetEndpoint, {isReplaced, absentUntil, lacks}: EndpointKnowledge, name: string, now: number): boolean =>
-	isReplaced || now < absentUntil || lacks.get(name) === endpoint.revision;
+const hasDeclined = (endpoint: FleetEndpoint, {isReplaced, isLeaving, absentUntil, lacks}: EndpointKnowledge, name: string, now: number): boolean =>
+	isReplaced || isLeaving || now < absentUntil || lacks.get(name) === endpoint.revision;
 
 /** Whether others are to be preferred: it failed lately, sends nothing, or control hears nothing of it and neither does this entry. */
 const isDoubtful = (endpoint: FleetEndpoint, {suspectUntil, inFlight, heardAt, busySince}: EndpointKnowledge, now: number): boolean => {
--- a/packages/mastvalve-gateway/src/routing/endpoint-board.ts
+++ b/packages/mastvalve-gateway/src/routing/endpoint-board.ts
@@ -3,7 +3,7 @@
  */
 
 import {
-	EndpointBackoff, LimitWordKind, type LimitWord,
+	AdmissionKind, EndpointBackoff, LimitWordKind, type LimitWord,
 } from 'mastvalve-limits';
 import type {ReportedLoad} from '../dialect.js';
 
@@ -41,6 +41,8 @@
 	backoff: EndpointBackoff;
 	/** Whether another endpoint was met at its address. */
 	isReplaced: boolean;
+	/** Whether it said that it is leaving; it doesn't come back under this identity. */
+	isLeaving: boolean;
 };
 
 /** First time for which others are preferred after a failure, ms; doubles with each failure in a row. */
@@ -96,7 +98,7 @@
 
 	find(id: string): EndpointKnowledge {
 		const knowledge = this.known.get(id) ?? {
-			inFlight: 0, unread: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, delay: 0, delayAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, absentUntil: 0, heardAt: Number.NEGATIVE_INFINITY, busySince: 0, lacks: new Map<string, number>(), roomAt: 0, limitWord: {kind: LimitWordKind.Absent}, backoff: new EndpointBackoff(), isReplaced: false,
+			inFlight: 0, unread: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, delay: 0, delayAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, absentUntil: 0, heardAt: Number.NEGATIVE_INFINITY, busySince: 0, lacks: new Map<string, number>(), roomAt: 0, limitWord: {kind: LimitWordKind.Absent}, backoff: new EndpointBackoff(), isReplaced: false, isLeaving: false,
 		};
 		this.known.set(id, knowledge);
 		return knowledge;
@@ -187,6 +189,24 @@
 		this.announce();
 	}
 
+	/** An answer said that it is leaving; whether that is news. */
+	recordLeaving(id: string): boolean {
+		const knowledge = this.find(id);
+		const isNews = !knowledge.isLeaving;
+		knowledge.isLeaving = true;
+		if (isNews) {
+			this.announce();
+		}
+
+		return isNews;
+	}
+
+	/** Whether a request that was to go there may still be sent. */
+	admits(id: string): boolean {
+		const {isLeaving, backoff} = this.find(id);
+		return !isLeaving && backoff.judge(this.now()).kind === AdmissionKind.Now;
+	}
+
 	recordSuccess(id: string): void {
 		const knowledge = this.find(id);
 		knowledge.failures = 0;
--- /dev/null
+++ b/packages/mastvalve-gateway/src/routing/forget-ended.ts
@@ -0,0 +1,15 @@
+/**
+ * Drops what an entry has learned of endpoints once control says that they have ended.
+ */
+
+import type {FleetView} from '../fleet/fleet-view.js';
+import type {EndpointBoard} from './endpoint-board.js';
+import type {ModelDemand} from './model-demand.js';
+
+/** Follows the view. */
+export const forgetEnded = (view: FleetView, board: EndpointBoard, demand: ModelDemand): void => {
+	view.subscribe(() => {
+		board.keepOnly(id => view.knows(id));
+		demand.keepLeaving(id => view.isInUse(id));
+	});
+};
--- a/packages/mastvalve-gateway/src/routing/model-demand.ts
+++ b/packages/mastvalve-gateway/src/routing/model-demand.ts
@@ -16,6 +16,7 @@
 	private urgent: Record<string, number> = {};
 	private suspects = new Set<string>();
 	private absent = new Set<string>();
+	private leaving = new Set<string>();
 	private readonly waiting = new Map<string, Waiting>();
 
 	constructor(private readonly entry: string, private readonly now: () => number, private readonly onUrgent: () => void, private readonly headTimes: HeadTimes) {}
@@ -43,6 +44,19 @@
 		}
 	}
 
+	/** An answer of an endpoint said that it is leaving. */
+	recordLeaving(endpointId: string): void {
+		if (!this.leaving.has(endpointId)) {
+			this.leaving.add(endpointId);
+			this.onUrgent();
+		}
+	}
+
+	/** Forgets leaving endpoints of which control knows it. */
+	keepLeaving(isUnknownToControl: (id: string) => boolean): void {
+		this.leaving = new Set([...this.leaving].filter(id => isUnknownToControl(id)));
+	}
+
 	/** A request waits for what no endpoint holds; the result ends that. */
 	wait(service: string, model: string, adapter: string | undefined, deadlineAt: number): () => void {
 		const key = `${service} ${formatModel(model, adapter)}`;
@@ -78,6 +92,7 @@
 			headMs: this.headTimes.list(),
 			suspects: [...suspects],
 			absent: [...absent],
+			leaving: [...this.leaving],
 			wanted: [...this.waiting.values()].map(({service, model, adapter, deadlines}): Wanted => ({
 				service, model, adapter, waiting: deadlines.length, remainingMs: Math.round(Math.min(...deadlines) - now),
 			})),
--- a/packages/mastvalve-gateway/src/server/gateway-node.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-node.ts
@@ -18,6 +18,7 @@
 import {probeListener} from '../quarantine/probe-listener.js';
 import {RequestQuarantine} from '../quarantine/request-quarantine.js';
 import {EndpointBoard} from '../routing/endpoint-board.js';
+import {forgetEnded} from '../routing/forget-ended.js';
 import {HeadTimes} from '../routing/head-times.js';
 import {ModelDemand} from '../routing/model-demand.js';
 import {RetryAllowance, type RetryBounds} from '../routing/retry-allowance.js';
@@ -97,7 +98,8 @@
 		}, headTimes);
 		this.crashReporter = new CrashReporter({client, listTargets: () => this.listControl()});
 		const quarantine = new RequestQuarantine(this.view, now);
-		const board = this.createBoard(now);
+		const board = new EndpointBoard(now);
+		forgetEnded(this.view, board, this.demand);
 		const limits = new LimitClient({
 			// Another life of the entry has another history.
 			entry: `${instance} ${random()}`,
@@ -184,12 +186,4 @@
 		});
 		return watch;
 	}
-
-	private createBoard(now: () => number): EndpointBoard {
-		const board = new EndpointBoard(now);
-		this.view.subscribe(() => {
-			board.keepOnly(id => this.view.knows(id));
-		});
-		return board;
-	}
 }
