What is known of endpoints outlives a whole state that arrives in parts

Found by reading while the backoff was built: an entry that gets the whole state of the fleet in parts (after a new follow, or behind a slow link) forgot what it had learned of endpoints that are not in the first part, with it their backoff, that they are leaving, and which models they lack.

--- a/packages/mastvalve-gateway/__tests__/endpoint-backoff.feature
+++ b/packages/mastvalve-gateway/__tests__/endpoint-backoff.feature
@@ -53,3 +53,9 @@
     And 20 requests come within 1000 ms, at one entry after the other
     Then endpoint 0 got 1 request
     And every request was refused within 300 ms and told to come back after 3000 to 5500 ms
+
+  # Endpoints were missing from the first part of a whole state; what the entry knew of them was forgotten.
+  Scenario: A backoff outlives a whole state that arrives in parts
+    Given a view of 2 endpoints, one of which has asked for backoff
+    When a whole state arrives whose first part lacks that endpoint
+    Then the endpoint is still backed off from
