Entries learn how many requests in progress an endpoint refuses

Backing off for the full time alone halves the goodput of an endpoint that gets a little more than it takes: each refusal costs its entry the whole backoff, after which all requests return.

--- a/packages/mastvalve-gateway/src/routing/endpoint-board.ts
+++ b/packages/mastvalve-gateway/src/routing/endpoint-board.ts
@@ -121,21 +121,25 @@
 			unread = 0;
 		};
 
-		const answerBackoff = knowledge.backoff.begin();
-		const answer = (isTaken: boolean): void => {
-			if (answerBackoff(isTaken)) {
+		const backoffUse = knowledge.backoff.begin();
+		const announceIf = (mayTakeMore: boolean): void => {
+			if (mayTakeMore) {
 				this.announce();
 			}
 		};
 
+		const answer = (isTaken: boolean): void => {
+			announceIf(backoffUse.answer(isTaken));
+		};
+
 		return {
 			read,
 			answer,
 			end() {
 				read();
-				answer(false);
 				knowledge.inFlight -= isOpen ? 1 : 0;
 				isOpen = false;
+				announceIf(backoffUse.end());
 			},
 		};
 	}
--- a/packages/mastvalve-limits/src/endpoint-backoff.ts
+++ b/packages/mastvalve-limits/src/endpoint-backoff.ts
@@ -2,6 +2,10 @@
  * What one entry may send to an endpoint that has refused a request and asked for backoff: nothing until the backoff is over, then a
  * single request, and twice as many at a time with each round that it takes (slow start).
  *
+ * The load pattern that it answers besides an outage: an endpoint that gets a little more than it takes. Each refusal there costs the
+ * entry a whole backoff, so an endpoint that refuses again after it took requests is kept below the number of requests in progress at
+ * which it did, and that number is raised seldom.
+ *
  * A backoff is never shortened: each refusal counts from its own moment, whatever a later one says. It holds for one incarnation of
  * the endpoint. Plain state: no clock.
  */
@@ -12,13 +16,32 @@
 const jitterShare = 0.1;
 /** Slow start is over once so many requests may be in progress without an answer. */
 const maxWindow = 64;
+/** Part of the requests in progress at a refusal that may be in progress afterwards. */
+const ceilingShare = 0.8;
+/** A raise of the ceiling that goes too far costs a backoff, so raises are this many backoffs apart. */
+const raisePause = 10;
+/** A raise adds this share, and one request at least. */
+const raiseShare = 0.1;
+
+/** A request that was sent to the endpoint. */
+export type BackoffUse = {
+	/** Its answer has begun; whether the endpoint took the request. The result says whether more may be sent now than before. */
+	answer: (isTaken: boolean) => boolean;
+	/** It is over; the result says the same. */
+	end: () => boolean;
+};
 
 /** The state of one endpoint. Times are monotonic, ms. */
 export class EndpointBackoff {
 	private until = Number.NEGATIVE_INFINITY;
 	/** Requests that may be without an answer at once; undefined for any number. */
 	private window: number | undefined;
+	/** Requests that may be in progress at once; undefined until a refusal has shown that there is such a number. */
+	private ceiling: number | undefined;
+	private raiseAt = Number.POSITIVE_INFINITY;
+	private raisePauseMs = 0;
 	private unanswered = 0;
+	private inProgress = 0;
 	/** Rises with each refusal, so that requests from before it don't count in the window after it. */
 	private round = 0;
 	/** Whether it took a request since the last backoff was over. */
@@ -33,8 +56,7 @@
 	/** It has refused a request and asked for `delayMs` without any; `random` is in [0, 1). */
 	recordRefusal(now: number, delayMs: number, random: number): void {
 		if (now >= this.until) {
-			this.isReliableNow = this.hasTaken;
-			this.hasTaken = false;
+			this.beginBackoff(now, delayMs);
 		}
 
 		this.until = Math.max(this.until, now + (delayMs * (1 + (jitterShare * random))));
@@ -49,28 +71,63 @@
 			return {kind: AdmissionKind.At, at: this.until};
 		}
 
-		return this.window !== undefined && this.unanswered >= this.window ? {kind: AdmissionKind.AfterAnswer} : {kind: AdmissionKind.Now};
+		this.raiseCeiling(now);
+		const isFull = this.unanswered >= (this.window ?? Number.POSITIVE_INFINITY) || this.inProgress >= Math.floor(this.ceiling ?? Number.POSITIVE_INFINITY);
+		return {kind: isFull ? AdmissionKind.AfterAnswer : AdmissionKind.Now};
 	}
 
-	/** A request is sent. The result is called when it is answered or over, with whether the endpoint took it; it says whether another request may be sent now. */
-	begin(): (isTaken: boolean) => boolean {
+	/** A request is sent. */
+	begin(): BackoffUse {
 		const {round} = this;
+		let isUnanswered = true;
 		let isOpen = true;
 		this.unanswered += 1;
-		return isTaken => {
-			if (!isOpen || round !== this.round) {
+		this.inProgress += 1;
+		const answer = (isTaken: boolean): boolean => {
+			const isCounted = isUnanswered && round === this.round;
+			isUnanswered = false;
+			if (!isCounted) {
 				return false;
 			}
 
-			isOpen = false;
-			this.unanswered -= 1;
 			const wasRestricted = this.window !== undefined;
+			this.unanswered -= 1;
 			if (isTaken) {
 				this.widen();
 			}
 
 			return wasRestricted;
 		};
+
+		return {
+			answer,
+			end: () => {
+				const hasWidened = answer(false);
+				this.inProgress -= isOpen ? 1 : 0;
+				isOpen = false;
+				return hasWidened || this.ceiling !== undefined;
+			},
+		};
+	}
+
+	/** A refusal after the endpoint had taken requests again tells how many in progress are too many; the first one may be of an outage. */
+	private beginBackoff(now: number, delayMs: number): void {
+		const others = this.inProgress - 1;
+		if (this.hasTaken && others > 0) {
+			this.ceiling = Math.max(1, Math.min(others, this.ceiling ?? Number.POSITIVE_INFINITY) * ceilingShare);
+		}
+
+		this.raisePauseMs = delayMs * raisePause;
+		this.raiseAt = now + delayMs + this.raisePauseMs;
+		this.isReliableNow = this.hasTaken;
+		this.hasTaken = false;
+	}
+
+	private raiseCeiling(now: number): void {
+		if (this.ceiling !== undefined && now >= this.raiseAt) {
+			this.ceiling += Math.max(1, this.ceiling * raiseShare);
+			this.raiseAt = now + this.raisePauseMs;
+		}
 	}
 
 	private widen(): void {
