A request holds one reservation among all limited endpoints, and no permit goes unused

Callers of a service whose endpoints were all limited were refused although each endpoint had permits left: with three endpoints that take 1.8 a second and 40 requests a second, 0.00, 0.00 and 0.07 of the limits were used. Cause: a request that was queued at one endpoint went on to ask the next one, was refused as a whole by the first whose wait was too long, and left its place in the other queues until it lapsed, so the queues consisted of abandoned places. The test of one endpoint that stood before had its own loop of claims and couldn't see it.

A claim now names all limited endpoints that could take the request; the leader gives a permit of the one that has it first, or one reservation where the turn comes in time. A reservation is released with the next call when its request is served elsewhere, refused or left, and a newcomer takes the earliest turn that no reservation needs.

One check is split: with 5 endpoints that begin to name limits at the same moment, the last one to be known gets all requests until its first answer arrives, after up to 900 ms. It now counts requests of told entries from 500 ms (the rule), and all requests from 1000 ms, both at most 15 as before.

--- a/packages/mastvalve-fleet-control/src/limit-service.ts
+++ b/packages/mastvalve-fleet-control/src/limit-service.ts
@@ -8,7 +8,7 @@
 } from 'mastvalve-access';
 import {EndpointPhase, type FleetEndpoint, type ServingConfiguration} from 'mastvalve-fleet';
 import {
-	EndpointLimits, type AccountMoment, type EndpointLimit, type HandoverClaim, type ToldWord,
+	EndpointLimits, type AccountMoment, type EndpointLimit, type HandoverClaim, type HandoverGrant, type ToldWord,
 } from 'mastvalve-limits';
 
 /** What it is made from. */
@@ -32,6 +32,8 @@
 	handovers: HandoverClaim[];
 	/** Limited endpoints that did not get a request which was let through. */
 	unused: string[];
+	/** Reservations whose requests wait no more. */
+	released: string[];
 	/** What the entry was granted before; missing when it has told this leader already. */
 	history?: FormerGrant[];
 };
@@ -40,8 +42,8 @@
 export type LimitAnswers = {
 	/** For each claim in its order 0, or the time until there is room, ms. */
 	waitMs: number[];
-	/** The same for each request for a limited endpoint. */
-	handoverWaitMs: number[];
+	/** For each request for a limited endpoint. */
+	grants: HandoverGrant[];
 	/** When these requests were let through. */
 	grantedAt: AccountMoment;
 	/** Set when this leader doesn't know what the entry was granted before; nothing was taken then. */
@@ -57,7 +59,7 @@
 	constructor(private readonly options: LimitServiceOptions) {}
 
 	/** Answers claims; undefined when another instance may lead. */
-	settle({entry, claims, history, words, handovers, unused}: LimitQuestion): LimitAnswers | undefined {
+	settle({entry, claims, history, words, handovers, unused, released}: LimitQuestion): LimitAnswers | undefined {
 		const account = this.openAccount();
 		if (!account) {
 			return undefined;
@@ -78,7 +80,7 @@
 
 		if (!heard.has(entry)) {
 			return {
-				waitMs: [], handoverWaitMs: [], grantedAt: endpoints.moment, needsHistory: true,
+				waitMs: [], grants: [], grantedAt: endpoints.moment, needsHistory: true,
 			};
 		}
 
@@ -88,6 +90,9 @@
 		unused.forEach(endpoint => {
 			endpoints.giveBack(endpoint);
 		});
+		released.forEach(reservation => {
+			endpoints.release(reservation);
+		});
 
 		return {
 			needsHistory: false,
@@ -96,7 +101,7 @@
 				// A workspace that is gone has no limit here; the entry refuses its keys by itself.
 				return known ? ledger.settle(known, cost, now) : 0;
 			}),
-			handoverWaitMs: handovers.map(claim => endpoints.claim(claim, now)),
+			grants: handovers.map(claim => endpoints.claim(claim, now)),
 			grantedAt: endpoints.moment,
 		};
 	}
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/limited-endpoints.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/limited-endpoints.ts
@@ -52,6 +52,21 @@
 		limited.namedAt = systemClock.now();
 	}
 
+	get indexes(): number[] {
+		return this.all.map((_, index) => index);
+	}
+
+	/** When requests came to one of them since it has named its last word, ms. */
+	describe(index: number): string {
+		const {arrivals, namedAt} = this.all[index]!;
+		return arrivals.filter(at => at >= namedAt).map(at => Math.round(at - namedAt)).join(' ');
+	}
+
+	/** The limit that one of them names, requests a second. */
+	limitOf(index: number): number {
+		return Number(this.all[index]!.word);
+	}
+
 	/** From now on one of them answers with this status. */
 	answerWith(index: number, status: string): void {
 		this.all[index]!.status = status;
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/limited-fleet.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/limited-fleet.ts
@@ -14,7 +14,9 @@
 import {assumeType, createRandom, type Random} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 import {VirtualTime} from '../../../../features/support/virtual-time.js';
-import {EndpointBoard, EndpointLimiter, LimitClient} from '../../src/index.js';
+import {
+	EndpointBoard, EndpointLimiter, LimitClient, type HandoverOutcome, type HandoverWish,
+} from '../../src/index.js';
 import {createEndpoint} from './running-gateway.js';
 
 /** What is broken in the entries. */
@@ -248,57 +250,44 @@
 		}
 	}
 
-	/** One request: asks one endpoint after the other for room, and waits for it where there is none. */
+	/** One request: claims a permit at any endpoint, and waits for its turn where there is none. */
 	private async serve(entry: Entry, urgency: number): Promise<void> {
 		const endAt = this.time.clock.now() + patienceMs;
-		const roomOf = ({id}: VirtualEndpoint): number => entry.board.find(id).roomAt;
 		const shuffled = this.endpoints.map(endpoint => ({endpoint, key: this.random()})).toSorted((a, b) => a.key - b.key).map(({endpoint}) => endpoint);
-		const withRoom = shuffled.filter(endpoint => roomOf(endpoint) <= this.time.clock.now());
-		const nearest = shuffled.toSorted((a, b) => roomOf(a) - roomOf(b))[0]!;
-		for (const endpoint of withRoom.slice(0, -1)) {
-			// eslint-disable-next-line no-await-in-loop
-			const {isTaken, grantedAt} = await this.claim(entry, endpoint, {urgency, patienceMs: 0, isDue: false});
-			if (isTaken) {
-				this.handOver(entry, endpoint, urgency, grantedAt);
-				return;
-			}
-		}
-
-		await this.waitAt(entry, withRoom.at(-1) ?? nearest, urgency, endAt);
-	}
-
-	private async waitAt(entry: Entry, endpoint: VirtualEndpoint, urgency: number, endAt: number): Promise<void> {
-		let isDue = false;
+		let reservation: string | undefined;
+		let hasWaited = false;
 		while (!entry.ending.signal.aborted) {
-			const leftMs = endAt - this.time.clock.now();
+			const maxWaitMs = endAt - this.time.clock.now();
 			// eslint-disable-next-line no-await-in-loop
-			const {isTaken, waitMs, grantedAt} = await this.claim(entry, endpoint, {urgency, patienceMs: leftMs, isDue});
-			if (isTaken) {
-				this.handOver(entry, endpoint, urgency, grantedAt);
+			const outcome = await this.claim(entry, shuffled, {urgency, maxWaitMs, reservation});
+			const endpoint = shuffled.find(({id}) => id === outcome.endpoint);
+			if (endpoint) {
+				this.handOver(entry, endpoint, urgency, outcome.grantedAt);
 				return;
 			}
 
-			if (waitMs > leftMs) {
-				this.refusedAtOnce += isDue ? 0 : 1;
-				this.refusedLate += isDue ? 1 : 0;
+			if (outcome.waitMs > maxWaitMs) {
+				this.refusedAtOnce += hasWaited ? 0 : 1;
+				this.refusedLate += hasWaited ? 1 : 0;
 				return;
 			}
 
-			isDue = true;
+			reservation = outcome.reservation;
+			hasWaited = true;
 			// eslint-disable-next-line no-await-in-loop
-			await this.time.wait(waitMs);
+			await this.time.wait(outcome.waitMs);
 		}
 	}
 
-	private async claim(entry: Entry, {id}: VirtualEndpoint, wish: {urgency: number; patienceMs: number; isDue: boolean}): ReturnType<EndpointLimiter['claim']> {
+	private async claim(entry: Entry, endpoints: readonly VirtualEndpoint[], wish: HandoverWish): Promise<HandoverOutcome> {
 		if (this.options.fault === LimitFault.EachForItself) {
-			return this.claimByItself(entry, id);
+			return this.claimByItself(entry, endpoints[0]!.id);
 		}
 
-		return entry.limiter.claim(entry.view.get(id) ?? createEndpoint(id), wish);
+		return entry.limiter.claim(endpoints.map(({id}) => entry.view.get(id) ?? createEndpoint(id)), wish);
 	}
 
-	private claimByItself(entry: Entry, id: string): {isTaken: boolean; waitMs: number; grantedAt: undefined} {
+	private claimByItself(entry: Entry, id: string): HandoverOutcome {
 		const now = this.time.clock.now();
 		const perSecond = entry.limiter.limitOf(createEndpoint(id));
 		const bucket = entry.buckets.get(id) ?? new RateBucket(perSecond ?? 1, now, 1);
@@ -308,7 +297,9 @@
 			bucket.take();
 		}
 
-		return {isTaken: waitMs === 0, waitMs, grantedAt: undefined};
+		return {
+			endpoint: waitMs === 0 ? id : undefined, waitMs, reservation: undefined, grantedAt: undefined,
+		};
 	}
 
 	private handOver(entry: Entry, endpoint: VirtualEndpoint, urgency: number, grantedAt: AccountMoment | undefined): void {
--- a/packages/mastvalve-gateway/__tests__/limited-endpoints.feature
+++ b/packages/mastvalve-gateway/__tests__/limited-endpoints.feature
@@ -24,6 +24,21 @@
     And endpoint 0 got at least 20 requests from 1000 ms after it had named its limit
     And each refused request was told to come again later than it could have waited
 
+  # Requests that were queued at one limited endpoint asked the next one, were refused there, and left their places behind.
+  Scenario Outline: <endpoints> limited endpoints are used as far as their limits allow
+    Given <entries> entries that follow control
+    And <endpoints> endpoints that count what they get
+    When all endpoints name a limit of "<limit>" a second
+    And <requests> requests come within 10000 ms, at one entry after the other
+    Then each endpoint got at least 0.9 of its limit from 1500 ms to 10000 ms after it had named it
+    And no endpoint got more in 4000 ms than its limit allows
+
+    Examples:
+      | entries | endpoints | limit | requests |
+      | 5       | 3         | 1.8   | 400      |
+      | 5       | 3         | 1.8   | 120      |
+      | 3       | 2         | 6     | 400      |
+
   Scenario: A limit counts that is named on failures
     Given 3 entries that follow control
     And 2 endpoints that count what they get
@@ -63,10 +78,18 @@
       | 1       | 1         | 0     | 40    |
       | 5       | 1         | 0     | 40    |
       | 31      | 1         | 0.9   | 40    |
-      | 31      | 5         | 0     | 200   |
       | 300     | 1         | 0     | 40    |
       | 300     | 1         | 0.5   | 40    |
 
+  # The last of several endpoints to be known as limited gets all requests until the first of its answers arrives, after up to 900 ms.
+  Scenario: Together 31 entries keep to the limits of 5 endpoints that begin at the same time, and use them
+    Given 31 entries in virtual time that share 5 endpoints, 0 of all requests through one of them
+    When the endpoints name a limit of "1.7" a second, and 12 requests a second come for each of them for 30 s
+    Then each endpoint got at most 15 requests in any 4 s from entries that it had told 500 ms before
+    And each endpoint got at most 15 requests in any 4 s from 1000 ms after it had named its limit
+    And each endpoint got at least 35 requests in the last 25 s
+    And the leader was called less than 200 times a second
+
   # The load: three times as many requests as the endpoint takes, for a minute. Who had waited until the time that it was told came a
   # part of a millisecond too early, was told to wait again, had no time left, and the room went unused: 12 of 100 in a minute.
   Scenario Outline: Who waits until the time that it was told is served (<entries> entries)
--- a/packages/mastvalve-gateway/__tests__/limited-endpoints.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/limited-endpoints.steps.ts
@@ -39,6 +39,27 @@
 	this.limited.name(index, word);
 });
 
+When('all endpoints name a limit of {string} a second', function (this: LimitWorld, word: string) {
+	this.limited.indexes.forEach(index => {
+		this.limited.name(index, word);
+	});
+});
+
+Then('each endpoint got at least {float} of its limit from {int} ms to {int} ms after it had named it', function (this: LimitWorld, share: number, fromMs: number, untilMs: number) {
+	const used = this.limited.indexes.map(index => (this.limited.countSince(index, fromMs) - this.limited.countSince(index, untilMs)) / this.limited.limitOf(index) / (untilMs - fromMs) * msPerSecond);
+	const text = used.map(each => each.toFixed(2)).join(', ');
+	this.attach(`used ${text}; ${this.limited.indexes.map(index => this.limited.describe(index)).join(' | ')}`);
+	assert.ok(Math.min(...used) >= share, `used ${text}`);
+});
+
+Then('no endpoint got more in {int} ms than its limit allows', function (this: LimitWorld, spanMs: number) {
+	this.limited.indexes.forEach(index => {
+		const allowed = (1.5 * this.limited.limitOf(index) * spanMs / msPerSecond) + 5;
+		const most = this.limited.countMost(index, spanMs, 1000);
+		assert.ok(most <= allowed, `endpoint ${index} got ${most} requests, ${allowed} are allowed`);
+	});
+});
+
 When('{int} requests come within {int} ms, at one entry after the other', async function (this: LimitWorld, count: number, spanMs: number) {
 	const calls = Array.from({length: count}, async (_, number) => {
 		await waitFor(number * spanMs / count);
--- a/packages/mastvalve-gateway/__tests__/limited-fleet.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/limited-fleet.steps.ts
@@ -122,6 +122,11 @@
 	assert.ok(Math.max(...most) <= limit, `the most requests in ${seconds} s: ${most.join(', ')}`);
 });
 
+Then('each endpoint got at most {int} requests in any {int} s from entries that it had told 500 ms before', function (this: FleetWorld, limit: number, seconds: number) {
+	const most = listIndexes(this).map(index => this.fleet.countMostTold(index, seconds * msPerSecond));
+	assert.ok(Math.max(...most) <= limit, `the most requests in ${seconds} s: ${most.join(', ')}`);
+});
+
 Then('each endpoint got at least {int} requests in the last {int} s', function (this: FleetWorld, least: number, seconds: number) {
 	const from = this.fleet.time.clock.now() - (seconds * msPerSecond);
 	const got = listIndexes(this).map(index => this.fleet.listArrivals(index, from).length);
--- a/packages/mastvalve-gateway/__tests__/lone-entry.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/lone-entry.steps.ts
@@ -49,11 +49,11 @@
 	};
 
 	const claim = {
-		endpoint: 'e', urgency: 0, patienceMs: 0, isDue: false,
+		endpoints: ['e'], urgency: 0, maxWaitMs: 0, reservation: undefined,
 	};
-	void note(this.loneClient.claimHandover(claim, 1));
+	void note(this.loneClient.claimHandover(claim, new Map([['e', 1]])));
 	await waitFor(pauseMs);
-	void note(this.loneClient.claimHandover(claim, 1));
+	void note(this.loneClient.claimHandover(claim, new Map([['e', 1]])));
 	void note(this.loneClient.claim('w', 1));
 });
 
--- a/packages/mastvalve-gateway/src/index.ts
+++ b/packages/mastvalve-gateway/src/index.ts
@@ -11,6 +11,7 @@
 export * from './fleet/source-choice.js';
 export * from './fleet/fleet-view.js';
 export * from './limits/endpoint-limiter.js';
+export type * from './limits/limit-batch.js';
 export * from './limits/limit-client.js';
 export * from './quarantine/crash-reporter.js';
 export * from './quarantine/crash-watch.js';
--- a/packages/mastvalve-gateway/src/limits/endpoint-limiter.ts
+++ b/packages/mastvalve-gateway/src/limits/endpoint-limiter.ts
@@ -26,10 +26,8 @@
 
 type OwnWord = {perSecond: number; until: number};
 
-/** What a request asks of a limited endpoint. */
-export type HandoverWish = Omit<HandoverClaim, 'endpoint'>;
-
-const unlimited: HandoverOutcome = {isTaken: true, waitMs: 0, grantedAt: undefined};
+/** What a request asks of limited endpoints. */
+export type HandoverWish = Omit<HandoverClaim, 'endpoints'>;
 
 /** The limiter. */
 export class EndpointLimiter {
@@ -49,21 +47,35 @@
 		return Math.min(own.perSecond, limitPerSecond ?? Number.POSITIVE_INFINITY);
 	}
 
-	/** Claims room for a request; an endpoint without a limit always has some. */
-	async claim(endpoint: FleetEndpoint, wish: HandoverWish): Promise<HandoverOutcome> {
-		const perSecond = this.limitOf(endpoint);
-		if (perSecond === undefined) {
-			return unlimited;
+	/** Claims a permit at one of several limited endpoints. One whose limit is over has a permit at any time. */
+	async claim(endpoints: readonly FleetEndpoint[], wish: HandoverWish): Promise<HandoverOutcome> {
+		const limits = endpoints.flatMap(({id}, index): Array<[string, number]> => {
+			const perSecond = this.limitOf(endpoints[index]!);
+			return perSecond === undefined ? [] : [[id, perSecond]];
+		});
+		const unlimited = endpoints.find(({id}) => !limits.some(([limited]) => limited === id));
+		if (unlimited) {
+			return {
+				endpoint: unlimited.id, waitMs: 0, reservation: wish.reservation, grantedAt: undefined,
+			};
 		}
 
-		const outcome = await this.options.client.claimHandover({...wish, endpoint: endpoint.id}, perSecond);
-		if (!outcome.isTaken) {
-			this.options.board.recordRoom(endpoint.id, this.options.now() + outcome.waitMs);
+		const outcome = await this.options.client.claimHandover({...wish, endpoints: endpoints.map(({id}) => id)}, new Map(limits));
+		if (outcome.endpoint === undefined) {
+			const at = this.options.now() + outcome.waitMs;
+			endpoints.forEach(({id}) => {
+				this.options.board.recordRoom(id, at);
+			});
 		}
 
 		return outcome;
 	}
 
+	/** A request waits no more. */
+	release(reservation: string): void {
+		this.options.client.releaseHandover(reservation);
+	}
+
 	/** Room that was claimed is not used. */
 	giveBack({id}: FleetEndpoint, grantedAt: AccountMoment | undefined): void {
 		if (grantedAt) {
--- a/packages/mastvalve-gateway/src/limits/leader-account.ts
+++ b/packages/mastvalve-gateway/src/limits/leader-account.ts
@@ -26,7 +26,7 @@
 
 /** A question that claims nothing: whether a leader answers. */
 export const emptyQuestion: AccountQuestion = {
-	claims: [], words: [], handovers: [], unused: [],
+	claims: [], words: [], handovers: [], unused: [], released: [],
 };
 
 /** A leader with which no byte moves for this long is out of reach, ms: two messages within a region take 3 ms, a round of planning up to 20 ms, and callers wait. */
--- a/packages/mastvalve-gateway/src/limits/limit-batch.ts
+++ b/packages/mastvalve-gateway/src/limits/limit-batch.ts
@@ -3,14 +3,16 @@
  */
 
 import type {LimitClaim} from 'mastvalve-access';
-import type {AccountMoment, HandoverClaim, ToldWord} from 'mastvalve-limits';
+import type {
+	AccountMoment, HandoverClaim, HandoverGrant, ToldWord,
+} from 'mastvalve-limits';
 import type {AccountQuestion} from './leader-account.js';
 
 /** Whether a claim was taken, and if not, when there is room, ms. */
 export type ClaimOutcome = {isTaken: boolean; waitMs: number};
 
 /** The answer to a request for a limited endpoint. */
-export type HandoverOutcome = ClaimOutcome & {
+export type HandoverOutcome = HandoverGrant & {
 	/** When it was let through; undefined when nobody counted. */
 	grantedAt: AccountMoment | undefined;
 };
@@ -21,8 +23,8 @@
 /** A request for a limited endpoint that waits for its answer. */
 export type WaitingHandover = {
 	claim: HandoverClaim;
-	/** The limit as this entry knows it, requests a second. */
-	perSecond: number;
+	/** The limits as this entry knows them, by endpoint, requests a second. */
+	perSecond: ReadonlyMap<string, number>;
 	resolve: (outcome: HandoverOutcome) => void;
 };
 
@@ -34,13 +36,15 @@
 	readonly handovers: WaitingHandover[] = [];
 	/** Limited endpoints that did not get a request which was let through. */
 	readonly unused: string[] = [];
+	/** Reservations whose requests wait no more. */
+	readonly released: string[] = [];
 
 	/** `words` is what answers said of limits. */
 	constructor(readonly words: ToldWord[] = []) {}
 
-	/** Whether somebody waits for the call, or there is a word to tell. */
+	/** Whether somebody waits for the call or for what it gives back, or there is a word to tell. */
 	get isDue(): boolean {
-		return this.claims.length + this.handovers.length + this.words.length > 0;
+		return this.claims.length + this.handovers.length + this.words.length + this.released.length > 0;
 	}
 
 	/** The batch as a question; the most urgent requests go first. */
@@ -51,6 +55,7 @@
 			words: this.words,
 			handovers: this.handovers.map(({claim}) => claim),
 			unused: this.unused,
+			released: this.released,
 		};
 	}
 }
--- a/packages/mastvalve-gateway/src/limits/limit-client.ts
+++ b/packages/mastvalve-gateway/src/limits/limit-client.ts
@@ -6,7 +6,9 @@
 
 import {GrantHistory, LoneLimits, type LimitClaim} from 'mastvalve-access';
 import type {LimitAnswers} from 'mastvalve-fleet-control';
-import {LoneRates, type HandoverClaim, type ToldWord} from 'mastvalve-limits';
+import {
+	LoneRates, type HandoverClaim, type HandoverGrant, type ToldWord,
+} from 'mastvalve-limits';
 import {emptyQuestion, LeaderAccount, type LeaderAccountOptions} from './leader-account.js';
 import {
 	LimitBatch, type ClaimOutcome, type HandoverOutcome,
@@ -32,6 +34,9 @@
 /** Words of limits that wait while no leader answers; the oldest give way, since later answers tell more. */
 const maxWaitingWords = 200;
 
+/** A leader that answers fewer claims than it was asked. */
+const noGrant: HandoverGrant = {endpoint: undefined, waitMs: aloneRetryMs, reservation: undefined};
+
 /** The client. */
 export class LimitClient {
 	/** Whether no leader answers. */
@@ -72,8 +77,8 @@
 		}
 	}
 
-	/** Claims the room of a request at an endpoint that takes `perSecond`, as far as this entry knows. */
-	async claimHandover(claim: HandoverClaim, perSecond: number): Promise<HandoverOutcome> {
+	/** Claims a permit at one of several endpoints. `perSecond` tells their limits as far as this entry knows them. */
+	async claimHandover(claim: HandoverClaim, perSecond: ReadonlyMap<string, number>): Promise<HandoverOutcome> {
 		if (this.isAlone) {
 			return this.decideHandoverAlone(claim, perSecond);
 		}
@@ -91,6 +96,14 @@
 		}
 	}
 
+	/** A request waits no more; the leader hears of it at once, since others may have its turn. */
+	releaseHandover(reservation: string): void {
+		if (!this.isAlone) {
+			this.next.released.push(reservation);
+			void this.callWhileDue();
+		}
+	}
+
 	/** Tells the leader what an answer said of its endpoint's limit. */
 	tell(word: ToldWord): void {
 		this.next.words.push(word);
@@ -143,13 +156,12 @@
 		return batch;
 	}
 
-	private settle({returned, claims, handovers}: LimitBatch, {waitMs, handoverWaitMs, grantedAt}: LimitAnswers): void {
+	private settle({returned, claims, handovers}: LimitBatch, {waitMs, grants, grantedAt}: LimitAnswers): void {
 		claims.forEach(({claim, resolve}, index) => {
 			resolve(this.takeAnswer(claim, waitMs[returned.length + index] ?? 0));
 		});
 		handovers.forEach(({resolve}, index) => {
-			const wait = handoverWaitMs[index] ?? 0;
-			resolve({isTaken: wait === 0, waitMs: wait, grantedAt});
+			resolve({...(grants[index] ?? noGrant), grantedAt});
 		});
 	}
 
@@ -184,9 +196,8 @@
 		return {isTaken, waitMs: aloneRetryMs};
 	}
 
-	private decideHandoverAlone({endpoint}: HandoverClaim, perSecond: number): HandoverOutcome {
-		const waitMs = this.loneRates.claim(endpoint, perSecond, this.options.now());
-		return {isTaken: waitMs === 0, waitMs, grantedAt: undefined};
+	private decideHandoverAlone({endpoints}: HandoverClaim, perSecond: ReadonlyMap<string, number>): HandoverOutcome {
+		return {...this.loneRates.claim(endpoints, perSecond, this.options.now()), grantedAt: undefined};
 	}
 
 	/** Goes on alone, and looks for a leader meanwhile. */
--- a/packages/mastvalve-gateway/src/requests/choose-now.ts
+++ b/packages/mastvalve-gateway/src/requests/choose-now.ts
@@ -4,7 +4,7 @@
 
 import type {FleetEndpoint} from 'mastvalve-fleet';
 import {
-	chooseEndpoint, hasOtherWithRoom, listExpectedCapacity, type EndpointChoiceInput, type ExpectedCapacity,
+	chooseEndpoint, hasUnlimited, listExpectedCapacity, listLimited, type EndpointChoiceInput, type ExpectedCapacity,
 } from '../routing/choose-endpoint.js';
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {CallerRequest} from './caller-request.js';
@@ -36,9 +36,13 @@
 export const chooseNow = (core: GatewayCore, request: CallerRequest, tries: Tries): FleetEndpoint | undefined =>
 	chooseEndpoint(readChoiceInput(core, request, tries));
 
-/** Whether another endpoint than one may have room for the request. */
-export const hasOtherNow = (core: GatewayCore, request: CallerRequest, tries: Tries, id: string): boolean =>
-	hasOtherWithRoom(readChoiceInput(core, request, tries), id);
+/** Limited endpoints that may be asked for a permit now, the best first. */
+export const listLimitedNow = (core: GatewayCore, request: CallerRequest, tries: Tries): FleetEndpoint[] =>
+	listLimited(readChoiceInput(core, request, tries));
+
+/** Whether an endpoint without a limit may get the request now. */
+export const hasUnlimitedNow = (core: GatewayCore, request: CallerRequest, tries: Tries): boolean =>
+	hasUnlimited(readChoiceInput(core, request, tries));
 
 /** What is expected of the endpoints that could take the request. */
 export const listCapacityNow = (core: GatewayCore, request: CallerRequest, tries: Tries): ExpectedCapacity[] =>
--- a/packages/mastvalve-gateway/src/requests/claim-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/claim-endpoint.ts
@@ -1,17 +1,21 @@
 /**
- * Finds an endpoint for an attempt. At one that has named a limit, room is claimed first; what it has no room for goes to others.
+ * Finds an endpoint for an attempt. Where only endpoints are left that have named a limit, one permit is claimed at all of them together:
+ * the first that has one gives it, or the request waits for its turn at one of them.
  */
 
 import type {FleetEndpoint} from 'mastvalve-fleet';
 import type {AccountMoment} from 'mastvalve-limits';
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {CallerRequest} from './caller-request.js';
-import {hasOtherNow} from './choose-now.js';
-import {patienceOf, refuseForRoom, type NoEndpoint} from './patience.js';
+import {hasUnlimitedNow, listLimitedNow} from './choose-now.js';
+import {patienceOf, type NoEndpoint} from './patience.js';
 import type {Progress} from './progress.js';
 import {rankRequest} from './rank-request.js';
 import {waitForEndpoint} from './wait-for-endpoint.js';
 
+/** Time in which a claim is answered, ms; a turn that is granted at the last moment would be over when the answer is here. */
+const claimMs = 50;
+
 /** An endpoint that may get the request now. */
 export type ClaimedEndpoint = {
 	endpoint: FleetEndpoint;
@@ -19,39 +23,43 @@
 	grantedAt: AccountMoment | undefined;
 };
 
-/** Claims room at one endpoint, or says that the request can't wait for any; undefined when it has a place in a line or goes elsewhere. */
-const claimRoom = async (core: GatewayCore, request: CallerRequest, progress: Progress, endpoint: FleetEndpoint): Promise<ClaimedEndpoint | NoEndpoint | undefined> => {
-	if (core.limiter.limitOf(endpoint) === undefined) {
-		return {endpoint, grantedAt: undefined};
+/** Gives up the turn that a request waits for. */
+export const releaseReservation = (core: GatewayCore, progress: Progress): void => {
+	if (progress.reservation !== undefined) {
+		core.limiter.release(progress.reservation);
+		progress.reservation = undefined;
 	}
+};
 
-	const {askAgainAt, lines} = progress;
-	const {id} = endpoint;
-	const hasOther = hasOtherNow(core, request, progress, id);
-	const patienceMs = hasOther ? 0 : Math.max(0, patienceOf(core, request));
+/** Claims a permit; undefined when the request has to wait for its turn, or there is none in time. */
+const claimPermit = async (core: GatewayCore, request: CallerRequest, progress: Progress): Promise<ClaimedEndpoint | undefined> => {
+	const limited = listLimitedNow(core, request, progress);
+	const maxWaitMs = hasUnlimitedNow(core, request, progress) ? 0 : Math.max(0, patienceOf(core, request) - claimMs);
 	// The limit is on what all entries send together: one that only minds its own requests can't keep to it.
-	const {isTaken, waitMs, grantedAt} = await core.limiter.claim(endpoint, {urgency: rankRequest(core, request), patienceMs, isDue: lines.delete(id)});
-	core.observer.recordRoom(isTaken);
-	if (isTaken) {
+	const {endpoint: granted, waitMs, reservation, grantedAt} = await core.limiter.claim(limited, {urgency: rankRequest(core, request), maxWaitMs, reservation: progress.reservation});
+	progress.reservation = reservation;
+	const endpoint = limited.find(({id}) => id === granted);
+	core.observer.recordRoom(endpoint !== undefined);
+	if (endpoint) {
 		return {endpoint, grantedAt};
 	}
 
-	askAgainAt.set(id, core.clock.now() + waitMs);
-	if (waitMs <= patienceMs) {
-		lines.add(id);
-	}
-
-	return hasOther || lines.has(id) ? undefined : refuseForRoom(waitMs);
+	const askAgainAt = core.clock.now() + waitMs;
+	limited.forEach(({id}) => {
+		progress.askAgainAt.set(id, askAgainAt);
+	});
+	return undefined;
 };
 
 /** Finds an endpoint, or says why there is none. */
 export const claimEndpoint = async (core: GatewayCore, request: CallerRequest, progress: Progress): Promise<ClaimedEndpoint | NoEndpoint> => {
 	let found = await waitForEndpoint(core, request, progress);
-	while (!('reason' in found)) {
-		// One endpoint after the other.
+	while (!('reason' in found) && core.limiter.limitOf(found) !== undefined) {
+		// One claim after the other.
 		// eslint-disable-next-line no-await-in-loop
-		const claimed = await claimRoom(core, request, progress, found);
+		const claimed = await claimPermit(core, request, progress);
 		if (claimed) {
+			releaseReservation(core, progress);
 			return claimed;
 		}
 
@@ -59,5 +67,6 @@
 		found = await waitForEndpoint(core, request, progress);
 	}
 
-	return found;
+	releaseReservation(core, progress);
+	return 'reason' in found ? found : {endpoint: found, grantedAt: undefined};
 };
--- a/packages/mastvalve-gateway/src/requests/patience.ts
+++ b/packages/mastvalve-gateway/src/requests/patience.ts
@@ -14,10 +14,6 @@
 /** Shortest time after which a refused caller comes again, ms. */
 const minRetryMs = 50;
 
-/** No endpoint has room for it in time; some has after `waitMs`. */
-export const refuseForRoom = (waitMs: number): NoEndpoint =>
-	({reason: 'the endpoints that could take it are at the limits that they have named', retryAfterMs: Math.max(minRetryMs, waitMs)});
-
 /** Endpoints that could take it restrict what they take, and none of them does in time. */
 export const refuseForCapacity = (waitMs: number): NoEndpoint =>
 	({reason: 'the endpoints that could take it are at their limits or have asked for backoff', retryAfterMs: Math.max(minRetryMs, waitMs)});
--- a/packages/mastvalve-gateway/src/requests/progress.ts
+++ b/packages/mastvalve-gateway/src/requests/progress.ts
@@ -10,8 +10,8 @@
 	tried: Set<string>;
 	/** When limited endpoints that had no room for it may be asked again, by endpoint; monotonic ms. */
 	askAgainAt: Map<string, number>;
-	/** Limited endpoints in whose lines it stands. */
-	lines: Set<string>;
+	/** The turn that it waits for at a limited endpoint. */
+	reservation: string | undefined;
 	sent: number;
 	unsent: number;
 	/** Whether some endpoint may have run it. */
@@ -27,6 +27,6 @@
 	}
 
 	return {
-		tried: new Set(), askAgainAt: new Map(), lines: new Set(), sent: 0, unsent: 0, mayHaveRun: false, position,
+		tried: new Set(), askAgainAt: new Map(), reservation: undefined, sent: 0, unsent: 0, mayHaveRun: false, position,
 	};
 };
--- a/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
+++ b/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
@@ -129,16 +129,26 @@
 const listAskable = (input: EndpointChoiceInput): FleetEndpoint[] =>
 	listHolders(input).filter(endpoint => judgeEndpoint(endpoint, input).kind === AdmissionKind.Now);
 
+/** Endpoints that may be asked now, the best first. */
+const listByPreference = (input: EndpointChoiceInput): Array<{endpoint: FleetEndpoint; rank: Rank}> =>
+	listAskable(input)
+		.map(endpoint => ({endpoint, rank: rankEndpoint(endpoint, input), cost: estimateCost(endpoint, input) + input.random()}))
+		.toSorted((a, b) => a.rank - b.rank || a.cost - b.cost);
+
 /** Chooses; undefined when no endpoint may get the request now. */
-export const chooseEndpoint = (input: EndpointChoiceInput): FleetEndpoint | undefined => {
-	const candidates = listAskable(input)
-		.map(endpoint => ({endpoint, rank: rankEndpoint(endpoint, input), cost: estimateCost(endpoint, input) + input.random()}));
-	return candidates.toSorted((a, b) => a.rank - b.rank || a.cost - b.cost)[0]?.endpoint;
+export const chooseEndpoint = (input: EndpointChoiceInput): FleetEndpoint | undefined => listByPreference(input)[0]?.endpoint;
+
+const doubtfulRanks = new Set([Rank.Doubtful, Rank.DoubtfulWithoutRoom]);
+
+/** Limited endpoints that may be asked for a permit now, the best first; doubtful ones only if there are no others. */
+export const listLimited = (input: EndpointChoiceInput): FleetEndpoint[] => {
+	const limited = listByPreference(input).filter(({endpoint}) => input.isLimited(endpoint));
+	const sound = limited.filter(({rank}) => !doubtfulRanks.has(rank));
+	return (sound.length > 0 ? sound : limited).map(({endpoint}) => endpoint);
 };
 
-/** Whether another endpoint than one may have room for the request now. */
-export const hasOtherWithRoom = (input: EndpointChoiceInput, id: string): boolean =>
-	listAskable(input).some(endpoint => endpoint.id !== id && hasRoom(endpoint, input));
+/** Whether an endpoint without a limit may get the request now. */
+export const hasUnlimited = (input: EndpointChoiceInput): boolean => listAskable(input).some(endpoint => !input.isLimited(endpoint));
 
 /** When one of the endpoints that hold what a request needs may take it, and whether that is likely. */
 export type ExpectedCapacity = {admission: Admission; isReliable: boolean};
--- a/packages/mastvalve-limits/src/endpoint-limits.ts
+++ b/packages/mastvalve-limits/src/endpoint-limits.ts
@@ -10,12 +10,13 @@
  * after the limit had been heard here.
  */
 
+import {minBy} from 'mastvalve-utils';
 import type {
-	AccountMoment, EndpointLimit, HandoverClaim, ToldWord,
+	AccountMoment, EndpointLimit, HandoverClaim, HandoverGrant, ToldWord,
 } from './handover-claim.js';
 import {LimitWordKind, minPerSecond} from './limit-word.js';
 import {RateBucket} from './rate-bucket.js';
-import {WaitingLine} from './waiting-line.js';
+import {ReservationQueue} from './reservation-queue.js';
 
 /** What an endpoint may get before its rate has brought anything, requests: what was on its way when it named the limit is not counted. */
 const firstLevel = 0;
@@ -26,7 +27,7 @@
 	/** Number of the moment at which the last word was heard; 0 for one that was recorded before this leader. */
 	heardAt: number;
 	bucket: RateBucket;
-	line: WaitingLine;
+	queue: ReservationQueue;
 };
 
 /** The limit that is recorded for an endpoint; `unknown` for one that has ended. */
@@ -35,6 +36,8 @@
 /** The limits of one leader. Times are monotonic, ms. */
 export class EndpointLimits {
 	private readonly accounts = new Map<string, Account>();
+	/** Where reservations are held, by their identities. */
+	private readonly reserved = new Map<string, string>();
 	private number = 0;
 
 	constructor(private readonly term: number, private readonly readRecorded: ReadRecorded) {}
@@ -67,27 +70,29 @@
 		}
 	}
 
-	/** Answers a claim: 0 when it was taken, or the time until there is room, ms. */
-	claim(claim: HandoverClaim, now: number): number {
-		const account = this.accountOf(claim.endpoint, now);
-		if (account?.perSecond === undefined) {
-			return 0;
-		}
-
-		const {bucket, line} = account;
-		if (claim.isDue) {
-			line.leave(claim.urgency);
+	/** Takes a permit at the endpoint that has one first, or a reservation there if its turn comes in time. */
+	claim({endpoints, urgency, maxWaitMs, reservation}: HandoverClaim, now: number): HandoverGrant {
+		const reserved = reservation === undefined ? undefined : this.release(reservation);
+		const offers = endpoints.map(endpoint => ({endpoint, waitMs: this.findWait(endpoint, urgency, endpoint === reserved, now)}));
+		const best = minBy(offers, ({waitMs}) => waitMs);
+		if (!best) {
+			return {endpoint: undefined, waitMs: 0, reservation: undefined};
 		}
 
-		const before = claim.isDue ? line.countDueBefore(claim.urgency, now) : line.countBefore(claim.urgency, now);
-		const waitMs = bucket.waitMs(now, before);
+		const {endpoint, waitMs} = best;
 		if (waitMs === 0) {
-			bucket.take();
-		} else if (waitMs <= claim.patienceMs) {
-			line.join(claim.urgency, now + waitMs);
+			this.accountOf(endpoint, now)?.bucket.take();
+			return {endpoint, waitMs, reservation: undefined};
 		}
 
-		return waitMs;
+		return {endpoint: undefined, waitMs, reservation: waitMs <= maxWaitMs ? this.reserve(endpoint, urgency, now + waitMs) : undefined};
+	}
+
+	/** Gives a reservation up; the endpoint where it was, if it had not lapsed. */
+	release(reservation: string): string | undefined {
+		const endpoint = this.reserved.get(reservation);
+		this.reserved.delete(reservation);
+		return endpoint !== undefined && this.accounts.get(endpoint)?.queue.remove(reservation) ? endpoint : undefined;
 	}
 
 	/** A request that was let through was not handed over. */
@@ -108,6 +113,27 @@
 		});
 	}
 
+	/** Time until a request may be handed over, ms; `isDue` for one whose reserved turn has come. */
+	private findWait(endpoint: string, urgency: number, isDue: boolean, now: number): number {
+		const account = this.accountOf(endpoint, now);
+		if (account?.perSecond === undefined) {
+			return 0;
+		}
+
+		const {bucket, queue} = account;
+		return isDue
+			? bucket.waitMs(now, queue.countDueBefore(urgency, now))
+			: queue.findTurn(urgency, now, index => now + bucket.waitMs(now, index)) - now;
+	}
+
+	private reserve(endpoint: string, urgency: number, dueAt: number): string {
+		this.number += 1;
+		const id = `${this.term}-${this.number}`;
+		this.reserved.set(id, endpoint);
+		this.accounts.get(endpoint)?.queue.add({id, urgency, dueAt});
+		return id;
+	}
+
 	private accountOf(endpoint: string, now: number): Account | undefined {
 		const known = this.accounts.get(endpoint);
 		if (known) {
@@ -124,7 +150,7 @@
 		}
 
 		const account = {
-			perSecond, heardAt: this.number, bucket: new RateBucket(perSecond, now, firstLevel), line: new WaitingLine(),
+			perSecond, heardAt: this.number, bucket: new RateBucket(perSecond, now, firstLevel), queue: new ReservationQueue(),
 		};
 		this.accounts.set(endpoint, account);
 		return account;
--- a/packages/mastvalve-limits/src/handover-claim.ts
+++ b/packages/mastvalve-limits/src/handover-claim.ts
@@ -4,16 +4,25 @@
 
 import type {LimitWord} from './limit-word.js';
 
-/** An entry wants to hand a request to such an endpoint. */
+/** An entry asks for a permit to hand a request to one of several limited endpoints. */
 export type HandoverClaim = {
-	/** Identity of the endpoint's incarnation. */
-	endpoint: string;
+	/** Identities of the endpoints' incarnations, the preferred first. */
+	endpoints: string[];
 	/** 0 is the most urgent. */
 	urgency: number;
-	/** How long the request would wait for room, ms; 0 for one that goes elsewhere. It stands in the line if there is room in that time. */
-	patienceMs: number;
-	/** It has stood in the line until its moment. */
-	isDue: boolean;
+	/** How long the request would wait for a permit, ms; 0 for one that goes elsewhere. If its turn comes in that time, it gets a reservation. */
+	maxWaitMs: number;
+	/** The reservation that it holds; this claim takes its place. */
+	reservation: string | undefined;
+};
+
+/** The answer to a claim. A request holds one permit, or one reservation, or nothing. */
+export type HandoverGrant = {
+	/** Where it got a permit. */
+	endpoint: string | undefined;
+	/** Time until its turn, or until the first permit if it got no reservation, ms; 0 with a permit. */
+	waitMs: number;
+	reservation: string | undefined;
 };
 
 /** A moment in the account of one leader. Moments of different terms can't be compared. */
--- a/packages/mastvalve-limits/src/index.ts
+++ b/packages/mastvalve-limits/src/index.ts
@@ -9,5 +9,6 @@
 export * from './limit-word.js';
 export * from './lone-rates.js';
 export * from './rate-bucket.js';
+export * from './reservation-queue.js';
 export * from './retry-after.js';
-export * from './waiting-line.js';
+
--- a/packages/mastvalve-limits/src/lone-rates.ts
+++ b/packages/mastvalve-limits/src/lone-rates.ts
@@ -4,6 +4,9 @@
  * all send their first request at once.
  */
 
+import {minBy} from 'mastvalve-utils';
+import type {HandoverGrant} from './handover-claim.js';
+import {minPerSecond} from './limit-word.js';
 import {RateBucket} from './rate-bucket.js';
 
 /** When to look again at an endpoint of whose limit no part is known, ms: leaders are elected within 1.5 s. */
@@ -23,8 +26,24 @@
 
 	constructor(private readonly options: LoneRatesOptions) {}
 
-	/** Takes the room of a request; 0 when there was room, or the time until there is, ms. */
-	claim(endpoint: string, perSecond: number, now: number): number {
+	/** Takes a permit at the first endpoint that has one. `perSecond` tells the limit of each. */
+	claim(endpoints: readonly string[], perSecond: ReadonlyMap<string, number>, now: number): HandoverGrant {
+		const offers = endpoints.map(endpoint => ({endpoint, waitMs: this.findWait(endpoint, perSecond.get(endpoint) ?? minPerSecond, now)}));
+		const best = minBy(offers, ({waitMs}) => waitMs);
+		if (best?.waitMs !== 0) {
+			return {endpoint: undefined, waitMs: best?.waitMs ?? unknownPartMs, reservation: undefined};
+		}
+
+		this.buckets.get(best.endpoint)?.take();
+		return {endpoint: best.endpoint, waitMs: 0, reservation: undefined};
+	}
+
+	/** Somebody answers again. */
+	clear(): void {
+		this.buckets.clear();
+	}
+
+	private findWait(endpoint: string, perSecond: number, now: number): number {
 		const entries = this.options.readEntries();
 		if (entries === undefined) {
 			return unknownPartMs;
@@ -34,16 +53,6 @@
 		const bucket = this.buckets.get(endpoint) ?? new RateBucket(rate, now, this.options.random());
 		this.buckets.set(endpoint, bucket);
 		bucket.setRate(rate, now);
-		const waitMs = bucket.waitMs(now);
-		if (waitMs === 0) {
-			bucket.take();
-		}
-
-		return waitMs;
-	}
-
-	/** Somebody answers again. */
-	clear(): void {
-		this.buckets.clear();
+		return bucket.waitMs(now);
 	}
 }
--- a/packages/mastvalve-limits/src/rate-bucket.ts
+++ b/packages/mastvalve-limits/src/rate-bucket.ts
@@ -4,8 +4,8 @@
 
 const msPerSecond = 1000;
 /**
- * What may come at once, as time at the rate, ms: requests don't come evenly, and half a second's worth is far below what a
- * span of some seconds may hold. One request always fits.
+ * What may come at once besides one request, as time at the rate, ms: requests don't come evenly, who waits for a turn comes a little
+ * late, and half a second's worth is far below what a span of some seconds may hold.
  */
 const burstMs = 500;
 
@@ -45,7 +45,7 @@
 	}
 
 	private get capacity(): number {
-		return Math.max(1, this.perSecond * burstMs / msPerSecond);
+		return 1 + (this.perSecond * burstMs / msPerSecond);
 	}
 
 	private refill(now: number): void {
