Requests that wait for the same moment look once, by one timer

Found by reading: each waiting request had a timer of its own, and each of those made all waiting requests choose anew, so the end of a backoff cost the square of their number (200 waiting requests: 40,000 choices). The entry now keeps them in one place (CapacityWaiters) with one timer: those that are due look, the most urgent first, and all look when an endpoint's capacity changes. A scenario counts one look each for 200.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -19,7 +19,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {findFreePorts} from '../../../../features/support/free-ports.js';
 import {
-	AccessChecker, CrashWatch, EndpointBoard, FieldOwner, FleetView, EndpointLimiter, Gateway, HeadTimes, LimitClient, ModelDemand, probeListener, RequestQuarantine, RetryAllowance, UpstreamAgent, type Dialect,
+	AccessChecker, CapacityWaiters, CrashWatch, EndpointBoard, FieldOwner, FleetView, EndpointLimiter, Gateway, HeadTimes, LimitClient, ModelDemand, probeListener, RequestQuarantine, RetryAllowance, UpstreamAgent, type Dialect,
 } from '../../src/index.js';
 
 const textOf = (value: string | string[] | undefined): string | undefined => (Array.isArray(value) ? value[0] : value);
@@ -101,7 +101,10 @@
 	constructor() {
 		const now = (): number => systemClock.now();
 		const quarantine = new RequestQuarantine(this.view, now);
-		const board = new EndpointBoard(now);
+		const waiters = new CapacityWaiters(systemClock);
+		const board = new EndpointBoard(now, () => {
+			waiters.wakeAll();
+		});
 		const limits = new LimitClient({
 			entry: 'entry',
 			client: {call: async ({body}) => this.answerClaims(body)}, readLeader: () => 'leader', readEntries: () => 1, random: createRandom(1), now, windowMs: 8000, signal: this.ending.signal, wait: waitFor, onEvent: () => undefined,
@@ -113,6 +116,7 @@
 			dialect: testDialect,
 			view: this.view,
 			board,
+			waiters,
 			agent: this.upstream,
 			access: this.access,
 			limits,
--- a/packages/mastvalve-gateway/__tests__/endpoint-backoff.feature
+++ b/packages/mastvalve-gateway/__tests__/endpoint-backoff.feature
@@ -59,3 +59,9 @@
     Given a view of 2 endpoints, one of which has asked for backoff
     When a whole state arrives whose first part lacks that endpoint
     Then the endpoint is still backed off from
+
+  # Each waiting request had a timer of its own that made all of them look.
+  Scenario: Requests that wait for the same moment look once each, the most urgent first
+    Given 200 requests that wait for capacity, every tenth of them urgent
+    When they all expect it after 20 ms
+    Then each has looked once, the urgent ones first
--- a/packages/mastvalve-gateway/__tests__/endpoint-backoff.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/endpoint-backoff.steps.ts
@@ -8,8 +8,9 @@
 } from '@cucumber/cucumber';
 import type {FleetUpdate} from 'mastvalve-fleet';
 import {AdmissionKind} from 'mastvalve-limits';
+import {systemClock, waitFor} from 'mastvalve-utils';
 import {
-	EndpointBoard, FleetView, forgetEnded, HeadTimes, ModelDemand,
+	CapacityWaiters, EndpointBoard, FleetView, forgetEnded, HeadTimes, ModelDemand, type WaiterHandle,
 } from '../src/index.js';
 import type {CallResult, EntriesAndControl} from './__fixtures__/entries-and-control.js';
 import type {CountedAnswer, LimitedEndpoints} from './__fixtures__/limited-endpoints.js';
@@ -21,6 +22,9 @@
 	results: CallResult[];
 	view: FleetView;
 	board: EndpointBoard;
+	waiting: WaiterHandle[];
+	/** Urgencies in the order in which requests have looked. */
+	looked: number[];
 };
 
 const okStatus = 200;
@@ -115,3 +119,29 @@
 Then('the endpoint is still backed off from', function (this: BackoffWorld) {
 	assert.equal(this.board.find('b').backoff.judge(1).kind, AdmissionKind.At);
 });
+
+Given('{int} requests that wait for capacity, every tenth of them urgent', function (this: BackoffWorld, count: number) {
+	const waiters = new CapacityWaiters(systemClock);
+	this.looked = [];
+	this.waiting = Array.from({length: count}, (_, index) => {
+		const urgency = index % 10 === 0 ? 0 : 1;
+		const handle = waiters.add(urgency, () => {
+			this.looked.push(urgency);
+			handle.end();
+		});
+		return handle;
+	});
+});
+
+When('they all expect it after {int} ms', async function (this: BackoffWorld, ms: number) {
+	const at = systemClock.now() + ms;
+	this.waiting.forEach(handle => {
+		handle.lookAt(at);
+	});
+	await waitFor(ms * 3);
+});
+
+Then('each has looked once, the urgent ones first', function (this: BackoffWorld) {
+	assert.equal(this.looked.length, this.waiting.length);
+	assert.deepEqual(this.looked, this.looked.toSorted((a, b) => a - b));
+});
--- a/packages/mastvalve-gateway/src/index.ts
+++ b/packages/mastvalve-gateway/src/index.ts
@@ -18,6 +18,7 @@
 export * from './quarantine/probe-listener.js';
 export * from './quarantine/request-quarantine.js';
 export * from './requests/caller-request.js';
+export * from './requests/capacity-waiters.js';
 export {dropConnectionHeaders} from './requests/reply.js';
 export * from './routing/choose-endpoint.js';
 export * from './routing/endpoint-board.js';
--- a/packages/mastvalve-gateway/src/requests/wait-for-capacity.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-for-capacity.ts
@@ -14,9 +14,6 @@
 } from './patience.js';
 import {rankRequest} from './rank-request.js';
 
-/** Timers may come a part of a millisecond before their time; a request that asks too early counts as one without a place in the line, ms. */
-const earlyTimerMs = 1;
-
 /** When the first endpoint has capacity, monotonic ms; `now` for one that waits for an answer in progress, undefined when there is none. */
 const findCapacityAt = (expected: readonly ExpectedCapacity[], now: number): number | undefined => {
 	const times = expected.map(({admission}) => (admission.kind === AdmissionKind.At ? admission.at : now));
@@ -50,7 +47,7 @@
 
 /** Waits until an endpoint may take the request, or says why none will. */
 export const waitForCapacity = async (core: GatewayCore, request: CallerRequest, tries: Tries): Promise<FleetEndpoint | NoEndpoint> => {
-	const {clock, view, board, demand, onDrain, log, observer} = core;
+	const {clock, view, waiters, demand, onDrain, log, observer} = core;
 	const {caller: {model, adapter}, signal} = request;
 	const startedAt = clock.now();
 	const refuse = (expected: readonly ExpectedCapacity[]): NoEndpoint => {
@@ -65,12 +62,10 @@
 
 	const endWanting = model === undefined ? undefined : demand.wait(request.service, model, adapter, request.deadlineAt);
 	return new Promise(resolve => {
-		let timer: NodeJS.Timeout | undefined;
 		const done = (outcome: FleetEndpoint | NoEndpoint): void => {
-			clearTimeout(timer);
 			endWanting?.();
 			unsubscribeView();
-			unsubscribeBoard();
+			waiter.end();
 			onDrain.delete(giveUp);
 			signal.removeEventListener('abort', giveUp);
 			log('request.waited-for-capacity', {
@@ -92,16 +87,12 @@
 			} else if (lookAt === undefined) {
 				giveUp();
 			} else {
-				clearTimeout(timer);
-				// All that wait look in their order, the most urgent first.
-				timer = setTimeout(() => {
-					board.announce();
-				}, Math.max(0, Math.ceil(lookAt - clock.now()) + earlyTimerMs));
+				waiter.lookAt(lookAt);
 			}
 		};
 
 		const unsubscribeView = view.subscribe(look);
-		const unsubscribeBoard = board.subscribe(rankRequest(core, request), look);
+		const waiter = waiters.add(rankRequest(core, request), look);
 		onDrain.add(giveUp);
 		signal.addEventListener('abort', giveUp, {once: true});
 		look();
--- a/packages/mastvalve-gateway/src/routing/endpoint-board.ts
+++ b/packages/mastvalve-gateway/src/routing/endpoint-board.ts
@@ -58,8 +58,6 @@
 /** Weight of the newest answer's delay. */
 const delayWeight = 0.4;
 
-type CapacityListener = {urgency: number; onChange: () => void};
-
 /** A request that was sent to an endpoint. */
 export type EndpointUse = {
 	/** Its prompt has been read. */
@@ -74,27 +72,9 @@
 /** The board. */
 export class EndpointBoard {
 	private readonly known = new Map<string, EndpointKnowledge>();
-	private readonly listeners = new Set<CapacityListener>();
-
-	constructor(private readonly now: () => number) {}
-
-	/** Calls back when an endpoint that restricts requests may take more or fewer than before, until the returned function is called. */
-	subscribe(urgency: number, onChange: () => void): () => void {
-		const listener = {urgency, onChange};
-		this.listeners.add(listener);
-		return () => {
-			this.listeners.delete(listener);
-		};
-	}
 
-	/** Calls back all that wait for capacity, the most urgent first. */
-	announce(): void {
-		[...this.listeners].toSorted((a, b) => a.urgency - b.urgency).forEach(listener => {
-			if (this.listeners.has(listener)) {
-				listener.onChange();
-			}
-		});
-	}
+	/** `onChange` is called when an endpoint takes more or fewer requests than before. */
+	constructor(private readonly now: () => number, private readonly onChange: () => void = () => undefined) {}
 
 	find(id: string): EndpointKnowledge {
 		const knowledge = this.known.get(id) ?? {
@@ -122,14 +102,14 @@
 		};
 
 		const backoffUse = knowledge.backoff.begin();
-		const announceIf = (mayTakeMore: boolean): void => {
+		const notifyIf = (mayTakeMore: boolean): void => {
 			if (mayTakeMore) {
-				this.announce();
+				this.onChange();
 			}
 		};
 
 		const answer = (isTaken: boolean): void => {
-			announceIf(backoffUse.answer(isTaken));
+			notifyIf(backoffUse.answer(isTaken));
 		};
 
 		return {
@@ -139,7 +119,7 @@
 				read();
 				knowledge.inFlight -= isOpen ? 1 : 0;
 				isOpen = false;
-				announceIf(backoffUse.end());
+				notifyIf(backoffUse.end());
 			},
 		};
 	}
@@ -190,7 +170,7 @@
 	/** It refused a request and asked this entry to back off; `random` is in [0, 1). */
 	recordBackoff(id: string, delayMs: number, random: number): void {
 		this.find(id).backoff.recordRefusal(this.now(), delayMs, random);
-		this.announce();
+		this.onChange();
 	}
 
 	/** An answer said that it is leaving; whether that is news. */
@@ -199,7 +179,7 @@
 		const isNews = !knowledge.isLeaving;
 		knowledge.isLeaving = true;
 		if (isNews) {
-			this.announce();
+			this.onChange();
 		}
 
 		return isNews;
--- a/packages/mastvalve-gateway/src/server/gateway-core.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-core.ts
@@ -10,6 +10,7 @@
 import type {FleetView} from '../fleet/fleet-view.js';
 import type {CrashWatch} from '../quarantine/crash-watch.js';
 import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
+import type {CapacityWaiters} from '../requests/capacity-waiters.js';
 import type {EndpointBoard} from '../routing/endpoint-board.js';
 import type {RetryAllowance} from '../routing/retry-allowance.js';
 import type {HeadTimes} from '../routing/head-times.js';
@@ -28,6 +29,8 @@
 	dialect: Dialect;
 	view: FleetView;
 	board: EndpointBoard;
+	/** Requests that wait for endpoints which restrict what they take. */
+	waiters: CapacityWaiters;
 	agent: UpstreamAgent;
 	access: AccessChecker;
 	limits: LimitClient;
--- a/packages/mastvalve-gateway/src/server/gateway-node.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-node.ts
@@ -17,6 +17,7 @@
 import {CrashWatch} from '../quarantine/crash-watch.js';
 import {probeListener} from '../quarantine/probe-listener.js';
 import {RequestQuarantine} from '../quarantine/request-quarantine.js';
+import {CapacityWaiters} from '../requests/capacity-waiters.js';
 import {EndpointBoard} from '../routing/endpoint-board.js';
 import {forgetEnded} from '../routing/forget-ended.js';
 import {HeadTimes} from '../routing/head-times.js';
@@ -98,7 +99,10 @@
 		}, headTimes);
 		this.crashReporter = new CrashReporter({client, listTargets: () => this.listControl()});
 		const quarantine = new RequestQuarantine(this.view, now);
-		const board = new EndpointBoard(now);
+		const waiters = new CapacityWaiters(clock);
+		const board = new EndpointBoard(now, () => {
+			waiters.wakeAll();
+		});
 		forgetEnded(this.view, board, this.demand);
 		const limits = new LimitClient({
 			// Another life of the entry has another history.
@@ -112,6 +116,7 @@
 			dialect,
 			view: this.view,
 			board,
+			waiters,
 			agent: this.upstream,
 			access: this.access,
 			limits,
