Rename: room becomes permit where it means one, in the gateway, limits and access

No behaviour changes: the bundle before, with the same renames applied to it, is equal to the bundle after byte by byte, but for the help texts of two metrics. The room of an engine's memory keeps its name for now.

--- a/packages/mastvalve-access/src/limit-ledger.ts
+++ b/packages/mastvalve-access/src/limit-ledger.ts
@@ -12,7 +12,7 @@
 /** What an entry was granted by the leader before, and how long ago, ms. */
 export type FormerGrant = {workspace: string; amount: number; ageMs: number};
 
-/** The answer to a claim: 0 when it was taken, or the time until there is room, ms. */
+/** The answer to a claim: 0 when it was taken, or the time until it can be taken, ms. */
 export type LimitAnswer = number;
 
 type Entry = {
--- a/packages/mastvalve-access/src/limit-window.ts
+++ b/packages/mastvalve-access/src/limit-window.ts
@@ -4,7 +4,7 @@
  * The load pattern that it answers: a workspace sends several times its usual for seconds, through all entries at once, at a
  * few requests a second each. Shares of a limit by entry would be smaller than one request there; a sum that each entry learns
  * late lets all of them take the same rest. One count at the leader has neither, at the price of a call within the region. A
- * bucket that refills at the rate is stricter than the window: it refuses a burst that the window still has room for.
+ * bucket that refills at the rate is stricter than the window: it refuses a burst that the window still allows.
  *
  * The tolerance of the limit is spent on what a count can't know: a part is granted, for requests that came together on their
  * way; a part is what a new leader grants before the entries have told what they were granted by the one before; the rest is
@@ -39,13 +39,13 @@
 
 	constructor(private limit: WorkspaceLimit, private readonly tolerance: LimitTolerance, private readonly begunAt: number) {}
 
-	/** Time after which there is room for a cost, ms; 0 when there is room now. */
+	/** Time after which the window allows a cost, ms; 0 when it does now. */
 	waitFor(cost: number, now: number): number {
 		this.forget(now);
 		return Math.max(this.waitForWindow(cost, now), this.waitForBeginning(cost, now));
 	}
 
-	/** Takes a cost for which there is room. */
+	/** Takes a cost that the window allows. */
 	take(cost: number, now: number): void {
 		this.add(cost, now);
 		this.sinceBeginning += cost;
--- a/packages/mastvalve-fleet-control/src/limit-service.ts
+++ b/packages/mastvalve-fleet-control/src/limit-service.ts
@@ -1,6 +1,6 @@
 /**
- * Counts at the leader what may still be asked for: entries claim what a request costs its workspace before they take it, and the
- * room of a limited endpoint before they hand a request over.
+ * Counts at the leader what may still be asked for: entries claim what a request costs its workspace before they take it, and a
+ * permit of a limited endpoint before they hand a request over.
  */
 
 import {
@@ -40,7 +40,7 @@
 
 /** The answer. */
 export type LimitAnswers = {
-	/** For each claim in its order 0, or the time until there is room, ms. */
+	/** For each claim in its order 0, or the time until it can be taken, ms. */
 	waitMs: number[];
 	/** For each request for a limited endpoint. */
 	grants: HandoverGrant[];
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/limited-fleet.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/limited-fleet.ts
@@ -66,7 +66,7 @@
 /** The fleet. */
 export class LimitedFleet {
 	readonly time = new VirtualTime();
-	/** Requests that were refused without any wait, and those that found no room although they had waited. */
+	/** Requests that were refused without any wait, and those that got no permit although they had waited. */
 	refusedAtOnce = 0;
 	refusedLate = 0;
 	/** Calls to the leader. */
--- a/packages/mastvalve-gateway/__tests__/keys-and-limits.feature
+++ b/packages/mastvalve-gateway/__tests__/keys-and-limits.feature
@@ -70,7 +70,7 @@
     Then it gets status 503 and is told when to come back
 
   Scenario: A workspace that has reached its limit is refused at once, with the time until there is room
-    Given the leader has room for "w1" in 700 ms
+    Given the leader allows a request of "w1" in 700 ms
     When a caller asks with the key "secret-1"
     Then it gets status 429 and is told to come back in 0.7 s
     And the endpoint got nothing
--- a/packages/mastvalve-gateway/__tests__/keys-and-limits.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/keys-and-limits.steps.ts
@@ -74,7 +74,7 @@
 	this.entryRun.access.recordAnswer(askedAt, 0);
 });
 
-Given('the leader has room for {string} in {int} ms', function (this: KeysWorld, _name: string, ms: number) {
+Given('the leader allows a request of {string} in {int} ms', function (this: KeysWorld, _name: string, ms: number) {
 	this.entryRun.limitWaitMs = ms;
 });
 
--- a/packages/mastvalve-gateway/__tests__/limited-endpoints.feature
+++ b/packages/mastvalve-gateway/__tests__/limited-endpoints.feature
@@ -15,7 +15,7 @@
     Then endpoint 0 got at most 15 requests in any 4000 ms from 500 ms after it had named its limit
     And all requests were answered
 
-  Scenario: What the only endpoint has no room for in time is refused as not run, with the time of room
+  Scenario: What the only endpoint has no permit for in time is refused as not run, with the time of the next permit
     Given 5 entries that follow control
     And 1 endpoints that count what they get
     When endpoint 0 names a limit of "4" a second
@@ -60,9 +60,9 @@
 
   # Requests that came up while a call to a leader was on its way, and that leader turned out to be gone, waited until there was
   # another one: the entry had gone on alone by then, and nobody looked at what had gathered meanwhile.
-  Scenario: What asks for room while the leader is found to be gone is answered soon, too
+  Scenario: What claims a permit while the leader is found to be gone is answered soon, too
     Given an entry whose leader answers nothing
-    When a request asks for room, and 10 ms later another one for room and one for its workspace
+    When a request claims a permit, and 10 ms later another one a permit and one its workspace's limit
     Then all 3 are answered within 400 ms
 
   # In virtual time: the parts that decide are the real ones, messages come late and pass each other.
@@ -91,7 +91,7 @@
     And the leader was called less than 200 times a second
 
   # The load: three times as many requests as the endpoint takes, for a minute. Who had waited until the time that it was told came a
-  # part of a millisecond too early, was told to wait again, had no time left, and the room went unused: 12 of 100 in a minute.
+  # part of a millisecond too early, was told to wait again, had no time left, and the permit went unused: 12 of 100 in a minute.
   Scenario Outline: Who waits until the time that it was told is served (<entries> entries)
     Given <entries> entries in virtual time that share 1 endpoints, 0 of all requests through one of them
     When the endpoints name a limit of "1.7" a second, and 6 requests a second come for 60 s
--- a/packages/mastvalve-gateway/__tests__/lone-entry.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/lone-entry.steps.ts
@@ -41,7 +41,7 @@
 	this.loneEnding?.abort();
 });
 
-When('a request asks for room, and {int} ms later another one for room and one for its workspace', async function (this: LoneWorld, pauseMs: number) {
+When('a request claims a permit, and {int} ms later another one a permit and one its workspace's limit', async function (this: LoneWorld, pauseMs: number) {
 	const startedAt = systemClock.now();
 	const note = async (answer: Promise<unknown>): Promise<void> => {
 		await answer;
--- a/packages/mastvalve-gateway/src/limits/endpoint-limiter.ts
+++ b/packages/mastvalve-gateway/src/limits/endpoint-limiter.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps to the limits that endpoints name: a request goes to such an endpoint only with room that was claimed, and what its answers
+ * Keeps to the limits that endpoints name: a request goes to such an endpoint only with a permit that was claimed, and what its answers
  * say is told to the leader.
  */
 
@@ -64,7 +64,7 @@
 		if (outcome.endpoint === undefined) {
 			const at = this.options.now() + outcome.waitMs;
 			endpoints.forEach(({id}) => {
-				this.options.board.recordRoom(id, at);
+				this.options.board.recordPermit(id, at);
 			});
 		}
 
@@ -76,7 +76,7 @@
 		this.options.client.releaseHandover(reservation);
 	}
 
-	/** Room that was claimed is not used. */
+	/** A permit that was claimed is not used. */
 	giveBack({id}: FleetEndpoint, grantedAt: AccountMoment | undefined): void {
 		if (grantedAt) {
 			this.options.client.giveBackHandover(id);
--- a/packages/mastvalve-gateway/src/limits/limit-batch.ts
+++ b/packages/mastvalve-gateway/src/limits/limit-batch.ts
@@ -8,7 +8,7 @@
 } from 'mastvalve-limits';
 import type {AccountQuestion} from './leader-account.js';
 
-/** Whether a claim was taken, and if not, when there is room, ms. */
+/** Whether a claim was taken, and if not, when it can be, ms. */
 export type ClaimOutcome = {isTaken: boolean; waitMs: number};
 
 /** The answer to a request for a limited endpoint. */
--- a/packages/mastvalve-gateway/src/limits/limit-client.ts
+++ b/packages/mastvalve-gateway/src/limits/limit-client.ts
@@ -1,5 +1,5 @@
 /**
- * Claims from the leader, which counts for all entries, what requests cost their workspaces, and room at limited endpoints. Claims
+ * Claims from the leader, which counts for all entries, what requests cost their workspaces, and permits of limited endpoints. Claims
  * that come while a call is on its way go together with the next one. While no leader answers, each workspace goes on by what it
  * had here, and each limited endpoint gets this entry's part of its limit.
  */
--- a/packages/mastvalve-gateway/src/requests/choose-now.ts
+++ b/packages/mastvalve-gateway/src/requests/choose-now.ts
@@ -13,7 +13,7 @@
 export type Tries = {
 	/** Endpoints that it was sent to. */
 	tried: ReadonlySet<string>;
-	/** When limited endpoints that had no room for it may be asked again, by endpoint; monotonic ms. */
+	/** When limited endpoints that had no permit for it may be asked again, by endpoint; monotonic ms. */
 	askAgainAt: ReadonlyMap<string, number>;
 };
 
--- a/packages/mastvalve-gateway/src/requests/claim-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/claim-endpoint.ts
@@ -39,7 +39,7 @@
 	const {endpoint: granted, waitMs, reservation, grantedAt} = await core.limiter.claim(limited, {urgency: rankRequest(core, request), maxWaitMs, reservation: progress.reservation});
 	progress.reservation = reservation;
 	const endpoint = limited.find(({id}) => id === granted);
-	core.observer.recordRoom(endpoint !== undefined);
+	core.observer.recordPermit(endpoint !== undefined);
 	if (endpoint) {
 		return {endpoint, grantedAt};
 	}
--- a/packages/mastvalve-gateway/src/requests/patience.ts
+++ b/packages/mastvalve-gateway/src/requests/patience.ts
@@ -5,7 +5,7 @@
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {CallerRequest} from './caller-request.js';
 
-/** An expected load or room may come later by this, since callers wait for the first event behind it, ms. */
+/** An expected load or permit may come later by this, since callers wait for the first event behind it, ms. */
 export const expectationReserveMs = 300;
 
 /** Why a request can't be sent anywhere, and when to ask again. */
--- a/packages/mastvalve-gateway/src/requests/prepare-attempt.ts
+++ b/packages/mastvalve-gateway/src/requests/prepare-attempt.ts
@@ -1,5 +1,5 @@
 /**
- * All that must be settled before a request is handed over: an endpoint with room, a retry if it is one, and a key that still holds.
+ * All that must be settled before a request is handed over: an endpoint that takes it, a retry if it is one, and a key that still holds.
  */
 
 import type {Workspace} from 'mastvalve-access';
--- a/packages/mastvalve-gateway/src/requests/progress.ts
+++ b/packages/mastvalve-gateway/src/requests/progress.ts
@@ -8,7 +8,7 @@
 /** What became of the tries so far. */
 export type Progress = {
 	tried: Set<string>;
-	/** When limited endpoints that had no room for it may be asked again, by endpoint; monotonic ms. */
+	/** When limited endpoints that had no permit for it may be asked again, by endpoint; monotonic ms. */
 	askAgainAt: Map<string, number>;
 	/** The turn that it waits for at a limited endpoint. */
 	reservation: string | undefined;
--- a/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
+++ b/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
@@ -16,7 +16,7 @@
 	failureDomain: string;
 	/** Endpoints that this request was sent to already. */
 	tried: ReadonlySet<string>;
-	/** When limited endpoints that had no room for it may be asked again, by endpoint, ms. */
+	/** When limited endpoints that had no permit for it may be asked again, by endpoint, ms. */
 	askAgainAt: ReadonlyMap<string, number>;
 	now: number;
 	knowledgeOf: (id: string) => EndpointKnowledge;
@@ -34,7 +34,7 @@
 /** Bytes between failure domains are dear: another domain must be faster by this, ms. */
 const otherDomainMs = 25;
 /**
- * An endpoint that has named a limit is spared while another one is as near, ms: room there must be claimed, and is kept for what
+ * An endpoint that has named a limit is spared while another one is as near, ms: a permit must be claimed there, and is kept for what
  * nobody else takes in time.
  */
 const limitedMs = 20;
@@ -80,38 +80,38 @@
 	return now < suspectUntil || isMute || isSilent;
 };
 
-/** Endpoints that could take the request, if they have room. */
+/** Endpoints that could take the request, now or later. */
 const listHolders = ({endpoints, model, adapter, tried, now, knowledgeOf}: EndpointChoiceInput): FleetEndpoint[] =>
 	endpoints.filter(endpoint => !tried.has(endpoint.id) && holdsModel(endpoint, model, adapter) && !hasDeclined(endpoint, knowledgeOf(endpoint.id), formatModel(model ?? '', adapter), now));
 
-/** The order in which endpoints are asked: sound ones first, and among equals those that may have room. */
+/** The order in which endpoints are asked: sound ones first, and among equals those that may have a permit. */
 enum Rank {
 	Sound,
-	/** It had no room for this entry's last request; it may have for this one. */
-	SoundWithoutRoom,
+	/** It had no permit for this entry's last request; it may have one for this. */
+	SoundWithoutPermit,
 	Doubtful,
-	DoubtfulWithoutRoom,
+	DoubtfulWithoutPermit,
 }
 
-const hasRoom = (endpoint: FleetEndpoint, {now, knowledgeOf, isLimited}: EndpointChoiceInput): boolean =>
-	now >= knowledgeOf(endpoint.id).roomAt || !isLimited(endpoint);
+const hasPermit = (endpoint: FleetEndpoint, {now, knowledgeOf, isLimited}: EndpointChoiceInput): boolean =>
+	now >= knowledgeOf(endpoint.id).permitAt || !isLimited(endpoint);
 
 const rankEndpoint = (endpoint: FleetEndpoint, input: EndpointChoiceInput): Rank => {
 	if (isDoubtful(endpoint, input.knowledgeOf(endpoint.id), input.now)) {
-		return hasRoom(endpoint, input) ? Rank.Doubtful : Rank.DoubtfulWithoutRoom;
+		return hasPermit(endpoint, input) ? Rank.Doubtful : Rank.DoubtfulWithoutPermit;
 	}
 
-	return hasRoom(endpoint, input) ? Rank.Sound : Rank.SoundWithoutRoom;
+	return hasPermit(endpoint, input) ? Rank.Sound : Rank.SoundWithoutPermit;
 };
 
-/** What one more request there costs, ms: the time until there is room, or the expected wait. */
+/** What one more request there costs, ms: the time until there is a permit, or the expected wait. */
 const estimateCost = (endpoint: FleetEndpoint, input: EndpointChoiceInput): number => {
 	const {failureDomain, now, knowledgeOf, isLimited} = input;
 	const knowledge = knowledgeOf(endpoint.id);
 	const domainMs = endpoint.failureDomain === failureDomain ? 0 : otherDomainMs;
 	const spareMs = isLimited(endpoint) ? limitedMs : 0;
-	const roomMs = hasRoom(endpoint, input) ? 0 : knowledge.roomAt - now;
-	return estimateWait(knowledge, input) + domainMs + spareMs + roomMs;
+	const permitMs = hasPermit(endpoint, input) ? 0 : knowledge.permitAt - now;
+	return estimateWait(knowledge, input) + domainMs + spareMs + permitMs;
 };
 
 /** When an endpoint may be sent the request, or asked whether it may. */
@@ -138,7 +138,7 @@
 /** Chooses; undefined when no endpoint may get the request now. */
 export const chooseEndpoint = (input: EndpointChoiceInput): FleetEndpoint | undefined => listByPreference(input)[0]?.endpoint;
 
-const doubtfulRanks = new Set([Rank.Doubtful, Rank.DoubtfulWithoutRoom]);
+const doubtfulRanks = new Set([Rank.Doubtful, Rank.DoubtfulWithoutPermit]);
 
 /** Limited endpoints that may be asked for a permit now, the best first; doubtful ones only if there are no others. */
 export const listLimited = (input: EndpointChoiceInput): FleetEndpoint[] => {
--- a/packages/mastvalve-gateway/src/routing/endpoint-board.ts
+++ b/packages/mastvalve-gateway/src/routing/endpoint-board.ts
@@ -33,8 +33,8 @@
 	busySince: number;
 	/** Models, with their adapters, that it said it does not hold, and the revision of it that had promised them. */
 	lacks: Map<string, number>;
-	/** It had no room for a request of this entry, and has some then, ms. */
-	roomAt: number;
+	/** It had no permit for a request of this entry, and has one then, ms. */
+	permitAt: number;
 	/** What the last of its answers said of its limit. */
 	limitWord: LimitWord;
 	/** What its refusals asked for. */
@@ -78,7 +78,7 @@
 
 	find(id: string): EndpointKnowledge {
 		const knowledge = this.known.get(id) ?? {
-			inFlight: 0, unread: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, delay: 0, delayAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, absentUntil: 0, heardAt: Number.NEGATIVE_INFINITY, busySince: 0, lacks: new Map<string, number>(), roomAt: 0, limitWord: {kind: LimitWordKind.Absent}, backoff: new EndpointBackoff(), isReplaced: false, isLeaving: false,
+			inFlight: 0, unread: 0, unreadTokens: 0, load: undefined, loadAt: Number.NEGATIVE_INFINITY, delay: 0, delayAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, absentUntil: 0, heardAt: Number.NEGATIVE_INFINITY, busySince: 0, lacks: new Map<string, number>(), permitAt: 0, limitWord: {kind: LimitWordKind.Absent}, backoff: new EndpointBackoff(), isReplaced: false, isLeaving: false,
 		};
 		this.known.set(id, knowledge);
 		return knowledge;
@@ -154,9 +154,9 @@
 		}
 	}
 
-	/** It has named a limit, and has room again at this moment, ms. */
-	recordRoom(id: string, at: number): void {
-		this.find(id).roomAt = at;
+	/** It has named a limit, and has a permit again at this moment, ms. */
+	recordPermit(id: string, at: number): void {
+		this.find(id).permitAt = at;
 	}
 
 	/** An answer said something of its limit; whether that is news. */
--- a/packages/mastvalve-gateway/src/server/gateway-metrics.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-metrics.ts
@@ -22,14 +22,14 @@
 	const refusals = new Counter({
 		name: 'mastvalve_refusals_total', help: 'Callers that were not let in, by reason', labelNames: ['reason'], registers: [registry],
 	});
-	const rooms = new Counter({
-		name: 'mastvalve_limited_endpoint_requests_total', help: 'Requests for room at endpoints that have named a limit, by outcome', labelNames: ['outcome'], registers: [registry],
+	const permits = new Counter({
+		name: 'mastvalve_limited_endpoint_requests_total', help: 'Requests for a permit at endpoints that have named a limit, by outcome', labelNames: ['outcome'], registers: [registry],
 	});
 	const backoffs = new Counter({
 		name: 'mastvalve_endpoint_backoffs_total', help: 'Refusals of endpoints that asked this entry to back off', registers: [registry],
 	});
 	const waits = new Histogram({
-		name: 'mastvalve_model_wait_seconds', help: 'Time that requests waited for a model, an adapter or room at a limited endpoint', labelNames: ['outcome'], buckets, registers: [registry],
+		name: 'mastvalve_model_wait_seconds', help: 'Time that requests waited for a model, an adapter or capacity of an endpoint', labelNames: ['outcome'], buckets, registers: [registry],
 	});
 	const inFlight = new Gauge({
 		name: 'mastvalve_in_flight',
@@ -49,8 +49,8 @@
 		recordAttempt(outcome) {
 			attempts.inc({outcome});
 		},
-		recordRoom(hasRoom) {
-			rooms.inc({outcome: hasRoom ? 'taken' : 'refused'});
+		recordPermit(hasPermit) {
+			permits.inc({outcome: hasPermit ? 'taken' : 'refused'});
 		},
 		recordBackoff() {
 			backoffs.inc();
--- a/packages/mastvalve-gateway/src/server/gateway-observer.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-observer.ts
@@ -10,11 +10,11 @@
 	recordRefusal: (reason: string) => void;
 	/** An attempt at an endpoint is over. */
 	recordAttempt: (outcome: string) => void;
-	/** A limited endpoint was asked for room; whether it had any. */
-	recordRoom: (hasRoom: boolean) => void;
+	/** A permit was claimed at limited endpoints; whether there was one. */
+	recordPermit: (hasPermit: boolean) => void;
 	/** An endpoint has refused a request and asked this entry to back off. */
 	recordBackoff: () => void;
-	/** A request has stopped waiting for a model, an adapter or room. */
+	/** A request has stopped waiting for a model, an adapter or capacity. */
 	recordWait: (isServed: boolean, durationMs: number) => void;
 };
 
@@ -23,7 +23,7 @@
 	recordRequest: () => undefined,
 	recordRefusal: () => undefined,
 	recordAttempt: () => undefined,
-	recordRoom: () => undefined,
+	recordPermit: () => undefined,
 	recordBackoff: () => undefined,
 	recordWait: () => undefined,
 };
--- a/packages/mastvalve-gateway/src/upstream/exchange.ts
+++ b/packages/mastvalve-gateway/src/upstream/exchange.ts
@@ -40,7 +40,7 @@
 
 /**
  * A kept connection without an answer for this long may be silent for good, so the others that rest are closed, ms. The
- * attempt itself goes on. Above the time in which engines with room begin to answer (0.1 to 0.5 s).
+ * attempt itself goes on. Above the time in which engines with free slots begin to answer (0.1 to 0.5 s).
  */
 const silentMs = 600;
 
--- a/packages/mastvalve-limits/src/rate-bucket.ts
+++ b/packages/mastvalve-limits/src/rate-bucket.ts
@@ -1,5 +1,5 @@
 /**
- * Room for whole requests at a steady rate. Plain state: no clock.
+ * A token bucket: permits for whole requests at a steady rate. Plain state: no clock.
  */
 
 const msPerSecond = 1000;
@@ -10,14 +10,14 @@
 const burstMs = 500;
 
 /**
- * Room that comes within this time counts as there, ms: times are told in whole ms, and who comes a part of one too early would wait anew
- * or leave the room unused. The level goes below zero by as much, so the rate stays what it is.
+ * A permit that comes within this time counts as there, ms: times are told in whole ms, and a request that comes a part of one too early would
+ * wait anew or leave the permit unused. The level goes below zero by as much, so the rate stays what it is.
  */
 const earlyMs = 5;
 
 /** The bucket. Times are monotonic, ms. */
 export class RateBucket {
-	/** `level` is the room at the beginning, in requests. */
+	/** `level` is the number of permits at the beginning. */
 	constructor(private perSecond: number, private at: number, private level: number) {}
 
 	/** Another rate holds from now on. */
@@ -27,19 +27,19 @@
 		this.level = Math.min(this.level, this.capacity);
 	}
 
-	/** Time after which there is room for a request behind as many others, ms; 0 when there is room now. */
+	/** Time after which there is a permit for a request behind as many others, ms; 0 when there is one now. */
 	waitMs(now: number, before = 0): number {
 		this.refill(now);
 		const waitMs = Math.ceil((before + 1 - this.level) / this.perSecond * msPerSecond);
 		return waitMs <= earlyMs ? 0 : waitMs;
 	}
 
-	/** Takes the room of a request. */
+	/** Takes a permit. */
 	take(): void {
 		this.level -= 1;
 	}
 
-	/** Room that was taken and not used comes back. */
+	/** A permit that was taken and not used comes back. */
 	giveBack(): void {
 		this.level = Math.min(this.capacity, this.level + 1);
 	}
--- a/packages/mastvalve-limits/src/reservation-queue.ts
+++ b/packages/mastvalve-limits/src/reservation-queue.ts
@@ -17,15 +17,15 @@
 	private reservations: Reservation[] = [];
 
 	/**
-	 * When a newcomer's turn comes: with the first permit that no reservation of the same or a higher urgency needs. `permitAt` tells when
+	 * When a newcomer's turn comes: with the first permit that no reservation of the same or a higher urgency needs. `permitTimeOf` tells when
 	 * the nth permit from now is there, counted from 0.
 	 */
-	findTurn(urgency: number, now: number, permitAt: (index: number) => number): number {
+	findTurn(urgency: number, now: number, permitTimeOf: (index: number) => number): number {
 		this.dropLapsed(now);
 		const ahead = this.reservations.filter(each => each.urgency <= urgency).toSorted((a, b) => a.dueAt - b.dueAt);
 		// From here on all that are behind the newcomer get one permit later than before, which must still be there in time.
-		const firstUnmoved = ahead.findLastIndex(({dueAt}, index) => permitAt(index + 1) > dueAt + lateMs);
-		return permitAt(firstUnmoved + 1);
+		const firstUnmoved = ahead.findLastIndex(({dueAt}, index) => permitTimeOf(index + 1) > dueAt + lateMs);
+		return permitTimeOf(firstUnmoved + 1);
 	}
 
 	/** How many more urgent ones are due and go before one whose turn has come. */
