--- a/packages/mastvalve-access/__tests__/access.steps.ts
+++ b/packages/mastvalve-access/__tests__/access.steps.ts
@@ -8,7 +8,7 @@
 } from '@cucumber/cucumber';
 import {createRandom} from 'mastvalve-utils';
 import {
-	costOf, Evidence, GrantHistory, LimitLedger, LimitUnit, LimitWindow, LoneLimits, rankPriorities, type LimitTolerance, type Workspace, type WorkspaceLimit,
+	costOf, Evidence, GrantHistory, LimitLedger, LimitUnit, LimitWindow, LocalLimits, rankPriorities, type LimitTolerance, type Workspace, type WorkspaceLimit,
 } from '../src/index.js';
 
 type AccessWorld = World & {evidence: Evidence; window: LimitWindow};
@@ -183,35 +183,35 @@
 });
 
 /** Entries that were granted requests by one ledger for 20 s and are alone for 3 s then; what they granted at `load` times the rate. */
-const goAlone = (seed: number, limit: WorkspaceLimit, load: number): {granted: Granted[]; askedAlone: number; grantedAlone: number} => {
+const disconnect = (seed: number, limit: WorkspaceLimit, load: number): {granted: Granted[]; askedAlone: number; grantedAlone: number} => {
 	const random = createRandom(seed);
 	const workspace = workspaceOf(limit);
 	const ledger = new LimitLedger(tolerance, -1000);
 	const lone = Array.from({length: entries}, () => {
 		const history = new GrantHistory(tolerance.windowMs);
-		return {history, limits: new LoneLimits(history, tolerance.windowMs)};
+		return {history, limits: new LocalLimits(history, tolerance.windowMs)};
 	});
 	const granted: Granted[] = [];
 	const aloneAt = 16_000 + (random() * 8000);
-	let [at, askedAlone, grantedAlone, isAlone] = [0, 0, 0, false];
+	let [at, askedAlone, grantedAlone, isDisconnected] = [0, 0, 0, false];
 	while (at < aloneAt + 3000) {
 		at += requestTokens / (limit.ratePerSecond * load) * 1000 * 2 * random();
 		const now = at;
 		const {history, limits} = lone[Math.floor(random() * entries)]!;
-		if (!isAlone && now >= aloneAt) {
-			isAlone = true;
+		if (!isDisconnected && now >= aloneAt) {
+			isDisconnected = true;
 			lone.forEach(entry => {
 				entry.limits.begin(now);
 			});
 		}
 
-		const isGranted = isAlone ? limits.mayTake('w', requestTokens, now) : ledger.settle(workspace, requestTokens, now) === 0;
-		askedAlone += isAlone ? 1 : 0;
-		grantedAlone += isAlone && isGranted ? 1 : 0;
+		const isGranted = isDisconnected ? limits.mayTake('w', requestTokens, now) : ledger.settle(workspace, requestTokens, now) === 0;
+		askedAlone += isDisconnected ? 1 : 0;
+		grantedAlone += isDisconnected && isGranted ? 1 : 0;
 		if (isGranted) {
 			history.record('w', requestTokens, now);
 			granted.push({at: now, cost: requestTokens});
-		} else if (!isAlone) {
+		} else if (!isDisconnected) {
 			limits.recordRefusal('w', now);
 		}
 	}
@@ -223,13 +223,13 @@
 	assert.equal(count, entries);
 	Array.from({length: runs}).forEach((_, seed) => {
 		const limit = limitOf([4200, 28_000, 138_000][seed % 3]!);
-		const most = mostInWindow(goAlone(seed + 1, limit, 3).granted, tolerance.windowMs);
+		const most = mostInWindow(disconnect(seed + 1, limit, 3).granted, tolerance.windowMs);
 		assert.ok(most <= allowedIn(limit, tolerance), `seed ${seed + 1}: ${most} of ${allowedIn(limit, tolerance)} at ${limit.ratePerSecond} a second`);
 	});
 });
 
 Then('a workspace that asks as it did before is served at least half of what it asks', () => {
-	const runs = Array.from({length: 30}, (_, seed) => goAlone(seed + 1, limitOf(28_000), 0.55));
+	const runs = Array.from({length: 30}, (_, seed) => disconnect(seed + 1, limitOf(28_000), 0.55));
 	const asked = runs.reduce((sum, {askedAlone}) => sum + askedAlone, 0);
 	const served = runs.reduce((sum, {grantedAlone}) => sum + grantedAlone, 0);
 	assert.ok(served >= asked / 2, `${served} of ${asked}`);
--- a/packages/mastvalve-access/src/index.ts
+++ b/packages/mastvalve-access/src/index.ts
@@ -9,7 +9,7 @@
 export * from './limit-ledger.js';
 export * from './limit-window.js';
 export type * from './limit-tolerance.js';
-export * from './lone-limits.js';
+export * from './local-limits.js';
 export * from './presented-key.js';
 export * from './proven-moment.js';
 export * from './rank-priorities.js';
--- a/packages/mastvalve-access/src/limit-window.ts
+++ b/packages/mastvalve-access/src/limit-window.ts
@@ -8,7 +8,7 @@
  *
  * The tolerance of the limit is spent on what a count can't know: a part is granted, for requests that came together on their
  * way; a part is what a new leader grants before the entries have told what they were granted by the one before; the rest is
- * left to entries that can't reach the leader (`lone-limits.ts`).
+ * left to entries that can't reach the leader (`local-limits.ts`).
  */
 
 import type {LimitTolerance} from './limit-tolerance.js';
--- a/packages/mastvalve-access/src/lone-limits.ts
+++ b/packages/mastvalve-access/src/local-limits.ts
@@ -10,8 +10,8 @@
 
 import type {GrantHistory} from './grant-history.js';
 
-/** The limits of one entry that is alone. Times are monotonic, ms. */
-export class LoneLimits {
+/** The limits of one entry that is disconnected from the leader. Times are monotonic, ms. */
+export class LocalLimits {
 	private readonly refusedAt = new Map<string, number>();
 	/** What each workspace had here when nobody answered any more; undefined while somebody does. */
 	private had: Map<string, number> | undefined;
--- a/packages/mastvalve-bench/src/followers/followers-bench.ts
+++ b/packages/mastvalve-bench/src/followers/followers-bench.ts
@@ -6,7 +6,7 @@
 import process from 'node:process';
 import {PeerClient} from 'mastvalve-cluster';
 import {SlowLink} from 'mastvalve-fakes';
-import {createRoutes, createStated, LoneControl} from 'mastvalve-fakes/fleet';
+import {createRoutes, createStated, SingleControl} from 'mastvalve-fakes/fleet';
 import type {Route} from 'mastvalve-fleet';
 import {FleetFollower, FleetView} from 'mastvalve-gateway';
 import {systemClock, waitFor} from 'mastvalve-utils';
@@ -26,25 +26,25 @@
 /** Control of one instance, and entries that follow it. */
 class FollowersBench {
 	static async open(): Promise<FollowersBench> {
-		return new FollowersBench(await LoneControl.open(`127.0.0.1:${firstPort}`));
+		return new FollowersBench(await SingleControl.open(`127.0.0.1:${firstPort}`));
 	}
 
 	entries: Entry[] = [];
 	private version = 0;
 
-	private constructor(private readonly lone: LoneControl) {}
+	private constructor(private readonly single: SingleControl) {}
 
 	/** Puts a configuration in force; resolves when it is committed. */
 	async configure(routes: Route[]): Promise<void> {
 		this.version += 1;
 		const stated = createStated(this.version, routes, JSON.stringify(routes));
-		let result = await this.lone.control.configure(stated);
+		let result = await this.single.control.configure(stated);
 		while (result.isErr()) {
 			// A group of one elects itself soon.
 			// eslint-disable-next-line no-await-in-loop
 			await waitFor(pollMs);
 			// eslint-disable-next-line no-await-in-loop
-			result = await this.lone.control.configure(stated);
+			result = await this.single.control.configure(stated);
 		}
 	}
 
@@ -83,7 +83,7 @@
 
 	async close(): Promise<void> {
 		this.end();
-		await this.lone.close();
+		await this.single.close();
 	}
 
 	private async beginOne(port: number): Promise<Entry> {
--- a/packages/mastvalve-fakes/src/fleet/index.ts
+++ b/packages/mastvalve-fakes/src/fleet/index.ts
@@ -3,5 +3,5 @@
  */
 
 export * from './configure-engines.js';
-export * from './lone-control.js';
+export * from './single-control.js';
 export * from './varied-routes.js';
--- a/packages/mastvalve-fakes/src/fleet/lone-control.ts
+++ b/packages/mastvalve-fakes/src/fleet/single-control.ts
@@ -16,10 +16,10 @@
 const storeWindowMs = 5000;
 
 /** The instance. */
-export class LoneControl {
+export class SingleControl {
 	/** `address` is what others know it by, `listen` where it listens; both `ip:port`. */
-	static async open(address: string, listen = address): Promise<LoneControl> {
-		const folder = await mkdtemp(join(tmpdir(), 'mastvalve-lone-'));
+	static async open(address: string, listen = address): Promise<SingleControl> {
+		const folder = await mkdtemp(join(tmpdir(), 'mastvalve-single-'));
 		const client = new PeerClient();
 		const control = await FleetControl.open({
 			address,
@@ -40,7 +40,7 @@
 		});
 		const listening = await startPeerServer(listen, new Map(control.handlers()), () => undefined);
 		void control.run();
-		return new LoneControl(control, folder, client, listening._unsafeUnwrap());
+		return new SingleControl(control, folder, client, listening._unsafeUnwrap());
 	}
 
 	private constructor(readonly control: FleetControl, private readonly folder: string, private readonly client: PeerClient, private readonly server: Server) {}
--- a/packages/mastvalve-fleet-control/__tests__/__fixtures__/desk-series.ts
+++ b/packages/mastvalve-fleet-control/__tests__/__fixtures__/desk-series.ts
@@ -23,7 +23,7 @@
 	new EngineDesk({
 		id: 'e', port: engine.port, clock: time.clock, wait: time.wait, holder,
 		// The holder named "one" is the first.
-		aloneSince: holder === 'one' ? Number.NEGATIVE_INFINITY : time.clock.now(),
+		soleHolderSince: holder === 'one' ? Number.NEGATIVE_INFINITY : time.clock.now(),
 		readFence: () => (isHolder() ? 1 : undefined),
 		readEndpoint: () => engine.endpoint,
 		async publish(holdings) {
--- a/packages/mastvalve-fleet-control/__tests__/engine-desk.steps.ts
+++ b/packages/mastvalve-fleet-control/__tests__/engine-desk.steps.ts
@@ -297,7 +297,7 @@
 		clock: time.clock,
 		wait: time.wait,
 		holder: 'one',
-		aloneSince: Number.NEGATIVE_INFINITY,
+		soleHolderSince: Number.NEGATIVE_INFINITY,
 		readFence: () => 1,
 		readEndpoint: () => endpoint,
 		onEvent: () => undefined,
--- a/packages/mastvalve-fleet-control/src/engines/engine-director.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-director.ts
@@ -75,7 +75,7 @@
 	/** Until when planning has had its share of the time, ms. */
 	private nextRoundAt = Number.NEGATIVE_INFINITY;
 	/** When this instance became the holder of the orders, ms. */
-	private aloneSince = Number.NEGATIVE_INFINITY;
+	private soleHolderSince = Number.NEGATIVE_INFINITY;
 	/** Whether nobody gave orders before, so that the list of models is at its beginning. */
 	private isFirstHolder = false;
 
@@ -172,7 +172,7 @@
 		this.isFirstHolder ||= former === '';
 		this.closeDesks();
 		this.claimedTerm = term;
-		this.aloneSince = former === '' ? Number.NEGATIVE_INFINITY : clock.now();
+		this.soleHolderSince = former === '' ? Number.NEGATIVE_INFINITY : clock.now();
 		this.turns.begin(clock.now(), classifyFormer(former, holder));
 		onEvent('orders.claimed', `in term ${term} after ${former || 'nobody'}`);
 	}
@@ -224,7 +224,7 @@
 			clock,
 			wait,
 			holder,
-			aloneSince: this.aloneSince,
+			soleHolderSince: this.soleHolderSince,
 			readFence: () => (isOpen() && this.options.readTerm() === term ? term : undefined),
 			readEndpoint() {
 				const endpoint = machine.find(id);
--- a/packages/mastvalve-fleet-control/src/engines/order-sequence.ts
+++ b/packages/mastvalve-fleet-control/src/engines/order-sequence.ts
@@ -19,7 +19,7 @@
 	wait: (ms: number) => Promise<void>;
 	holder: string;
 	/** Since when nobody else can have sent an order, monotonic ms. */
-	aloneSince: number;
+	soleHolderSince: number;
 	/** The fencing token at this moment; undefined when this instance may not give orders. */
 	readFence: () => number | undefined;
 	/** The endpoint as the log has it. */
@@ -61,7 +61,7 @@
 	private lastOrderAt: number;
 
 	constructor(private readonly options: OrderSequenceOptions) {
-		this.lastOrderAt = options.aloneSince;
+		this.lastOrderAt = options.soleHolderSince;
 	}
 
 	/** Whether the count is known, so that orders can be given. */
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
@@ -4,7 +4,7 @@
 
 import {request} from 'node:http';
 import {PeerClient} from 'mastvalve-cluster';
-import {LoneControl} from 'mastvalve-fakes/fleet';
+import {SingleControl} from 'mastvalve-fakes/fleet';
 import {RouteKind, type Route, type StatedConfiguration} from 'mastvalve-fleet';
 import {createRandom, systemClock} from 'mastvalve-utils';
 import {waitUntil} from '../../../../features/support/conditions.js';
@@ -40,10 +40,10 @@
 export class EntriesAndControl {
 	static async open(count: number): Promise<EntriesAndControl> {
 		const [port, ...ports] = await findFreePorts(count + 1);
-		const lone = await LoneControl.open(`127.0.0.1:${port}`);
-		const running = new EntriesAndControl(lone, `127.0.0.1:${port}`, ports.map(each => `127.0.0.1:${each}`));
+		const single = await SingleControl.open(`127.0.0.1:${port}`);
+		const running = new EntriesAndControl(single, `127.0.0.1:${port}`, ports.map(each => `127.0.0.1:${each}`));
 		await waitUntil('the configuration is in force', async () => {
-			const result = await lone.control.configure(stated);
+			const result = await single.control.configure(stated);
 			return result.isOk();
 		});
 		await Promise.all(running.addresses.map(async (_, index) => running.begin(index)));
@@ -58,7 +58,7 @@
 	private readonly entries: RunningEntry[] = [];
 	private requests = 0;
 
-	private constructor(readonly lone: LoneControl, private readonly controlAddress: string, private readonly addresses: string[]) {}
+	private constructor(readonly single: SingleControl, private readonly controlAddress: string, private readonly addresses: string[]) {}
 
 	get count(): number {
 		return this.addresses.length;
@@ -110,7 +110,7 @@
 
 	async close(): Promise<void> {
 		await Promise.all(this.addresses.map(async (_, index) => this.end(index)));
-		await this.lone.close();
+		await this.single.close();
 	}
 
 	private async begin(index: number): Promise<void> {
--- a/packages/mastvalve-gateway/__tests__/crashing-requests.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/crashing-requests.steps.ts
@@ -38,7 +38,7 @@
 });
 
 Given('{int} engines that end when they begin a deadly request, and are back {int} ms later', async function (this: CrashWorld, count: number, backAfterMs: number) {
-	this.crashingEngines = new CrashingEngines(this.following.lone.control, backAfterMs);
+	this.crashingEngines = new CrashingEngines(this.following.single.control, backAfterMs);
 	await this.crashingEngines.start(count);
 	await this.following.waitForEndpoints(count);
 });
@@ -149,5 +149,5 @@
 
 Then('control has quarantined {int} request(s)', async function (this: CrashWorld, count: number) {
 	await waitFor(settleMs);
-	assert.equal(this.following.lone.control.machine.listQuarantined().length, count);
+	assert.equal(this.following.single.control.machine.listQuarantined().length, count);
 });
--- a/packages/mastvalve-gateway/__tests__/lone-entry.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/disconnected-entry.steps.ts
@@ -11,14 +11,14 @@
 import {err} from 'neverthrow';
 import {LimitClient} from '../src/index.js';
 
-type LoneWorld = World & {loneClient: LimitClient; loneEnding: AbortController; answeredAfterMs: number[]};
+type DisconnectedWorld = World & {disconnectedClient: LimitClient; disconnectedEnding: AbortController; answeredAfterMs: number[]};
 
 const silenceMs = 150;
 
-Given('an entry whose leader answers nothing', function (this: LoneWorld) {
+Given('an entry whose leader answers nothing', function (this: DisconnectedWorld) {
 	this.answeredAfterMs = [];
-	this.loneEnding = new AbortController();
-	this.loneClient = new LimitClient({
+	this.disconnectedEnding = new AbortController();
+	this.disconnectedClient = new LimitClient({
 		entry: 'entry',
 		client: {
 			async call({address, path}) {
@@ -31,17 +31,17 @@
 		random: () => 0,
 		now: () => systemClock.now(),
 		windowMs: 8000,
-		signal: this.loneEnding.signal,
+		signal: this.disconnectedEnding.signal,
 		wait: waitFor,
 		onEvent: () => undefined,
 	});
 });
 
-After(function (this: LoneWorld) {
-	this.loneEnding?.abort();
+After(function (this: DisconnectedWorld) {
+	this.disconnectedEnding?.abort();
 });
 
-When('a request claims a permit, and {int} ms later another one a permit and one its workspace's limit', async function (this: LoneWorld, pauseMs: number) {
+When('a request claims a permit, and {int} ms later another one a permit and one the limit of its workspace', async function (this: DisconnectedWorld, pauseMs: number) {
 	const startedAt = systemClock.now();
 	const note = async (answer: Promise<unknown>): Promise<void> => {
 		await answer;
@@ -51,13 +51,13 @@
 	const claim = {
 		endpoints: ['e'], urgency: 0, maxWaitMs: 0, reservation: undefined,
 	};
-	void note(this.loneClient.claimHandover(claim, new Map([['e', 1]])));
+	void note(this.disconnectedClient.claimHandover(claim, new Map([['e', 1]])));
 	await waitFor(pauseMs);
-	void note(this.loneClient.claimHandover(claim, new Map([['e', 1]])));
-	void note(this.loneClient.claim('w', 1));
+	void note(this.disconnectedClient.claimHandover(claim, new Map([['e', 1]])));
+	void note(this.disconnectedClient.claim('w', 1));
 });
 
-Then('all {int} are answered within {int} ms', async function (this: LoneWorld, count: number, limitMs: number) {
+Then('all {int} are answered within {int} ms', async function (this: DisconnectedWorld, count: number, limitMs: number) {
 	await waitFor(limitMs);
 	assert.equal(this.answeredAfterMs.filter(ms => ms <= limitMs).length, count);
 });
--- a/packages/mastvalve-gateway/__tests__/endpoint-backoff.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/endpoint-backoff.steps.ts
@@ -65,7 +65,7 @@
 });
 
 When('control ends', async function (this: BackoffWorld) {
-	await this.following.lone.close();
+	await this.following.single.close();
 });
 
 Then('endpoint {int} got nothing after the restart', function (this: BackoffWorld, index: number) {
--- a/packages/mastvalve-gateway/__tests__/following.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/following.steps.ts
@@ -8,7 +8,7 @@
 } from '@cucumber/cucumber';
 import {PeerClient} from 'mastvalve-cluster';
 import {SlowLink} from 'mastvalve-fakes';
-import {createRoutes, createStated, LoneControl} from 'mastvalve-fakes/fleet';
+import {createRoutes, createStated, SingleControl} from 'mastvalve-fakes/fleet';
 import {FleetCommandKind, type EndpointReport} from 'mastvalve-fleet';
 import type {FleetControl} from 'mastvalve-fleet-control';
 import {callUntilAborted, systemClock, waitFor} from 'mastvalve-utils';
@@ -21,7 +21,7 @@
 	address: string;
 	/** Where it listens. */
 	listen: string;
-	lone: LoneControl;
+	single: SingleControl;
 	control: FleetControl;
 	clients: PeerClient[];
 	slowLink: SlowLink;
@@ -48,8 +48,8 @@
 	world.version = 0;
 	world.address = `127.0.0.1:${nearPort}`;
 	world.listen = `127.0.0.1:${port}`;
-	world.lone = await LoneControl.open(world.address, world.listen);
-	world.control = world.lone.control;
+	world.single = await SingleControl.open(world.address, world.listen);
+	world.control = world.single.control;
 };
 
 const configure = async (world: FollowWorld, routeCount: number, changed = 0): Promise<void> => {
@@ -88,7 +88,7 @@
 };
 
 After(async function (this: FollowWorld) {
-	if (!this.lone) {
+	if (!this.single) {
 		return;
 	}
 
@@ -97,7 +97,7 @@
 	this.clients.forEach(client => {
 		client.close();
 	});
-	await this.lone.close();
+	await this.single.close();
 });
 
 Given('control with a configuration of {int} route(s)', async function (this: FollowWorld, routeCount: number) {
--- a/packages/mastvalve-gateway/__tests__/limited-endpoints.feature
+++ b/packages/mastvalve-gateway/__tests__/limited-endpoints.feature
@@ -62,7 +62,7 @@
   # another one: the entry had gone on alone by then, and nobody looked at what had gathered meanwhile.
   Scenario: What claims a permit while the leader is found to be gone is answered soon, too
     Given an entry whose leader answers nothing
-    When a request claims a permit, and 10 ms later another one a permit and one its workspace's limit
+    When a request claims a permit, and 10 ms later another one a permit and one the limit of its workspace
     Then all 3 are answered within 400 ms
 
   # In virtual time: the parts that decide are the real ones, messages come late and pass each other.
--- a/packages/mastvalve-gateway/__tests__/limited-endpoints.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/limited-endpoints.steps.ts
@@ -30,7 +30,7 @@
 
 Given('{int} endpoints that count what they get', async function (this: LimitWorld, count: number) {
 	this.results = [];
-	this.limited = new LimitedEndpoints(this.following.lone.control);
+	this.limited = new LimitedEndpoints(this.following.single.control);
 	await this.limited.start(count);
 	await this.following.waitForEndpoints(count);
 });
--- a/packages/mastvalve-gateway/src/limits/endpoint-limiter.ts
+++ b/packages/mastvalve-gateway/src/limits/endpoint-limiter.ts
@@ -93,7 +93,7 @@
 	}
 
 	private isValid({until}: OwnWord): boolean {
-		return this.options.client.isAlone || this.options.now() < until;
+		return this.options.client.isDisconnected || this.options.now() < until;
 	}
 
 	/** Whether control and this entry itself did not know this limit. */
--- a/packages/mastvalve-gateway/src/limits/limit-client.ts
+++ b/packages/mastvalve-gateway/src/limits/limit-client.ts
@@ -4,10 +4,10 @@
  * had here, and each limited endpoint gets this entry's part of its limit.
  */
 
-import {GrantHistory, LoneLimits, type LimitClaim} from 'mastvalve-access';
+import {GrantHistory, LocalLimits, type LimitClaim} from 'mastvalve-access';
 import type {LimitAnswers} from 'mastvalve-fleet-control';
 import {
-	LoneRates, type HandoverClaim, type HandoverGrant, type ToldWord,
+	LocalRates, type HandoverClaim, type HandoverGrant, type ToldWord,
 } from 'mastvalve-limits';
 import {emptyQuestion, LeaderAccount, type LeaderAccountOptions} from './leader-account.js';
 import {
@@ -29,39 +29,39 @@
 
 /** How often a leader is looked for while none answers, ms. */
 const probePauseMs = 100;
-/** When to come again after a refusal that nobody counted, ms: leaders are elected within 1.5 s. */
-const aloneRetryMs = 1000;
+/** Retry-After of refusals that no leader counted, ms: leaders are elected within 1.5 s. */
+const disconnectedRetryMs = 1000;
 /** Words of limits that wait while no leader answers; the oldest give way, since later answers tell more. */
 const maxWaitingWords = 200;
 
 /** A leader that answers fewer claims than it was asked. */
-const noGrant: HandoverGrant = {endpoint: undefined, waitMs: aloneRetryMs, reservation: undefined};
+const noGrant: HandoverGrant = {endpoint: undefined, waitMs: disconnectedRetryMs, reservation: undefined};
 
 /** The client. */
 export class LimitClient {
 	/** Whether no leader answers. */
-	isAlone = false;
+	isDisconnected = false;
 	private next = new LimitBatch();
 	private isCalling = false;
 	private readonly account: LeaderAccount;
 	private readonly history: GrantHistory;
-	private readonly lone: LoneLimits;
-	private readonly loneRates: LoneRates;
+	private readonly localLimits: LocalLimits;
+	private readonly localRates: LocalRates;
 	/** The leader that was told what this entry was granted before. */
 	private knownLeader: string | undefined;
 
 	constructor(private readonly options: LimitClientOptions) {
 		this.history = new GrantHistory(options.windowMs);
-		this.lone = new LoneLimits(this.history, options.windowMs);
-		this.loneRates = new LoneRates(options);
+		this.localLimits = new LocalLimits(this.history, options.windowMs);
+		this.localRates = new LocalRates(options);
 		this.account = new LeaderAccount({...options, history: this.history});
 	}
 
 	/** Claims what a request costs its workspace. */
 	async claim(workspace: string, cost: number): Promise<ClaimOutcome> {
 		const claim = {workspace, cost};
-		if (this.isAlone) {
-			return this.decideAlone(claim);
+		if (this.isDisconnected) {
+			return this.decideLocally(claim);
 		}
 
 		return new Promise(resolve => {
@@ -72,15 +72,15 @@
 
 	/** A claim was taken for a request that has not run; the leader hears of it with the next call. */
 	giveBack(workspace: string, cost: number): void {
-		if (!this.isAlone) {
+		if (!this.isDisconnected) {
 			this.next.returned.push({workspace, cost: -cost});
 		}
 	}
 
 	/** Claims a permit at one of several endpoints. `perSecond` tells their limits as far as this entry knows them. */
 	async claimHandover(claim: HandoverClaim, perSecond: ReadonlyMap<string, number>): Promise<HandoverOutcome> {
-		if (this.isAlone) {
-			return this.decideHandoverAlone(claim, perSecond);
+		if (this.isDisconnected) {
+			return this.decideHandoverLocally(claim, perSecond);
 		}
 
 		return new Promise(resolve => {
@@ -91,14 +91,14 @@
 
 	/** A request that was let through was not handed over; the leader hears of it with the next call. */
 	giveBackHandover(endpoint: string): void {
-		if (!this.isAlone) {
+		if (!this.isDisconnected) {
 			this.next.unused.push(endpoint);
 		}
 	}
 
 	/** A request waits no more; the leader hears of it at once, since others may have its turn. */
 	releaseHandover(reservation: string): void {
-		if (!this.isAlone) {
+		if (!this.isDisconnected) {
 			this.next.released.push(reservation);
 			void this.callWhileDue();
 		}
@@ -108,7 +108,7 @@
 	tell(word: ToldWord): void {
 		this.next.words.push(word);
 		this.next.words.splice(0, this.next.words.length - maxWaitingWords);
-		if (!this.isAlone) {
+		if (!this.isDisconnected) {
 			void this.callWhileDue();
 		}
 	}
@@ -116,7 +116,7 @@
 	/** Tells a new leader at once what this entry was granted before, if it was granted anything. */
 	noteLeader(): void {
 		const leader = this.options.readLeader();
-		if (leader === this.knownLeader || leader === undefined || this.isAlone) {
+		if (leader === this.knownLeader || leader === undefined || this.isDisconnected) {
 			return;
 		}
 
@@ -132,7 +132,7 @@
 		}
 
 		this.isCalling = true;
-		while (this.next.isDue && !this.isAlone) {
+		while (this.next.isDue && !this.isDisconnected) {
 			const batch = this.takeNext();
 			// One call after the other.
 			// eslint-disable-next-line no-await-in-loop
@@ -140,10 +140,10 @@
 			if (answers) {
 				this.settle(batch, answers);
 			} else {
-				this.goAlone();
-				this.settleAlone(batch);
+				this.disconnect();
+				this.settleLocally(batch);
 				// Nobody else looks at what has come up during the call: it would wait for the next leader.
-				this.settleAlone(this.takeNext());
+				this.settleLocally(this.takeNext());
 			}
 		}
 
@@ -165,20 +165,20 @@
 		});
 	}
 
-	private settleAlone({claims, handovers, words}: LimitBatch): void {
+	private settleLocally({claims, handovers, words}: LimitBatch): void {
 		this.next.words.push(...words);
 		claims.forEach(({claim, resolve}) => {
-			resolve(this.decideAlone(claim));
+			resolve(this.decideLocally(claim));
 		});
 		handovers.forEach(({claim, perSecond, resolve}) => {
-			resolve(this.decideHandoverAlone(claim, perSecond));
+			resolve(this.decideHandoverLocally(claim, perSecond));
 		});
 	}
 
 	private takeAnswer({workspace, cost}: LimitClaim, waitMs: number): ClaimOutcome {
 		const now = this.options.now();
 		if (waitMs > 0) {
-			this.lone.recordRefusal(workspace, now);
+			this.localLimits.recordRefusal(workspace, now);
 			return {isTaken: false, waitMs};
 		}
 
@@ -186,41 +186,41 @@
 		return {isTaken: true, waitMs: 0};
 	}
 
-	private decideAlone({workspace, cost}: LimitClaim): ClaimOutcome {
+	private decideLocally({workspace, cost}: LimitClaim): ClaimOutcome {
 		const now = this.options.now();
-		const isTaken = this.lone.mayTake(workspace, cost, now);
+		const isTaken = this.localLimits.mayTake(workspace, cost, now);
 		if (isTaken) {
 			this.history.record(workspace, cost, now);
 		}
 
-		return {isTaken, waitMs: aloneRetryMs};
+		return {isTaken, waitMs: disconnectedRetryMs};
 	}
 
-	private decideHandoverAlone({endpoints}: HandoverClaim, perSecond: ReadonlyMap<string, number>): HandoverOutcome {
-		return {...this.loneRates.claim(endpoints, perSecond, this.options.now()), grantedAt: undefined};
+	private decideHandoverLocally({endpoints}: HandoverClaim, perSecond: ReadonlyMap<string, number>): HandoverOutcome {
+		return {...this.localRates.claim(endpoints, perSecond, this.options.now()), grantedAt: undefined};
 	}
 
-	/** Goes on alone, and looks for a leader meanwhile. */
-	private goAlone(): void {
-		if (this.isAlone) {
+	/** Decides by itself, and looks for a leader meanwhile. */
+	private disconnect(): void {
+		if (this.isDisconnected) {
 			return;
 		}
 
-		this.isAlone = true;
-		this.lone.begin(this.options.now());
-		this.options.onEvent('limits.alone', 'no leader answers for limits; each workspace goes on by what it had here, and limited endpoints get this entry\'s part');
+		this.isDisconnected = true;
+		this.localLimits.begin(this.options.now());
+		this.options.onEvent('limits.disconnected', 'no leader answers for limits; each workspace goes on by what it had here, and limited endpoints get this entry\'s part');
 		void this.findLeader();
 	}
 
 	private async findLeader(): Promise<void> {
 		const {signal, wait, onEvent} = this.options;
-		while (this.isAlone && !signal.aborted) {
+		while (this.isDisconnected && !signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop
 			const answers = await this.account.ask(emptyQuestion);
 			if (answers) {
-				this.isAlone = false;
-				this.lone.end();
-				this.loneRates.clear();
+				this.isDisconnected = false;
+				this.localLimits.end();
+				this.localRates.clear();
 				onEvent('limits.regained', 'a leader answers for limits');
 				void this.callWhileDue();
 			} else {
--- a/packages/mastvalve-limits/src/lone-rates.ts
+++ b/packages/mastvalve-limits/src/local-rates.ts
@@ -1,6 +1,6 @@
 /**
  * How an entry goes on while nobody answers for the limits of endpoints: with its part of each limit, as one of the entries that
- * control has counted. Parts begin at random points of their time, so that entries that were left alone at the same moment don't
+ * control has counted. Parts begin at random points of their time, so that entries that were disconnected at the same moment don't
  * all send their first request at once.
  */
 
@@ -13,18 +13,18 @@
 const unknownPartMs = 1000;
 
 /** What it is made from. */
-export type LoneRatesOptions = {
+export type LocalRatesOptions = {
 	/** Numbers in [0, 1). */
 	random: () => number;
 	/** How many entries share the limits; undefined when control has told none. */
 	readEntries: () => number | undefined;
 };
 
-/** The parts of one entry that is alone. Times are monotonic, ms. */
-export class LoneRates {
+/** The parts of one entry that is disconnected from the leader. Times are monotonic, ms. */
+export class LocalRates {
 	private readonly buckets = new Map<string, RateBucket>();
 
-	constructor(private readonly options: LoneRatesOptions) {}
+	constructor(private readonly options: LocalRatesOptions) {}
 
 	/** Takes a permit at the first endpoint that has one. `perSecond` tells the limit of each. */
 	claim(endpoints: readonly string[], perSecond: ReadonlyMap<string, number>, now: number): HandoverGrant {
