Rename: patience becomes the wait budget in the gateway

No behaviour changes: the bundle before, with the same renames, holds the same statements as the bundle after (compared with short local names taken out).

--- a/packages/mastvalve-gateway/src/requests/claim-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/claim-endpoint.ts
@@ -8,7 +8,7 @@
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {CallerRequest} from './caller-request.js';
 import {hasUnlimitedNow, listLimitedNow} from './choose-now.js';
-import {patienceOf, type NoEndpoint} from './patience.js';
+import {remainingWaitMs, type NoEndpoint} from './wait-budget.js';
 import type {Progress} from './progress.js';
 import {rankRequest} from './rank-request.js';
 import {waitForEndpoint} from './wait-for-endpoint.js';
@@ -34,7 +34,7 @@
 /** Claims a permit; undefined when the request has to wait for its turn, or there is none in time. */
 const claimPermit = async (core: GatewayCore, request: CallerRequest, progress: Progress): Promise<ClaimedEndpoint | undefined> => {
 	const limited = listLimitedNow(core, request, progress);
-	const maxWaitMs = hasUnlimitedNow(core, request, progress) ? 0 : Math.max(0, patienceOf(core, request) - claimMs);
+	const maxWaitMs = hasUnlimitedNow(core, request, progress) ? 0 : Math.max(0, remainingWaitMs(core, request) - claimMs);
 	// The limit is on what all entries send together: one that only minds its own requests can't keep to it.
 	const {endpoint: granted, waitMs, reservation, grantedAt} = await core.limiter.claim(limited, {urgency: rankRequest(core, request), maxWaitMs, reservation: progress.reservation});
 	progress.reservation = reservation;
--- a/packages/mastvalve-gateway/src/requests/patience.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-budget.ts
@@ -19,7 +19,7 @@
 	({reason: 'the endpoints that could take it are at their limits or have asked for backoff', retryAfterMs: Math.max(minRetryMs, waitMs)});
 
 /** When the caller gives up if nothing came; monotonic ms. */
-export const patienceEnd = ({arrivedAt, deadlineAt, route}: CallerRequest): number => Math.min(deadlineAt, arrivedAt + (route.patienceMs ?? Number.POSITIVE_INFINITY));
+export const waitDeadline = ({arrivedAt, deadlineAt, route}: CallerRequest): number => Math.min(deadlineAt, arrivedAt + (route.patienceMs ?? Number.POSITIVE_INFINITY));
 
 /** How long a request can still wait, ms. */
-export const patienceOf = ({clock}: GatewayCore, request: CallerRequest): number => patienceEnd(request) - expectationReserveMs - clock.now();
+export const remainingWaitMs = ({clock}: GatewayCore, request: CallerRequest): number => waitDeadline(request) - expectationReserveMs - clock.now();
--- a/packages/mastvalve-gateway/src/requests/wait-for-capacity.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-for-capacity.ts
@@ -10,8 +10,8 @@
 import type {CallerRequest} from './caller-request.js';
 import {chooseNow, listCapacityNow, type Tries} from './choose-now.js';
 import {
-	expectationReserveMs, patienceEnd, refuseForCapacity, type NoEndpoint,
-} from './patience.js';
+	expectationReserveMs, waitDeadline, refuseForCapacity, type NoEndpoint,
+} from './wait-budget.js';
 import {rankRequest} from './rank-request.js';
 
 /** When the first endpoint has capacity, monotonic ms; `now` for one that waits for an answer in progress, undefined when there is none. */
@@ -31,7 +31,7 @@
 
 /** Until when a request may wait for an endpoint; one that may well refuse it again is waited for only while the answer can be in time. */
 const waitEnd = (request: CallerRequest, {isReliable}: ExpectedCapacity): number => {
-	const latest = patienceEnd(request) - expectationReserveMs;
+	const latest = waitDeadline(request) - expectationReserveMs;
 	return isReliable ? latest : Math.min(latest, request.arrivedAt + request.route.objectiveMs);
 };
 
--- a/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
@@ -9,7 +9,7 @@
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {CallerRequest} from './caller-request.js';
 import {chooseNow, listCapacityNow, type Tries} from './choose-now.js';
-import {expectationReserveMs, patienceEnd, type NoEndpoint} from './patience.js';
+import {expectationReserveMs, waitDeadline, type NoEndpoint} from './wait-budget.js';
 import {findRetryAfterMs, waitForCapacity} from './wait-for-capacity.js';
 
 /** Control's plan for a new want is here in this part of the objective; a refusal is early within a quarter of it. */
@@ -31,7 +31,7 @@
 /** Whether a load that is under way ends before the caller gives up; undefined when there is no load. */
 const isExpectedInTime = (core: GatewayCore, request: CallerRequest, model: string): boolean | undefined => {
 	const at = core.view.expectModel(request.service, model);
-	return at === undefined ? undefined : at + expectationReserveMs < patienceEnd(request) && core.clock.now() < at + overdueMs;
+	return at === undefined ? undefined : at + expectationReserveMs < waitDeadline(request) && core.clock.now() < at + overdueMs;
 };
 
 /** The nearest copy of a model's weights that an endpoint has. */
@@ -54,7 +54,7 @@
 
 	const source = findNearestSource(core, request.service, model);
 	const loadMs: Record<WeightSource, number> = {[WeightSource.Memory]: known.memoryLoadMs, [WeightSource.Disk]: known.diskLoadMs, [WeightSource.Store]: known.storeLoadMs};
-	return core.clock.now() + (loadMs[source] * loadReserve[source]) < patienceEnd(request);
+	return core.clock.now() + (loadMs[source] * loadReserve[source]) < waitDeadline(request);
 };
 
 /** A change of models takes this many times as long as a load from disk: what gives way is unloaded first. */
@@ -129,7 +129,7 @@
 				});
 			}
 
-			const leftMs = patienceEnd(request) - core.clock.now() - expectationReserveMs;
+			const leftMs = waitDeadline(request) - core.clock.now() - expectationReserveMs;
 			timer = leftMs > recheckMs ? setTimeout(decide, recheckMs) : setTimeout(giveUp, Math.max(1, leftMs));
 		};
 
@@ -146,7 +146,7 @@
 		});
 		core.onDrain.add(giveUp);
 		request.signal.addEventListener('abort', giveUp, {once: true});
-		const endWaiting = core.demand.wait(request.service, model, adapter, patienceEnd(request));
+		const endWaiting = core.demand.wait(request.service, model, adapter, waitDeadline(request));
 		let timer = setTimeout(decide, request.route.objectiveMs * decisionShare);
 		core.log('request.waits', {
 			request: request.requestId, model, adapter, revision: core.view.revision,
