A limited endpoint is asked now and then although others have capacity

Callers' requests never went back to an endpoint whose limit was over while others had capacity: only its answers tell that, and as a limited one it was the last to be chosen. A real run of 5 entries and 3 endpoints: 0 requests from 2 s to 4 s after the end of its limit, where a third of the load is 26. An entry that has had no answer of a limited endpoint for about half a second for each entry now prefers it once (so all together ask about twice a second, within the permits that the leader grants): the scenario asks for half of its share and passes.

By reading, in the same parts: reservations that nobody gives up, of entries that ended, stayed in a table of the leader for ever; a reservation now names its endpoint, and needs no table.

--- a/packages/mastvalve-gateway/__tests__/gateway.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/gateway.steps.ts
@@ -441,7 +441,7 @@
 /** Chooses between the two engines; `random` is added to what each of them costs, in turn. */
 const chooseEngine = ({board, now}: LearningWorld, random: number[]): string | undefined =>
 	chooseEndpoint({
-		endpoints: ['late', 'other'].map(id => createEndpoint(id)), model: undefined, adapter: undefined, failureDomain: 'a', tried: new Set(), askAgainAt: new Map(), isLimited: () => false, now, knowledgeOf: id => board.find(id), random: () => random.shift() ?? 0, headMs: 100, msPerToken: 0.1,
+		endpoints: ['late', 'other'].map(id => createEndpoint(id)), model: undefined, adapter: undefined, failureDomain: 'a', tried: new Set(), askAgainAt: new Map(), isLimited: () => false, limitedProbeMs: Number.POSITIVE_INFINITY, now, knowledgeOf: id => board.find(id), random: () => random.shift() ?? 0, headMs: 100, msPerToken: 0.1,
 	})?.id;
 
 Then('the other one is chosen, and either of them {int} ms later', function (this: LearningWorld, laterMs: number) {
--- a/packages/mastvalve-gateway/__tests__/limited-endpoints.feature
+++ b/packages/mastvalve-gateway/__tests__/limited-endpoints.feature
@@ -39,6 +39,17 @@
       | 5       | 3         | 1.8   | 120      |
       | 3       | 2         | 6     | 400      |
 
+  # While others have capacity a limited endpoint is hardly asked, and only its answers tell that its limit is over.
+  Scenario: An endpoint whose limit is over gets its share again while others have capacity
+    Given 5 entries that follow control
+    And 3 endpoints that count what they get
+    When endpoint 0 names a limit of "1.8" a second
+    And 160 requests come within 4000 ms, at one entry after the other
+    And endpoint 0 names no limit any more
+    And 160 requests come within 4000 ms, at one entry after the other
+    Then endpoint 0 got at least 13 requests from 2000 ms after it had named its limit
+    And all requests were answered
+
   Scenario: A limit counts that is named on failures
     Given 3 entries that follow control
     And 2 endpoints that count what they get
--- a/packages/mastvalve-gateway/__tests__/limited-endpoints.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/limited-endpoints.steps.ts
@@ -77,6 +77,10 @@
 	assert.ok(most <= limit, `${most} requests in ${spanMs} ms`);
 });
 
+When('endpoint {int} names no limit any more', function (this: LimitWorld, index: number) {
+	this.limited.name(index, undefined);
+});
+
 When('endpoint {int} answers with {string}', function (this: LimitWorld, index: number, status: string) {
 	this.limited.answerWith(index, status);
 });
--- a/packages/mastvalve-gateway/src/limits/endpoint-limiter.ts
+++ b/packages/mastvalve-gateway/src/limits/endpoint-limiter.ts
@@ -24,6 +24,9 @@
 /** A limit that this entry has heard itself holds here for this long, ms: until the leader, which hears it at once, has told all. Without a leader it holds on. */
 const ownWordMs = 2000;
 
+/** Pause between probes of one limited endpoint by all entries together, ms. */
+const probeMs = 500;
+
 type OwnWord = {perSecond: number; until: number};
 
 /** What a request asks of limited endpoints. */
@@ -47,6 +50,11 @@
 		return Math.min(own.perSecond, limitPerSecond ?? Number.POSITIVE_INFINITY);
 	}
 
+	/** How often this entry asks a limited endpoint to learn whether its limit is over, ms: all entries together about twice a second. */
+	get probePauseMs(): number {
+		return probeMs * (this.options.client.entries ?? Number.POSITIVE_INFINITY);
+	}
+
 	/** Claims a permit at one of several limited endpoints. One whose limit is over has a permit at any time. */
 	async claim(endpoints: readonly FleetEndpoint[], wish: HandoverWish): Promise<HandoverOutcome> {
 		const limits = endpoints.flatMap(({id}, index): Array<[string, number]> => {
--- a/packages/mastvalve-gateway/src/limits/limit-client.ts
+++ b/packages/mastvalve-gateway/src/limits/limit-client.ts
@@ -57,6 +57,11 @@
 		this.account = new LeaderAccount({...options, history: this.history});
 	}
 
+	/** Entries that share the limits of endpoints; undefined when control has told none. */
+	get entries(): number | undefined {
+		return this.options.readEntries();
+	}
+
 	/** Claims what a request costs its workspace. */
 	async claim(workspace: string, cost: number): Promise<ClaimOutcome> {
 		const claim = {workspace, cost};
--- a/packages/mastvalve-gateway/src/requests/choose-now.ts
+++ b/packages/mastvalve-gateway/src/requests/choose-now.ts
@@ -27,6 +27,7 @@
 	now: core.clock.now(),
 	knowledgeOf: id => core.board.find(id),
 	isLimited: endpoint => core.limiter.limitOf(endpoint) !== undefined,
+	limitedProbeMs: core.limiter.probePauseMs,
 	random: core.random,
 	headMs: core.headTimes.headMsOf(request.caller.model ?? ''),
 	msPerToken: core.headTimes.msPerToken(request.caller.model ?? ''),
--- a/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
+++ b/packages/mastvalve-gateway/src/routing/choose-endpoint.ts
@@ -22,6 +22,8 @@
 	knowledgeOf: (id: string) => EndpointKnowledge;
 	/** Whether an endpoint has named how many requests it takes. */
 	isLimited: (endpoint: FleetEndpoint) => boolean;
+	/** A limited endpoint that this entry has had no answer from for about so long is asked before others, ms. */
+	limitedProbeMs: number;
 	random: () => number;
 	/** Time in which an engine without a queue begins an answer with this model, ms. */
 	headMs: number;
@@ -38,6 +40,8 @@
  * nobody else takes in time.
  */
 const limitedMs = 20;
+/** Below any expected wait, ms. */
+const probeCostMs = -1;
 /**
  * An endpoint with own requests that has sent no byte for this long is doubtful, ms. Streams send several events a
  * second, and the longest reading of a prompt takes less.
@@ -104,8 +108,16 @@
 	return hasPermit(endpoint, input) ? Rank.Sound : Rank.SoundWithoutPermit;
 };
 
+/** Only its answers tell that the limit of an endpoint is over, so it is asked now and then although others are as near. */
+const isProbeDue = (endpoint: FleetEndpoint, {now, random, knowledgeOf, isLimited, limitedProbeMs}: EndpointChoiceInput): boolean =>
+	isLimited(endpoint) && now - knowledgeOf(endpoint.id).heardAt > limitedProbeMs * (0.5 + random());
+
 /** What one more request there costs, ms: the time until there is a permit, or the expected wait. */
 const estimateCost = (endpoint: FleetEndpoint, input: EndpointChoiceInput): number => {
+	if (isProbeDue(endpoint, input)) {
+		return probeCostMs;
+	}
+
 	const {failureDomain, now, knowledgeOf, isLimited} = input;
 	const knowledge = knowledgeOf(endpoint.id);
 	const domainMs = endpoint.failureDomain === failureDomain ? 0 : otherDomainMs;
--- a/packages/mastvalve-limits/src/endpoint-limits.ts
+++ b/packages/mastvalve-limits/src/endpoint-limits.ts
@@ -21,6 +21,9 @@
 /** What an endpoint may get before its rate has brought anything, requests: what was on its way when it named the limit is not counted. */
 const firstLevel = 0;
 
+/** Between the number of a reservation and its endpoint: an identity needs no table that reservations without an end would fill. */
+const separator = '@';
+
 type Account = {
 	/** Undefined once the limit is over; the account stays until that is recorded. */
 	perSecond: number | undefined;
@@ -36,8 +39,6 @@
 /** The limits of one leader. Times are monotonic, ms. */
 export class EndpointLimits {
 	private readonly accounts = new Map<string, Account>();
-	/** Where reservations are held, by their identities. */
-	private readonly reserved = new Map<string, string>();
 	private number = 0;
 
 	constructor(private readonly term: number, private readonly readRecorded: ReadRecorded) {}
@@ -90,9 +91,8 @@
 
 	/** Gives a reservation up; the endpoint where it was, if it had not lapsed. */
 	release(reservation: string): string | undefined {
-		const endpoint = this.reserved.get(reservation);
-		this.reserved.delete(reservation);
-		return endpoint !== undefined && this.accounts.get(endpoint)?.queue.remove(reservation) ? endpoint : undefined;
+		const endpoint = reservation.slice(reservation.indexOf(separator) + 1);
+		return this.accounts.get(endpoint)?.queue.remove(reservation) ? endpoint : undefined;
 	}
 
 	/** A request that was let through was not handed over. */
@@ -128,8 +128,7 @@
 
 	private reserve(endpoint: string, urgency: number, dueAt: number): string {
 		this.number += 1;
-		const id = `${this.term}-${this.number}`;
-		this.reserved.set(id, endpoint);
+		const id = `${this.term}-${this.number}${separator}${endpoint}`;
 		this.accounts.get(endpoint)?.queue.add({id, urgency, dueAt});
 		return id;
 	}
