--- a/xo.config.js
+++ b/xo.config.js
@@ -2,6 +2,8 @@
  * XO's settings. A rule is off only where the house style contradicts it or where two rules contradict each other;
  * docs/HOUSE-STYLE.md gives the reason for each.
  */
+const retiredNames = /^(?:[Ll]one[A-Z]\w*|patience(?:Of|End)|claimRoom|recordRoom|waitForRoom|roomAt|goAlone|decideAlone)$/v;
+
 const config = [
 	{ignores: ['dist/**', 'reports/**', '**/__snapshots__/**', 'target/**', 'journal/**']},
 	{
@@ -13,6 +15,11 @@
 			'unicorn/prevent-abbreviations': 'off',
 			// `constructor(private readonly x: X) {}` can't satisfy both this rule and unicorn/empty-brace-spaces.
 			'@stylistic/curly-newline': 'off',
+			// Terms that docs/GLOSSARY.md has replaced.
+			'no-restricted-syntax': ['error', 'WithStatement', {
+				selector: `Identifier[name=/${retiredNames.source}/]`,
+				message: 'docs/GLOSSARY.md names the term that took the place of this one.',
+			}],
 		},
 	},
 	{
