--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -37,9 +37,7 @@
 		failed.push(`npm run soak -- --seed ${seed} --controls ${values.controls} --entries ${values.entries}: ${run.findings.slice(0, 3).join('; ')} (${run.findings.length} findings, logs in ${run.folder})`);
 	}
 
-	if (process.stderr.isTTY) {
-		process.stderr.write(`\r${done} of ${total} seeds, ${failed.length} with findings`);
-	}
+	process.stderr.write(`${process.stderr.isTTY ? '\r' : ''}${done} of ${total} seeds, ${failed.length} with findings${process.stderr.isTTY ? '' : '\n'}`);
 };
 
 const work = async (): Promise<void> => {
