Log and metric of how the body of an answer ended

Ruled out: nothing yet. Change: request.answered and answer.broken name framing, end, bytes, events and isInsideEvent; mastvalve_answer_ends_total counts them. EventStreamScanner finds the ends of events. No decision changes.

--- a/packages/mastvalve-gateway/src/requests/handle-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/handle-answer.ts
@@ -10,6 +10,7 @@
 import type {AnswerReader} from '../memory/answer-reader.js';
 import type {EndpointRequest} from '../routing/endpoint-tracker.js';
 import type {GatewayCore} from '../server/gateway-core.js';
+import type {AnswerEnd} from '../streams/answer-end.js';
 import type {ExchangeKind, ExchangeOutcome} from '../upstream/exchange.js';
 import {isRepeatable, type CallerRequest} from './caller-request.js';
 import type {ClaimedEndpoint} from './claim-endpoint.js';
@@ -25,8 +26,18 @@
 /** Statuses of refusals. Only the header of the dialect states that the request was not run. */
 const refusalStatuses = new Set([408, 421, 429, 503]);
 
-/** Logs a complete answer: its endpoint and times, and the revision that the endpoint was selected by. */
-const logAnswer = (core: GatewayCore, request: CallerRequest, progress: RequestProgress, {endpoint, status, headAt}: {endpoint: string; status: number; headAt: number}): void => {
+/** Fields of log lines that tell how a body ended. */
+const describeEnd = ({framing, end, bytes, events, isInsideEvent}: AnswerEnd): Record<string, unknown> => ({
+	framing, end, bytes, events, ...(isInsideEvent ? {isInsideEvent} : {}),
+});
+
+/** A complete answer: its endpoint and when its head arrived, monotonic ms. */
+type CompleteAnswer = {endpoint: string; status: number; headAt: number; end: AnswerEnd};
+
+/** Logs a complete answer: its endpoint and times, how it ended, and the revision that the endpoint was selected by. */
+const logAnswer = (core: GatewayCore, request: CallerRequest, progress: RequestProgress, {
+	endpoint, status, headAt, end,
+}: CompleteAnswer): void => {
 	core.log('request.answered', {
 		request: request.requestId,
 		route: request.route.name,
@@ -39,6 +50,7 @@
 		sent: progress.sentCount,
 		load: core.tracker.getOrCreate(endpoint).load,
 		revision: core.view.revision,
+		...describeEnd(end),
 	});
 };
 
@@ -56,12 +68,12 @@
 
 /** Records that an answer broke off after its head, and ends its request unless it can be resumed; true when it has ended. */
 const failBrokenAnswer = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, {
-	endpoint, status, reader, run,
-}: {endpoint: FleetEndpoint; status: number; reader: AnswerReader; run: DispatchRun | undefined}): boolean => {
+	endpoint, status, reader, run, end,
+}: {endpoint: FleetEndpoint; status: number; reader: AnswerReader; run: DispatchRun | undefined; end: AnswerEnd}): boolean => {
 	progress.streamPosition?.dropPartialEvent();
 	core.crashDetector.recordBrokenConnection(endpoint, request.fingerprint);
 	core.log('answer.broken', {
-		request: request.requestId, fingerprint: request.fingerprint, endpoint: endpoint.id, status, lastEvent: progress.streamPosition?.lastEventId, isSlowReader: reader.hasBeenSlow,
+		request: request.requestId, fingerprint: request.fingerprint, endpoint: endpoint.id, status, lastEvent: progress.streamPosition?.lastEventId, isSlowReader: reader.hasBeenSlow, ...describeEnd(end),
 	});
 	// An endpoint cuts off an answer that stays unread: that is no failure of it, and another endpoint's would stay unread too.
 	if (reader.hasBeenSlow) {
@@ -148,15 +160,16 @@
 
 	const headAt = core.clock.now();
 	const reader = watchReader(core, request, progress, {endpointId: endpoint.id, res, reply});
-	const isComplete = await relayBody(res, reply, {position: progress.streamPosition, isBroken, reader});
-	if (isComplete) {
+	const end = await relayBody(res, reply, {position: progress.streamPosition, isBroken, reader});
+	core.observer.recordAnswerEnd(end);
+	if (end.isComplete) {
 		if (status === okStatus) {
 			core.quarantine.recordSuccess(request.fingerprint);
 			run?.end(RunEventKind.Completed);
 		}
 
 		logAnswer(core, request, progress, {
-			endpoint: endpoint.id, status, headAt,
+			endpoint: endpoint.id, status, headAt, end,
 		});
 		reply.end();
 		return true;
@@ -165,6 +178,6 @@
 	cancel();
 	reader.resume();
 	return request.signal.aborted || failBrokenAnswer(core, request, reply, progress, {
-		endpoint, status, reader, run,
+		endpoint, status, reader, run, end,
 	});
 };
--- a/packages/mastvalve-gateway/src/requests/relay-body.ts
+++ b/packages/mastvalve-gateway/src/requests/relay-body.ts
@@ -7,6 +7,9 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import type {AnswerReader} from '../memory/answer-reader.js';
+import {findBodyEnd, findFraming, type AnswerEnd} from '../streams/answer-end.js';
+import {EventStreamScanner} from '../streams/event-stream-scanner.js';
+import {isEventStream} from '../streams/is-event-stream.js';
 import type {Reply} from './reply.js';
 
 const eventDelimiter = '\n\n';
@@ -67,10 +70,21 @@
 	reader: AnswerReader;
 };
 
-/** Relays a body with backpressure; resolves to true when the answer was complete. */
-export const relayBody = async (res: IncomingMessage, reply: Reply, {position, isBroken, reader}: RelayOptions): Promise<boolean> =>
+/** Relays a body with backpressure; resolves to how it ended. */
+export const relayBody = async (res: IncomingMessage, reply: Reply, {position, isBroken, reader}: RelayOptions): Promise<AnswerEnd> =>
 	new Promise(resolve => {
+		const framing = findFraming(res);
+		const scanner = isEventStream(res) ? new EventStreamScanner() : undefined;
+		let received = 0;
+		const settle = (isComplete: boolean): void => {
+			resolve({
+				framing, end: findBodyEnd(res, framing, isBroken()), bytes: received, events: scanner?.events, isInsideEvent: scanner?.isBetweenEvents === false, isComplete,
+			});
+		};
+
 		res.on('data', (chunk: Uint8Array) => {
+			received += chunk.length;
+			scanner?.scan(chunk);
 			const bytes = position ? position.takeCompleteEvents(chunk) : chunk;
 			if (bytes.length > 0 && !reply.write(bytes)) {
 				res.pause();
@@ -88,12 +102,12 @@
 				reply.write(remainder);
 			}
 
-			resolve(isComplete);
+			settle(isComplete);
 		});
 		res.once('error', () => {
-			resolve(false);
+			settle(false);
 		});
 		res.once('close', () => {
-			resolve(false);
+			settle(false);
 		});
 	});
--- a/packages/mastvalve-gateway/src/server/gateway-metrics.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-metrics.ts
@@ -24,6 +24,9 @@
 	const attempts = new Counter({
 		name: 'mastvalve_attempts_total', help: 'Attempts at endpoints by outcome', labelNames: ['outcome'], registers: [registry],
 	});
+	const answerEnds = new Counter({
+		name: 'mastvalve_answer_ends_total', help: 'Bodies of endpoints\' answers by what frames them, how they ended, and whether a stream ended inside an event or between two', labelNames: ['framing', 'end', 'event'], registers: [registry],
+	});
 	const refusals = new Counter({
 		name: 'mastvalve_refusals_total', help: 'Requests refused on admission, by reason', labelNames: ['reason'], registers: [registry],
 	});
@@ -73,6 +76,9 @@
 		recordRequest(kind, status, durationMs) {
 			requests.observe({kind, status: String(status)}, durationMs / msPerSecond);
 		},
+		recordAnswerEnd({framing, end, isInsideEvent}) {
+			answerEnds.inc({framing, end, event: isInsideEvent ? 'inside' : 'between'});
+		},
 		recordRefusal(reason) {
 			refusals.inc({reason});
 		},
--- a/packages/mastvalve-gateway/src/server/gateway-observer.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-observer.ts
@@ -2,6 +2,8 @@
  * Callbacks through which a gateway reports its work to metrics. Durations in ms.
  */
 
+import type {AnswerEnd} from '../streams/answer-end.js';
+
 /** Receives the events of a gateway. */
 export type GatewayObserver = {
 	/** A request has ended; status 0 when its response was aborted or its caller disconnected first. */
@@ -10,6 +12,8 @@
 	recordRefusal: (reason: string) => void;
 	/** An attempt at an endpoint has ended. */
 	recordAttempt: (outcome: string) => void;
+	/** The body of an endpoint's answer has ended. */
+	recordAnswerEnd: (end: AnswerEnd) => void;
 	/** A permit for limited endpoints was requested; `hasPermit` is whether one was granted. */
 	recordPermit: (hasPermit: boolean) => void;
 	/** An endpoint has refused a request and asked this entry to back off. */
@@ -29,6 +33,7 @@
 	recordRequest: () => undefined,
 	recordRefusal: () => undefined,
 	recordAttempt: () => undefined,
+	recordAnswerEnd: () => undefined,
 	recordPermit: () => undefined,
 	recordBackoff: () => undefined,
 	recordClaim: () => undefined,
--- /dev/null
+++ b/packages/mastvalve-gateway/src/streams/answer-end.ts
@@ -0,0 +1,58 @@
+/**
+ * How the body of an endpoint's answer ended.
+ */
+
+import type {IncomingMessage} from 'node:http';
+
+/** What tells the end of a body. */
+export enum BodyFraming {
+	Length = 'length',
+	Chunked = 'chunked',
+	/** Neither: the body ends with its connection. */
+	Connection = 'connection',
+}
+
+export enum BodyEnd {
+	/** All that the length or the chunks announced has arrived. */
+	Framed = 'framed',
+	/** The connection was closed before the announced end. */
+	Short = 'short',
+	/** The connection was closed, and nothing else tells the end. */
+	Closed = 'closed',
+	/** The connection was reset or failed. */
+	Failed = 'failed',
+}
+
+/** End of a relayed body. */
+export type AnswerEnd = {
+	framing: BodyFraming;
+	end: BodyEnd;
+	/** Bytes received from the endpoint. */
+	bytes: number;
+	/** Complete events; undefined for a body that isn't an event stream. */
+	events: number | undefined;
+	/** Whether an event stream ended inside an event. */
+	isInsideEvent: boolean;
+	isComplete: boolean;
+};
+
+export const findFraming = ({headers}: IncomingMessage): BodyFraming => {
+	if (headers['transfer-encoding'] !== undefined) {
+		return BodyFraming.Chunked;
+	}
+
+	return headers['content-length'] === undefined ? BodyFraming.Connection : BodyFraming.Length;
+};
+
+/** Classifies a body that has ended. `hasFailed` is whether its connection was reset or failed. */
+export const findBodyEnd = (res: IncomingMessage, framing: BodyFraming, hasFailed: boolean): BodyEnd => {
+	if (framing !== BodyFraming.Connection && res.complete) {
+		return BodyEnd.Framed;
+	}
+
+	if (hasFailed) {
+		return BodyEnd.Failed;
+	}
+
+	return res.complete ? BodyEnd.Closed : BodyEnd.Short;
+};
