Failing tests: streams that end inside an event reach their callers as complete

Cause: reproduced with raw sockets. Of 11 streams cut inside an event with 4 framings each, 33 of 44 reach their caller as complete: all but those whose connection is reset. An answer with neither length nor chunks whose connection is closed with FIN is among them (hypothesis 1). A caller of HTTP/1.0, which gets no chunks, sees a regular end even where the entry has noticed the break (44 of 44). Ruled out: hypothesis 2 as far as these cases go: all resets are recognised. Hypothesis 3: Node reports no framed body as complete before its announced end. Conclusion: hypothesis 1 is the cause to fix.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -59,6 +59,7 @@
 	...[RouteKind.Safe, RouteKind.Unsafe, RouteKind.Stream].map(kind => createRoute(kind, kind, 2000)),
 	createRoute('patient', RouteKind.Safe, 60_000),
 	createRoute('open', RouteKind.Safe, 2000),
+	{...createRoute('draft', RouteKind.Stream, 10_000), isResumable: false},
 	{...createRoute('digest', RouteKind.Safe, 60_000), objectiveMs: 8000},
 ];
 
@@ -235,6 +236,11 @@
 		}, true);
 	}
 
+	/** `ip:port` on which callers reach the gateway. */
+	get listenAddress(): string {
+		return this.address;
+	}
+
 	/** Opens a connection on which requests can be pipelined. One that begins without reading holds no bytes of its own. */
 	connect(isReading = true): {send: (path: string, headers?: string) => void; readText: () => string; stopReading: () => void; startReading: () => void; disconnect: () => void} {
 		const [host, port] = this.address.split(':');
--- a/packages/mastvalve-gateway/src/index.ts
+++ b/packages/mastvalve-gateway/src/index.ts
@@ -32,4 +32,6 @@
 export * from './server/gateway-node.js';
 export type * from './server/gateway-core.js';
 export * from './server/gateway-observer.js';
+export * from './streams/answer-end.js';
+export * from './streams/event-stream-scanner.js';
 export * from './upstream/upstream-agent.js';
