Streams that end inside an event count as broken off, whatever frames them

What callers saw: a stream whose endpoint died inside an event reached them with status 200 and a short body, framed as complete. Cause: the end of the connection was taken for the end of the answer. An answer with neither a length nor chunks ends with its connection, and a process that dies with all data read closes it with FIN, so Node reports the body as complete; the entry relayed it and ended its own chunks regularly. Nothing looked at the content. Ruled out: a reset that isn't recognised (all cases with resets passed before); a framed body that Node reports as complete too early. Change: an event stream is complete only if it ends between two events. EventStreamScanner scans each body that is an event stream, in one pass that the position of a resumable stream uses as well (it knew LF only, so a stream with CRLF was never passed on event by event). The length of an event stream isn't passed on, since a caller that has as many bytes can't be told of the break. A broken one is handled like any other: aborted or resumed elsewhere, counted against its endpoint and for the crash detector.

--- a/packages/mastvalve-gateway/__tests__/broken-streams.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/broken-streams.steps.ts
@@ -112,7 +112,8 @@
 	const following: Record<string, string> = {'': 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', 1: 'id: 2\ndata: b\n\n'};
 	this.streamEndpoints.push(await startScriptedEndpoint((socket, text) => {
 		const after = /x-resume: (?<after>\d+)/iv.exec(text)?.groups?.after ?? '';
-		void sendParts(socket, formatParts({id: idOf(text), body: Buffer.from(following[after]!), framing: 'chunks'}, wholeBytes), 'chunks');
+		const body = Buffer.from(following[after]!);
+		void sendParts(socket, formatParts({id: idOf(text), body, framing: 'chunks'}, body.length), 'chunks');
 	}));
 });
 
--- a/packages/mastvalve-gateway/__tests__/slow-readers.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/slow-readers.steps.ts
@@ -197,7 +197,7 @@
 	this.position = new StreamPosition();
 	this.heldBytes = 0;
 	this.passedOnBytes = Array.from({length: megabytes * bytesPerMegabyte / part.length}).reduce<number>(passedOn => {
-		const complete = this.position.takeCompleteEvents(part);
+		const complete = this.position.take(part, 0);
 		this.heldBytes = Math.max(this.heldBytes, this.position.heldBytes);
 		return passedOn + complete.length;
 	}, 0) + this.position.takeRemainder().length;
--- a/packages/mastvalve-gateway/src/requests/handle-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/handle-answer.ts
@@ -3,7 +3,7 @@
  */
 
 import {RunEventKind} from 'mastvalve-dispatch';
-import type {FleetEndpoint} from 'mastvalve-fleet';
+import {RouteKind, type FleetEndpoint} from 'mastvalve-fleet';
 import {RetryAfterKind} from 'mastvalve-limits';
 import type {AnswerHeaders} from '../dialect.js';
 import type {DispatchRun} from '../dispatch/dispatch-run.js';
@@ -11,6 +11,8 @@
 import type {EndpointRequest} from '../routing/endpoint-tracker.js';
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {AnswerEnd} from '../streams/answer-end.js';
+import {EventStreamScanner} from '../streams/event-stream-scanner.js';
+import {isEventStream} from '../streams/is-event-stream.js';
 import type {ExchangeKind, ExchangeOutcome} from '../upstream/exchange.js';
 import {isRepeatable, type CallerRequest} from './caller-request.js';
 import type {ClaimedEndpoint} from './claim-endpoint.js';
@@ -18,7 +20,7 @@
 import {recordAnswerHead, recordMisdirection} from './record-answer-head.js';
 import type {RequestProgress} from './request-progress.js';
 import {relayBody} from './relay-body.js';
-import type {Reply} from './reply.js';
+import {removeLength, type Reply} from './reply.js';
 import {watchReader} from './watch-reader.js';
 
 const okStatus = 200;
@@ -70,7 +72,6 @@
 const failBrokenAnswer = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, {
 	endpoint, status, reader, run, end,
 }: {endpoint: FleetEndpoint; status: number; reader: AnswerReader; run: DispatchRun | undefined; end: AnswerEnd}): boolean => {
-	progress.streamPosition?.dropPartialEvent();
 	core.crashDetector.recordBrokenConnection(endpoint, request.fingerprint);
 	core.log('answer.broken', {
 		request: request.requestId, fingerprint: request.fingerprint, endpoint: endpoint.id, status, lastEvent: progress.streamPosition?.lastEventId, isSlowReader: reader.hasBeenSlow, ...describeEnd(end),
@@ -154,13 +155,16 @@
 		return failUnlessRetryable(core, request, reply, progress, `the stream can't go on: status ${status}`);
 	}
 
+	const scanner = isEventStream(res, {method: request.method, isStreamRoute: request.route.kind === RouteKind.Stream}) ? new EventStreamScanner() : undefined;
 	if (!reply.hasBegun) {
-		reply.begin(status, res.statusMessage ?? '', res.rawHeaders);
+		reply.begin(status, res.statusMessage ?? '', scanner ? removeLength(res.rawHeaders) : res.rawHeaders);
 	}
 
 	const headAt = core.clock.now();
 	const reader = watchReader(core, request, progress, {endpointId: endpoint.id, res, reply});
-	const end = await relayBody(res, reply, {position: progress.streamPosition, isBroken, reader});
+	const end = await relayBody(res, reply, {
+		scanner, position: progress.streamPosition, isBroken, reader,
+	});
 	core.observer.recordAnswerEnd(end);
 	if (end.isComplete) {
 		if (status === okStatus) {
--- a/packages/mastvalve-gateway/src/requests/request-progress.ts
+++ b/packages/mastvalve-gateway/src/requests/request-progress.ts
@@ -2,7 +2,7 @@
  * Progress of one request across its attempts.
  */
 
-import {StreamPosition} from './relay-body.js';
+import {StreamPosition} from '../streams/stream-position.js';
 import type {CallerRequest} from './caller-request.js';
 
 export type RequestProgress = {
--- a/packages/mastvalve-gateway/src/streams/event-stream-scanner.ts
+++ b/packages/mastvalve-gateway/src/streams/event-stream-scanner.ts
@@ -10,64 +10,69 @@
 /** A byte order mark may precede the first line. */
 const byteOrderMark = [0xEF, 0xBB, 0xBF];
 
+/** Returns the offset of the next line end, or the length of the chunk. */
+const findLineEnd = (chunk: Uint8Array, from: number): number => {
+	let offset = from;
+	while (offset < chunk.length && chunk[offset] !== lineFeed && chunk[offset] !== carriageReturn) {
+		offset += 1;
+	}
+
+	return offset;
+};
+
 export class EventStreamScanner {
 	/** Number of events that have ended. */
 	events = 0;
-	private scannedBytes = 0;
 	private isInsideEvent = false;
 	private isLineEmpty = true;
 	private isAfterReturn = false;
 	/** Whether any line has ended with CRLF. */
 	private hasSeenPair = false;
+	/** Whether nothing but the byte order mark has been scanned. */
+	private isAtStart = true;
 	private markLength = 0;
 
 	/** Whether the stream may end here: after an event, a comment or nothing. */
 	get isBetweenEvents(): boolean {
-		return !this.isInsideEvent && !this.isInsideLineEnd && !this.isInsideMark;
+		const isInsideLineEnd = this.isAfterReturn && this.hasSeenPair;
+		const isInsideMark = this.isAtStart && this.markLength > 0 && this.markLength < byteOrderMark.length;
+		return !this.isInsideEvent && !isInsideLineEnd && !isInsideMark;
 	}
 
 	/** Scans the next chunk; returns the offset in it up to which all events are complete. */
 	scan(chunk: Uint8Array): number {
 		let boundary = 0;
-		chunk.forEach((byte, index) => {
-			if (this.scanByte(byte) && !this.isInsideEvent) {
-				boundary = index + 1;
-			}
-		});
-		return boundary;
-	}
-
-	/** Whether a line end of a stream that uses CRLF lacks its second byte. */
-	private get isInsideLineEnd(): boolean {
-		return this.isAfterReturn && this.hasSeenPair;
-	}
+		let offset = this.skipMark(chunk);
+		while (offset < chunk.length) {
+			offset = this.scanLine(chunk, offset);
+			boundary = this.isLineEmpty && !this.isInsideEvent ? offset : boundary;
+		}
 
-	private get isInsideMark(): boolean {
-		return this.markLength === this.scannedBytes && this.markLength > 0 && this.markLength < byteOrderMark.length;
+		return boundary;
 	}
 
-	/** Scans one byte; returns whether it ends a line. */
-	private scanByte(byte: number): boolean {
-		const isSecondOfPair = this.isAfterReturn && byte === lineFeed;
-		this.isAfterReturn = byte === carriageReturn;
-		if (this.takeMark(byte)) {
-			return false;
-		}
-
+	/** Scans up to the end of a line or of the chunk; returns the offset behind it. */
+	private scanLine(chunk: Uint8Array, start: number): number {
+		const isSecondOfPair = this.isAfterReturn && chunk[start] === lineFeed;
+		this.isAfterReturn = false;
 		if (isSecondOfPair) {
 			this.hasSeenPair = true;
-			return true;
+			return start + 1;
 		}
 
-		const isLineEnd = byte === lineFeed || byte === carriageReturn;
-		if (isLineEnd) {
-			this.endLine();
-		} else {
-			this.isInsideEvent ||= this.isLineEmpty && byte !== colon;
+		const end = findLineEnd(chunk, start);
+		if (this.isLineEmpty && end > start) {
 			this.isLineEmpty = false;
+			this.isInsideEvent ||= chunk[start] !== colon;
 		}
 
-		return isLineEnd;
+		if (end === chunk.length) {
+			return end;
+		}
+
+		this.endLine();
+		this.isAfterReturn = chunk[end] === carriageReturn;
+		return end + 1;
 	}
 
 	private endLine(): void {
@@ -79,11 +84,15 @@
 		this.isLineEmpty = true;
 	}
 
-	/** Whether the byte belongs to the byte order mark. */
-	private takeMark(byte: number): boolean {
-		const isMark = this.markLength === this.scannedBytes && byte === byteOrderMark[this.markLength];
-		this.scannedBytes += 1;
-		this.markLength += isMark ? 1 : 0;
-		return isMark;
+	/** Returns the offset behind a byte order mark at the start of the stream. */
+	private skipMark(chunk: Uint8Array): number {
+		let offset = 0;
+		while (this.isAtStart && offset < chunk.length) {
+			this.isAtStart = this.markLength < byteOrderMark.length && chunk[offset] === byteOrderMark[this.markLength];
+			this.markLength += this.isAtStart ? 1 : 0;
+			offset += this.isAtStart ? 1 : 0;
+		}
+
+		return offset;
 	}
 }
