An aborted answer without a length and chunks ends with a reset

What callers saw: a caller of HTTP/1.0 took an answer that the entry had aborted for complete. Cause: such a caller gets no chunks, so its answer ends with the connection, and an abort closed that with FIN. Same class as the end of a stream: an end of input that is taken for the end of a message, here on our own side. Ruled out: callers of HTTP/1.1, whose answers have a length or chunks. Change: Reply.abort resets the connection where the answer announces neither.

--- a/packages/mastvalve-gateway/src/requests/reply.ts
+++ b/packages/mastvalve-gateway/src/requests/reply.ts
@@ -28,6 +28,9 @@
 export type ProblemAnswer = {status: number; code: string; message: string; retryAfterSeconds?: number};
 
 export class Reply {
+	/** Whether the head of the answer announces the length of its body. */
+	private hasLength = false;
+
 	constructor(private readonly res: ServerResponse) {}
 
 	get hasBegun(): boolean {
@@ -57,6 +60,7 @@
 		const body = JSON.stringify({
 			type: 'about:blank', title: code, status, detail: message,
 		});
+		this.hasLength = true;
 		this.res.writeHead(status, {
 			'content-type': 'application/problem+json',
 			'content-length': Buffer.byteLength(body),
@@ -67,7 +71,9 @@
 
 	/** Sends the head of an endpoint's answer. */
 	begin(status: number, statusText: string, rawHeaders: readonly string[]): void {
-		this.res.writeHead(status, statusText, removeHopByHopHeaders(rawHeaders));
+		const headers = removeHopByHopHeaders(rawHeaders);
+		this.hasLength = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length');
+		this.res.writeHead(status, statusText, headers);
 		this.res.flushHeaders();
 	}
 
@@ -84,8 +90,16 @@
 		this.res.end();
 	}
 
-	/** Destroys the connection, so that the caller can't take the answer for complete. */
+	/**
+	 * Closes the connection, so that the caller can't take the answer for complete. An answer without a length and chunks, as a caller of
+	 * HTTP/1.0 gets it, ends with its connection: only a reset shows that it is broken.
+	 */
 	abort(): void {
+		if (this.hasBegun && !this.res.chunkedEncoding && !this.hasLength) {
+			this.res.socket?.resetAndDestroy();
+			return;
+		}
+
 		this.res.destroy();
 	}
 }
