A body without a content type is judged by its framing first

Cause: a missing content type on a stream route was taken for an event stream without doubt. Ruled out: an answer that declares text/event-stream; it is judged by its content, whatever frames it. Change: StreamContent tells declared, assumed and no event streams. An assumed one that is framed counts as complete where its framing says so; without framing its content decides. Conclusion: two weak signs are weighed against each other; a declared type isn't a weak one.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/stream-answers.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/stream-answers.ts
@@ -47,14 +47,14 @@
 	Array.from({length: Math.ceil(body.length / size)}, (_, index) => body.subarray(index * size, (index + 1) * size));
 
 /** How an answer is sent. */
-export type AnswerBytes = {id: string; body: Uint8Array; framing: Framing; contentType?: string; status?: string; more?: string};
+export type AnswerBytes = {id: string; body: Uint8Array; framing: Framing; /** Declares none when empty. */ contentType?: string; status?: string; more?: string};
 
 const formatChunk = (part: Uint8Array): Uint8Array => Buffer.concat([Buffer.from(`${part.length.toString(16)}\r\n`), part, Buffer.from('\r\n')]);
 
 /** Formats an answer: its head and the parts of its body, of at most `size` bytes. */
 export const formatParts = ({id, body, framing, contentType = 'text/event-stream', status = '200 OK', more = ''}: AnswerBytes, size: number): Uint8Array[] => {
 	const fields = {'a length': `content-length: ${body.length}\r\n`, chunks: 'transfer-encoding: chunked\r\n'};
-	const head = Buffer.from(`HTTP/1.1 ${status}\r\nx-id: ${id}\r\ncontent-type: ${contentType}\r\n${framing === 'a length' || framing === 'chunks' ? fields[framing] : ''}${more}\r\n`);
+	const head = Buffer.from(`HTTP/1.1 ${status}\r\nx-id: ${id}\r\n${contentType === '' ? '' : `content-type: ${contentType}\r\n`}${framing === 'a length' || framing === 'chunks' ? fields[framing] : ''}${more}\r\n`);
 	const parts = splitBody(body, size);
 	return framing === 'chunks' ? [head, ...parts.map(part => formatChunk(part)), Buffer.from('0\r\n\r\n')] : [head, ...parts];
 };
--- a/packages/mastvalve-gateway/__tests__/broken-streams.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/broken-streams.steps.ts
@@ -244,6 +244,7 @@
 		{title: 'HEAD', method: 'HEAD', answer: {body: empty, framing: 'nothing, then closes'}},
 		{title: '204', answer: {body: empty, framing: 'nothing, then closes', status: '204 No Content'}},
 		{title: '304', answer: {body: empty, framing: 'nothing, then closes', status: '304 Not Modified'}},
+		{title: 'a body that declares no type, with a length', answer: {body: stream, framing: 'a length', contentType: ''}},
 		{title: 'an empty stream with a length', answer: {body: empty, framing: 'a length'}},
 		{title: 'an empty stream in chunks', answer: {body: empty, framing: 'chunks'}},
 	);
--- a/packages/mastvalve-gateway/src/requests/handle-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/handle-answer.ts
@@ -11,8 +11,7 @@
 import type {EndpointRequest} from '../routing/endpoint-tracker.js';
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {AnswerEnd} from '../streams/answer-end.js';
-import {EventStreamScanner} from '../streams/event-stream-scanner.js';
-import {isEventStream} from '../streams/is-event-stream.js';
+import {findStreamContent, StreamContent} from '../streams/stream-content.js';
 import type {ExchangeKind, ExchangeOutcome} from '../upstream/exchange.js';
 import {isRepeatable, type CallerRequest} from './caller-request.js';
 import type {ClaimedEndpoint} from './claim-endpoint.js';
@@ -155,15 +154,15 @@
 		return failUnlessRetryable(core, request, reply, progress, `the stream can't go on: status ${status}`);
 	}
 
-	const scanner = isEventStream(res, {method: request.method, isStreamRoute: request.route.kind === RouteKind.Stream}) ? new EventStreamScanner() : undefined;
+	const content = findStreamContent(res, {method: request.method, isStreamRoute: request.route.kind === RouteKind.Stream});
 	if (!reply.hasBegun) {
-		reply.begin(status, res.statusMessage ?? '', scanner ? removeLength(res.rawHeaders) : res.rawHeaders);
+		reply.begin(status, res.statusMessage ?? '', content === StreamContent.None ? res.rawHeaders : removeLength(res.rawHeaders));
 	}
 
 	const headAt = core.clock.now();
 	const reader = watchReader(core, request, progress, {endpointId: endpoint.id, res, reply});
 	const end = await relayBody(res, reply, {
-		scanner, position: progress.streamPosition, isBroken, reader,
+		content, position: progress.streamPosition, isBroken, reader,
 	});
 	core.observer.recordAnswerEnd(end);
 	if (end.isComplete) {
--- a/packages/mastvalve-gateway/src/requests/relay-body.ts
+++ b/packages/mastvalve-gateway/src/requests/relay-body.ts
@@ -2,18 +2,21 @@
  * Relays the body of an endpoint's answer to the caller as it arrives.
  *
  * An event stream that ends inside an event has been broken off, whatever frames it. Of a resumable one, only complete events are relayed.
+ * Where no content type is declared, the framing goes before the content.
  */
 
 import type {IncomingMessage} from 'node:http';
 import type {AnswerReader} from '../memory/answer-reader.js';
-import {findBodyEnd, findFraming, type AnswerEnd} from '../streams/answer-end.js';
-import type {EventStreamScanner} from '../streams/event-stream-scanner.js';
+import {
+	BodyFraming, findBodyEnd, findFraming, type AnswerEnd,
+} from '../streams/answer-end.js';
+import {EventStreamScanner} from '../streams/event-stream-scanner.js';
+import {StreamContent} from '../streams/stream-content.js';
 import type {StreamPosition} from '../streams/stream-position.js';
 import type {Reply} from './reply.js';
 
 export type RelayOptions = {
-	/** Undefined for a body that isn't an event stream. */
-	scanner: EventStreamScanner | undefined;
+	content: StreamContent;
 	/** Undefined for a stream that can't be resumed. */
 	position: StreamPosition | undefined;
 	/** Whether the connection to the endpoint has failed. */
@@ -22,14 +25,16 @@
 };
 
 /** Relays a body with backpressure; resolves to how it ended. */
-export const relayBody = async (res: IncomingMessage, reply: Reply, {scanner, position, isBroken, reader}: RelayOptions): Promise<AnswerEnd> =>
+export const relayBody = async (res: IncomingMessage, reply: Reply, {content, position, isBroken, reader}: RelayOptions): Promise<AnswerEnd> =>
 	new Promise(resolve => {
 		const framing = findFraming(res);
+		const scanner = content === StreamContent.None ? undefined : new EventStreamScanner();
+		const mustEndBetweenEvents = content === StreamContent.Declared || framing === BodyFraming.Connection;
 		let received = 0;
 		const settle = (hasEnded: boolean): void => {
 			const isInsideEvent = scanner?.isBetweenEvents === false;
-			const isComplete = hasEnded && !isInsideEvent;
-			// Of a complete stream, a comment without a line end; of a broken one, part of an event.
+			const isComplete = hasEnded && !(isInsideEvent && mustEndBetweenEvents);
+			// Of a complete stream, what follows its last line end; of a broken one, part of an event.
 			const remainder = position?.takeRemainder();
 			if (isComplete && remainder && remainder.length > 0) {
 				reply.write(remainder);
