A stream that nothing frames and that ends between two events is complete only if its endpoint lives on

What callers saw: the same as inside an event: a stream cut short, framed as complete; here the cut lies between two events, where its content doesn't show it. A process that dies closes its connections just as one that has sent its whole answer. Change: such a stream waits with its end, not with its events, for one connection attempt to the endpoint's address. Refused: the endpoint has died, the answer is broken off, or resumed elsewhere. Accepted or unanswered: complete. An endpoint that leaves, by its own answers, by control or by its absence from the list, may end after its last answer and isn't asked. A stream without a single event is broken off: an answer has one at least.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/scripted-endpoint.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/scripted-endpoint.ts
@@ -11,7 +11,7 @@
 export type Script = (socket: Socket, requestText: string, requestNumber: number) => void;
 
 /** A running endpoint; `connections` counts all connections so far, and `open` the open ones. */
-export type ScriptedEndpoint = {address: string; requests: string[]; connections: () => number; open: () => number; resetConnections: () => void; close: () => void};
+export type ScriptedEndpoint = {address: string; requests: string[]; connections: () => number; open: () => number; resetConnections: () => void; /** Accepts no further connections; the open ones stay. */ stopListening: () => void; close: () => void};
 
 const headEnd = '\r\n\r\n';
 
@@ -58,6 +58,9 @@
 				socket.resetAndDestroy();
 			});
 		},
+		stopListening() {
+			server.close();
+		},
 		close() {
 			server.close();
 			sockets.forEach(socket => {
--- a/packages/mastvalve-gateway/__tests__/broken-streams.feature
+++ b/packages/mastvalve-gateway/__tests__/broken-streams.feature
@@ -32,3 +32,21 @@
     Given an endpoint that sends bodies that are no readable event streams
     When a caller requests each of them on the routes "draft" and "stream"
     Then each caller gets its answer as complete
+
+  # Guards against a stream that reached its caller as complete although its endpoint had died between two of its events: neither its framing nor its last event shows that.
+  Scenario Outline: A stream that nothing frames and that ends between two events is <result> when its endpoint <endpoint>
+    Given an endpoint that sends 2 events with nothing framing them, closes the connection and "<endpoint>"
+    When a caller requests its stream on the route "draft"
+    Then the caller's stream is "<result>"
+
+    Examples:
+      | endpoint                                      | result     |
+      | listens on                                    | complete   |
+      | listens no more                               | broken off |
+      | listens no more, as it said it would          | complete   |
+      | listens no more, and control lists it no more | complete   |
+
+  Scenario: A stream without a single event that nothing frames is broken off
+    Given an endpoint that sends 0 events with nothing framing them, closes the connection and "listens on"
+    When a caller requests its stream on the route "draft"
+    Then the caller's stream is "broken off"
--- a/packages/mastvalve-gateway/__tests__/broken-streams.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/broken-streams.steps.ts
@@ -258,3 +258,29 @@
 Then('each caller gets its answer as complete', function (this: StreamWorld) {
 	assert.deepEqual(this.streamResults.flatMap(({isWhole}, index) => (isWhole ? [] : [titleOf(this, index)])), []);
 });
+
+Given('an endpoint that sends {int} events with nothing framing them, closes the connection and {string}', async function (this: StreamWorld, count: number, fate: string) {
+	const body = 'data: a\n\n'.repeat(count);
+	const endpoint = await startScriptedEndpoint((socket, text) => {
+		if (fate !== 'listens on') {
+			endpoint.stopListening();
+		}
+
+		if (fate.endsWith('lists it no more')) {
+			this.streamRun.setEndpoints([]);
+		}
+
+		const leaving = fate.endsWith('as it said it would') ? 'x-leaving: 1\r\n' : '';
+		socket.end(`HTTP/1.1 200 OK\r\nx-id: ${idOf(text)}\r\ncontent-type: text/event-stream\r\n${leaving}\r\n${body}`);
+	});
+	this.streamEndpoints.push(endpoint);
+});
+
+When('a caller requests its stream on the route {string}', async function (this: StreamWorld, route: string) {
+	await open(this);
+	this.streamResults.push(await this.streamRun.call(`/${route}/x`, {agent: false}));
+});
+
+Then('the caller\'s stream is {string}', function (this: StreamWorld, result: string) {
+	assert.equal(this.streamResults[0]!.isWhole, result === 'complete');
+});
--- a/packages/mastvalve-gateway/src/quarantine/crash-detector.ts
+++ b/packages/mastvalve-gateway/src/quarantine/crash-detector.ts
@@ -50,6 +50,11 @@
 		}
 	}
 
+	/** Whether no process listens at an address any more; false when that can't be told. */
+	async hasStoppedListening(address: string): Promise<boolean> {
+		return await this.options.probe(address) === ListenerState.NotListening;
+	}
+
 	/** Decides pending endpoints by the state that control reports. */
 	reviewUndecided(): void {
 		const {now, isAlive} = this.options;
--- a/packages/mastvalve-gateway/src/requests/handle-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/handle-answer.ts
@@ -20,6 +20,7 @@
 import type {RequestProgress} from './request-progress.js';
 import {relayBody} from './relay-body.js';
 import {removeLength, type Reply} from './reply.js';
+import {verifyEnd} from './verify-end.js';
 import {watchReader} from './watch-reader.js';
 
 const okStatus = 200;
@@ -28,8 +29,8 @@
 const refusalStatuses = new Set([408, 421, 429, 503]);
 
 /** Fields of log lines that tell how a body ended. */
-const describeEnd = ({framing, end, bytes, events, isInsideEvent}: AnswerEnd): Record<string, unknown> => ({
-	framing, end, bytes, events, ...(isInsideEvent ? {isInsideEvent} : {}),
+const describeEnd = ({framing, end, bytes, events, isInsideEvent, hasEndpointDied}: AnswerEnd): Record<string, unknown> => ({
+	framing, end, bytes, events, hasEndpointDied, ...(isInsideEvent ? {isInsideEvent} : {}),
 });
 
 /** A complete answer: its endpoint and when its head arrived, monotonic ms. */
@@ -161,9 +162,9 @@
 
 	const headAt = core.clock.now();
 	const reader = watchReader(core, request, progress, {endpointId: endpoint.id, res, reply});
-	const end = await relayBody(res, reply, {
+	const end = await verifyEnd(core, endpoint, await relayBody(res, reply, {
 		content, position: progress.streamPosition, isBroken, reader,
-	});
+	}));
 	core.observer.recordAnswerEnd(end);
 	if (end.isComplete) {
 		if (status === okStatus) {
--- a/packages/mastvalve-gateway/src/streams/answer-end.ts
+++ b/packages/mastvalve-gateway/src/streams/answer-end.ts
@@ -33,6 +33,8 @@
 	events: number | undefined;
 	/** Whether an event stream ended inside an event. */
 	isInsideEvent: boolean;
+	/** Whether the endpoint's process has ended, where only that tells a broken stream from a whole one; undefined where it wasn't asked. */
+	hasEndpointDied?: boolean;
 	isComplete: boolean;
 };
 
