--- a/packages/mastvalve-gateway/src/upstream/exchange.ts
+++ b/packages/mastvalve-gateway/src/upstream/exchange.ts
@@ -3,7 +3,9 @@
  */
 
 import {request, type IncomingMessage} from 'node:http';
-import {assumeType, describeError, dropIdleConnections} from 'mastvalve-utils';
+import {
+	assumeType, describeError, dropIdleConnections, watchForReset,
+} from 'mastvalve-utils';
 import type {UpstreamAgent} from './upstream-agent.js';
 
 export enum ExchangeKind {
@@ -50,7 +52,7 @@
 			host, port, method, path, agent, headers, setHost: false,
 		});
 		let isSent = false;
-		let hasFailed = false;
+		const hasFailed = watchForReset(req);
 		let reason = '';
 		let isConnectionRefused = false;
 		const cancel = (): void => {
@@ -75,16 +77,6 @@
 
 		signal.addEventListener('abort', onAbort, {once: true});
 		req.once('socket', socket => {
-			// Data that arrives together with a reset is reported as data followed by a normal end, since libuv treats a hang-up after
-			// a short read as EOF. A socket that ended normally still has a remote address; one that was reset has none.
-			const onEnd = (): void => {
-				hasFailed ||= socket.remoteAddress === undefined;
-			};
-
-			socket.prependListener('end', onEnd);
-			req.once('close', () => {
-				socket.off('end', onEnd);
-			});
 			if (socket.connecting) {
 				socket.once('connect', () => {
 					isSent = true;
@@ -94,7 +86,6 @@
 			}
 		});
 		req.on('error', error => {
-			hasFailed = true;
 			isConnectionRefused = assumeType<NodeJS.ErrnoException>(error).code === 'ECONNREFUSED';
 			reason ||= describeError(error);
 		});
@@ -117,7 +108,7 @@
 			// Node also ends a body without a declared length when the connection is reset. The error is emitted before that end,
 			// so `isBroken` distinguishes the two.
 			resolve({
-				kind: ExchangeKind.Answered, res, cancel, isBroken: () => hasFailed,
+				kind: ExchangeKind.Answered, res, cancel, isBroken: hasFailed,
 			});
 		});
 		req.end(body);
--- /dev/null
+++ b/packages/mastvalve-sidecar/__tests__/broken-answers.steps.ts
@@ -0,0 +1,92 @@
+/**
+ * Steps for answers that break off on their way through a sidecar, with an endpoint that uses raw connections.
+ */
+
+import {strict as assert} from 'node:assert';
+import {Agent} from 'node:http';
+import {
+	createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
+import {
+	After, Given, Then, When, type World,
+} from '@cucumber/cucumber';
+import {assumeType, collectText, waitFor} from 'mastvalve-utils';
+import {dispatchRequest} from '../src/server/dispatch.js';
+
+type BrokenWorld = World & {brokenServer: Server; brokenAgent: Agent; bodies: string[]};
+
+const body = '{"loan":"4711","isRecorded":true}';
+const pauseMs = 5;
+const timeLimitMs = 3000;
+
+/** Resets a connection at once; `resetAndDestroy` would close it regularly first. */
+const reset = (socket: Socket): void => {
+	assumeType<{_handle: {reset: (done: () => void) => void}}>(socket)._handle.reset(() => {
+		socket.destroy();
+	});
+};
+
+const head = (fields: string): string => `HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n${fields}\r\n`;
+const chunk = `${body.length.toString(16)}\r\n${body}\r\n`;
+
+/** Parts of an answer, and how its connection ends behind them. */
+type ScriptedAnswer = {text: string; end?: 'close' | 'reset' | 'reset after a pause'};
+
+const answers: Record<string, ScriptedAnswer> = {
+	'a length': {text: `${head(`content-length: ${body.length}\r\n`)}${body}`},
+	chunks: {text: `${head('transfer-encoding: chunked\r\n')}${chunk}0\r\n\r\n`},
+	'nothing, then closes': {text: `${head('')}${body}`, end: 'close'},
+	'nothing, then resets after a pause': {text: `${head('')}${body}`, end: 'reset after a pause'},
+	'nothing, then resets at once': {text: `${head('')}${body}`, end: 'reset'},
+	'a length, then closes before it': {text: `${head(`content-length: ${body.length + 1}\r\n`)}${body}`, end: 'close'},
+	'chunks, then closes before the last chunk': {text: `${head('transfer-encoding: chunked\r\n')}${chunk}`, end: 'close'},
+};
+
+const sendAnswer = async (socket: Socket, {text, end}: ScriptedAnswer): Promise<void> => {
+	await new Promise<void>(resolve => {
+		socket.write(text, () => {
+			resolve();
+		});
+	});
+	if (end === 'close') {
+		socket.end();
+	} else if (end !== undefined) {
+		await waitFor(end === 'reset' ? 0 : pauseMs);
+		reset(socket);
+	}
+};
+
+After(async function (this: BrokenWorld) {
+	this.brokenAgent?.destroy();
+	this.brokenServer?.close();
+});
+
+Given('an endpoint that answers with {string}', async function (this: BrokenWorld, framing: string) {
+	this.brokenServer = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.on('data', () => {
+			void sendAnswer(socket, answers[framing]!);
+		});
+	});
+	await new Promise<void>(resolve => {
+		this.brokenServer.listen(0, '127.0.0.1', resolve);
+	});
+});
+
+When('a sidecar hands {int} requests to it, one after the other', async function (this: BrokenWorld, count: number) {
+	const {port} = assumeType<AddressInfo>(this.brokenServer.address());
+	this.brokenAgent = new Agent({keepAlive: true});
+	this.bodies = await Array.from({length: count}).reduce<Promise<string[]>>(async before => {
+		const bodies = await before;
+		const answer = await dispatchRequest({
+			url: `http://127.0.0.1:${port}/loans`, method: 'POST', headers: {}, body: new Uint8Array(), signal: AbortSignal.timeout(timeLimitMs), isEngine: false,
+		}, this.brokenAgent);
+		const text = await (answer.isOk() ? collectText(answer.value.body).catch(() => 'broken off') : 'broken off');
+		await waitFor(0);
+		return [...bodies, text];
+	}, Promise.resolve([]));
+});
+
+Then('each body is {string}', function (this: BrokenWorld, result: string) {
+	assert.deepEqual([...new Set(this.bodies)], [result === 'whole' ? body : result]);
+});
--- a/packages/mastvalve-sidecar/src/server/dispatch.ts
+++ b/packages/mastvalve-sidecar/src/server/dispatch.ts
@@ -1,15 +1,19 @@
 /**
  * Handing an admitted request to the endpoint, and saying truthfully what became of it.
+ *
+ * It uses the HTTP client of Node.js instead of undici, which takes the reset of a connection for the end of an answer without a length and chunks.
  */
 
-import type {Readable} from 'node:stream';
-import {Header, wasNeverSent} from 'mastvalve-http';
+import {
+	request, type Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage,
+} from 'node:http';
+import {Readable} from 'node:stream';
+import {ConnectTimeoutError, Header, wasNeverSent} from 'mastvalve-http';
 import {
 	MastvalveError, Outcome, RefusedError, UnknownOutcomeError,
 } from 'mastvalve-types';
-import {describeError} from 'mastvalve-utils';
+import {describeError, watchForReset} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
-import {request, type Dispatcher} from 'undici';
 
 /** What is handed over. */
 export type DispatchRequest = {
@@ -35,7 +39,7 @@
 export const copyHeaders = (headers: Iterable<[string, string]>): Record<string, string> =>
 	Object.fromEntries([...headers].filter(([name]) => !connectionHeaders.has(name.toLowerCase())));
 
-const toHeaders = (raw: Dispatcher.ResponseData['headers']): Headers => {
+const toHeaders = (raw: IncomingHttpHeaders): Headers => {
 	const headers = new Headers();
 	Object.entries(raw).forEach(([name, value]) => {
 		if (!connectionHeaders.has(name)) {
@@ -47,24 +51,59 @@
 	return headers;
 };
 
-/** Hands a request over. */
-export const dispatchRequest = async (dispatch: DispatchRequest, agent: Dispatcher): Promise<Result<DispatchAnswer, MastvalveError>> => {
-	try {
-		const {url, method, headers, body, signal} = dispatch;
-		const res = await request(url, {
-			method, headers, body, signal, dispatcher: agent,
-		});
-		if (dispatch.isEngine && refusedByEngine.has(res.statusCode)) {
-			await res.body.dump();
-			return err(new RefusedError(`The engine refused it with ${res.statusCode}.`, engineRetryAfterSeconds, 'engine-refused'));
+/** Connect timeout, ms. */
+const connectTimeoutMs = 1000;
+
+/** Destroys a request whose connection isn't established in time. */
+const limitConnectTime = (req: ClientRequest, address: string): void => {
+	const timer = setTimeout(() => {
+		req.destroy(new ConnectTimeoutError(address, connectTimeoutMs));
+	}, connectTimeoutMs);
+	req.once('socket', socket => {
+		if (!socket.connecting) {
+			clearTimeout(timer);
 		}
 
-		return ok({status: res.statusCode, headers: toHeaders(res.headers), body: res.body});
-	} catch (error) {
-		return err(toDispatchError(error));
-	}
+		socket.once('connect', () => {
+			clearTimeout(timer);
+		});
+	});
+	req.once('close', () => {
+		clearTimeout(timer);
+	});
 };
 
+/** The chunks of a body; throws if it breaks off. */
+async function * readBody(res: IncomingMessage, hasFailed: () => boolean): AsyncGenerator<Uint8Array> {
+	yield * res as AsyncIterable<Uint8Array>;
+	if (!res.complete || hasFailed()) {
+		throw new UnknownOutcomeError('The connection to the endpoint was reset before the whole answer was here.');
+	}
+}
+
+/** Hands a request over. */
+export const dispatchRequest = async ({url, method, headers, body, signal, isEngine}: DispatchRequest, agent: Agent): Promise<Result<DispatchAnswer, MastvalveError>> =>
+	new Promise(resolve => {
+		const req = request(url, {
+			method, headers, signal, agent,
+		});
+		const hasFailed = watchForReset(req);
+		limitConnectTime(req, url);
+		req.once('error', error => {
+			resolve(err(toDispatchError(error)));
+		});
+		req.once('response', res => {
+			if (isEngine && refusedByEngine.has(res.statusCode ?? 0)) {
+				res.resume();
+				resolve(err(new RefusedError(`The engine refused it with ${res.statusCode}.`, engineRetryAfterSeconds, 'engine-refused')));
+				return;
+			}
+
+			resolve(ok({status: res.statusCode ?? 0, headers: toHeaders(res.headers), body: Readable.from(readBody(res, hasFailed), {objectMode: false})}));
+		});
+		req.end(body);
+	});
+
 const toDispatchError = (thrown: unknown): MastvalveError => wasNeverSent(thrown)
 	? new MastvalveError('endpoint-unreachable', `The endpoint takes no connection: ${describeError(thrown)}.`, {status: 503, outcome: Outcome.NotRun, retryAfterSeconds: 1})
 	: new UnknownOutcomeError(`The connection to the endpoint broke: ${describeError(thrown)}.`, {cause: thrown});
--- a/packages/mastvalve-sidecar/src/server/forward-handler.ts
+++ b/packages/mastvalve-sidecar/src/server/forward-handler.ts
@@ -2,6 +2,7 @@
  * The sidecar's route for entries: check, admit, hand over, pass the answer back.
  */
 
+import type {Agent} from 'node:http';
 import {Readable} from 'node:stream';
 import type {Handler} from 'hono';
 import {Header, toProblemResponse, type ProgramContext} from 'mastvalve-http';
@@ -9,7 +10,6 @@
 import {
 	BadRequestError, MastvalveError, Outcome, RefusedError, type Endpoint,
 } from 'mastvalve-types';
-import type {Dispatcher} from 'undici';
 import {copyHeaders, dispatchRequest, type DispatchAnswer} from './dispatch.js';
 import type {EndpointGate} from './endpoint-gate.js';
 import {readForwardRequest, type ForwardRequest} from './forward-request.js';
@@ -18,7 +18,7 @@
 export type ForwardHandlerOptions = {
 	context: ProgramContext;
 	gate: EndpointGate;
-	agent: Dispatcher;
+	agent: Agent;
 	endpointUrl: string;
 	endpointId: string;
 	isEngine: boolean;
--- a/packages/mastvalve-sidecar/src/server/start-sidecar.ts
+++ b/packages/mastvalve-sidecar/src/server/start-sidecar.ts
@@ -3,6 +3,7 @@
  */
 
 import {randomUUID} from 'node:crypto';
+import {Agent} from 'node:http';
 import {ConfigurationStore} from 'mastvalve-configuration';
 import {
 	createApp, registerGauge, startServer, UpstreamClient, type ProgramContext, type RunningServer,
@@ -15,7 +16,6 @@
 	callUntilAborted, describeError, repeatUntilAborted, waitFor,
 } from 'mastvalve-utils';
 import type {Result} from 'neverthrow';
-import {Agent} from 'undici';
 import {EngineClient} from '../engine/engine-client.js';
 import {EngineKeeper} from '../engine/engine-keeper.js';
 import {ClaimGuard} from './claim-guard.js';
@@ -39,6 +39,8 @@
 const settledPauseMs = 2000;
 const gatePauseMs = 20;
 const reportPauseMs = 250;
+/** Lifetime of an idle connection to the endpoint, ms. */
+const idleConnectionMs = 30_000;
 const joinPauseMs = 200;
 const heartbeatMs = 2000;
 const leaveAnnounceMs = 200;
@@ -103,9 +105,7 @@
 		app.all('/forward/*', createForwardHandler({
 			context,
 			gate: this.gate,
-			agent: new Agent({
-				connections: instance.maxRunning, keepAliveTimeout: 30_000, connect: {timeout: 1000}, headersTimeout: 0, bodyTimeout: 0,
-			}),
+			agent: new Agent({keepAlive: true, maxSockets: instance.maxRunning, timeout: idleConnectionMs}),
 			endpointUrl: instance.endpointUrl,
 			endpointId: instance.name,
 			isEngine: !this.isPlain,
--- a/packages/mastvalve-utils/src/index.ts
+++ b/packages/mastvalve-utils/src/index.ts
@@ -15,3 +15,4 @@
 export * from './random.js';
 export * from './suspension-detector.js';
 export * from './wait.js';
+export * from './watch-for-reset.js';
