A broken stream goes on only at an endpoint of the release that began it

An answer whose endpoint broke off was resumed at any endpoint of its service, also at one of another release, whose events don't fit to the first ones. Cause: the release of endpoints is known from heartbeats, and nothing of the way of a stream looked at it. Ruled out: binding a stream before its first event (it may begin anywhere). Change: with its first event a resumable stream is bound to its endpoint's release. Endpoint choice, claims at the leader, permits and the wait for a model use it as a hard condition; with no endpoint of the release left, the answer is cut off at once.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -99,6 +99,8 @@
 	readonly released: Array<{reservation: string; at: number}> = [];
 	/** Endpoints whose permits were returned unused. */
 	readonly returned: string[] = [];
+	/** Releases of the endpoints set from now on, in their order; empty for those that are missing. */
+	releases: string[] = [];
 	/** Limit of all endpoints set from now on, requests per second. */
 	limitPerSecond: number | undefined;
 	readonly access = new AccessChecker({
@@ -220,7 +222,7 @@
 			{kind: ConfigurationChangeKind.Version, version: revision + 1},
 		];
 		const endpoints = addresses.map((address, index): FleetEndpoint => createEndpoint(`e${index}`, {
-			address, failureDomain: index === 0 ? 'a' : 'b', holds: (holdings[index] ?? []).map(name => ({name, adapters: []})), loading, revision, ...(this.limitPerSecond === undefined ? {} : {limitPerSecond: this.limitPerSecond}),
+			address, failureDomain: index === 0 ? 'a' : 'b', release: this.releases[index] ?? '', holds: (holdings[index] ?? []).map(name => ({name, adapters: []})), loading, revision, ...(this.limitPerSecond === undefined ? {} : {limitPerSecond: this.limitPerSecond}),
 		}));
 		this.view.apply({
 			revision,
--- a/packages/mastvalve-gateway/src/dispatch/claim-engine.ts
+++ b/packages/mastvalve-gateway/src/dispatch/claim-engine.ts
@@ -22,12 +22,15 @@
 export const isDispatched = ({dispatch, view}: GatewayCore, {service, caller}: CallerRequest): boolean =>
 	caller.model !== undefined && dispatch.isActive(service) && view.configuration?.services.some(({name, engine}) => name === service && engine !== undefined) === true;
 
+/** Whether an endpoint is of the release that a stream is bound to. */
+const isOfRelease = (endpoint: FleetEndpoint, release: string | undefined): boolean => release === undefined || endpoint.release === release;
+
 /** Lists the endpoints that this entry rules out for a request. */
-const listExcluded = ({view, tracker, clock}: GatewayCore, {service, caller}: CallerRequest, tried: ReadonlySet<string>): string[] => {
+const listExcluded = ({view, tracker, clock}: GatewayCore, {service, caller}: CallerRequest, {tried, release}: RequestProgress): string[] => {
 	const now = clock.now();
 	const name = formatModel(caller.model ?? '', caller.adapter);
 	return view.listEndpoints(service)
-		.filter(endpoint => tried.has(endpoint.id) || !tracker.canSend(endpoint.id) || isUnavailable(endpoint, tracker.getOrCreate(endpoint.id), name, now))
+		.filter(endpoint => !isOfRelease(endpoint, release) || tried.has(endpoint.id) || !tracker.canSend(endpoint.id) || isUnavailable(endpoint, tracker.getOrCreate(endpoint.id), name, now))
 		.map(({id}) => id);
 };
 
@@ -50,14 +53,14 @@
 		remainingMs: Math.round(computeWaitDeadline(request) - now),
 		endMs: Math.round(deadlineAt - now),
 		...(route.maxPauseMs === undefined ? {} : {pauseMs: route.maxPauseMs}),
-		excluded: listExcluded(core, request, progress.tried),
+		excluded: listExcluded(core, request, progress),
 	};
 };
 
-/** Returns the assigned endpoint if this entry may still use it. */
-const findAssigned = ({view, tracker, limiter}: GatewayCore, {service}: CallerRequest, decision: DispatchDecision): FleetEndpoint | undefined => {
+/** Returns the assigned endpoint if this entry may still use it. One that the entry did not know when it claimed may be of another release. */
+const findAssigned = ({view, tracker, limiter}: GatewayCore, {service}: CallerRequest, {release}: RequestProgress, decision: DispatchDecision): FleetEndpoint | undefined => {
 	const endpoint = decision.kind === DispatchDecisionKind.Assigned ? view.findEndpoint(decision.endpoint) : undefined;
-	return endpoint?.service === service && takesRequests(endpoint) && tracker.canSend(endpoint.id) && limiter.findLimit(endpoint) === undefined ? endpoint : undefined;
+	return endpoint?.service === service && isOfRelease(endpoint, release) && takesRequests(endpoint) && tracker.canSend(endpoint.id) && limiter.findLimit(endpoint) === undefined ? endpoint : undefined;
 };
 
 /** Returns the address of the engine that the assigned one copies from; undefined if there is none, or this entry doesn't know it as ready. */
@@ -101,7 +104,7 @@
 		return undefined;
 	}
 
-	const endpoint = findAssigned(core, request, decision);
+	const endpoint = findAssigned(core, request, progress, decision);
 	core.observer.recordClaim(wasQueued ? `queued-${decision.kind}` : decision.kind, claimedMs);
 	core.log('request.dispatched', {
 		request: request.requestId, decision, isUsed: endpoint !== undefined, wasQueued, claimMs: Math.round(claimedMs), ageMs: Math.round(core.clock.now() - request.arrivedAt),
--- a/packages/mastvalve-gateway/src/fleet/fleet-view.ts
+++ b/packages/mastvalve-gateway/src/fleet/fleet-view.ts
@@ -58,14 +58,15 @@
 		}
 	}
 
-	/** Returns the endpoints of a service that accept new requests. */
-	listEndpoints(service: string): FleetEndpoint[] {
-		return this.availableByService.get(service) ?? [];
+	/** Returns the endpoints of a service, or of one release of it, that accept new requests. */
+	listEndpoints(service: string, release?: string): FleetEndpoint[] {
+		const endpoints = this.availableByService.get(service) ?? [];
+		return release === undefined ? endpoints : endpoints.filter(endpoint => endpoint.release === release);
 	}
 
-	/** Returns when a model is first expected to be loaded at an endpoint of a service, monotonic ms; undefined if none loads it. */
-	findModelReadyAt(service: string, model: string): number | undefined {
-		const readyTimes = this.listEndpoints(service)
+	/** Returns when a model is first expected to be loaded at an endpoint of a service, or of one release of it, monotonic ms; undefined if none loads it. */
+	findModelReadyAt(service: string, model: string, release?: string): number | undefined {
+		const readyTimes = this.listEndpoints(service, release)
 			.flatMap(({id}) => this.expectedLoads.get(id) ?? [])
 			.filter(load => load.model === model)
 			.map(({at}) => at);
--- a/packages/mastvalve-gateway/src/requests/claim-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/claim-endpoint.ts
@@ -10,7 +10,7 @@
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {CallerRequest} from './caller-request.js';
 import {hasUnlimitedCandidate, listLimitedCandidates} from './select-endpoint.js';
-import {computeRemainingWaitMs, type NoEndpoint} from './wait-budget.js';
+import {clampRetryAfterMs, computeRemainingWaitMs, type NoEndpoint} from './wait-budget.js';
 import type {RequestProgress} from './request-progress.js';
 import {rankRequest} from './rank-request.js';
 import {waitForEndpoint} from './wait-for-endpoint.js';
@@ -57,8 +57,19 @@
 	return undefined;
 };
 
+/** Retry-After of a stream whose release no endpoint serves, ms: one may start again. */
+const noReleaseRetryAfterMs = 1000;
+
+/** Whether no endpoint is left of the release that a stream is bound to. */
+const isReleaseGone = ({view}: GatewayCore, {service}: CallerRequest, {release, tried}: RequestProgress): boolean =>
+	release !== undefined && view.listEndpoints(service, release).every(({id}) => tried.has(id));
+
 /** Finds an endpoint, or returns the reason why there is none. */
 export const claimEndpoint = async (core: GatewayCore, request: CallerRequest, progress: RequestProgress): Promise<ClaimedEndpoint | NoEndpoint> => {
+	if (isReleaseGone(core, request, progress)) {
+		return {reason: `no endpoint of release ${progress.release}, which began the stream, can go on`, retryAfterMs: clampRetryAfterMs(core, request, noReleaseRetryAfterMs)};
+	}
+
 	const assigned = isDispatched(core, request) ? await claimEngine(core, request, progress) : undefined;
 	if (assigned) {
 		releaseReservation(core, progress);
--- a/packages/mastvalve-gateway/src/requests/handle-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/handle-answer.ts
@@ -163,7 +163,9 @@
 	const headAt = core.clock.now();
 	const reader = watchReader(core, request, progress, {endpointId: endpoint.id, res, reply});
 	const end = await verifyEnd(core, endpoint, await relayBody(res, reply, {
-		content, position: progress.streamPosition, isBroken, reader,
+		content, position: progress.streamPosition, isBroken, reader, onFirstEvent() {
+			progress.release ??= endpoint.release;
+		},
 	}));
 	core.observer.recordAnswerEnd(end);
 	if (end.isComplete) {
--- a/packages/mastvalve-gateway/src/requests/relay-body.ts
+++ b/packages/mastvalve-gateway/src/requests/relay-body.ts
@@ -22,10 +22,14 @@
 	/** Whether the connection to the endpoint has failed. */
 	isBroken: () => boolean;
 	reader: AnswerReader;
+	/** Called when the first event is passed on. */
+	onFirstEvent: () => void;
 };
 
 /** Relays a body with backpressure; resolves to how it ended. */
-export const relayBody = async (res: IncomingMessage, reply: Reply, {content, position, isBroken, reader}: RelayOptions): Promise<AnswerEnd> =>
+export const relayBody = async (res: IncomingMessage, reply: Reply, {
+	content, position, isBroken, reader, onFirstEvent,
+}: RelayOptions): Promise<AnswerEnd> =>
 	new Promise(resolve => {
 		const framing = findFraming(res);
 		const scanner = content === StreamContent.None ? undefined : new EventStreamScanner();
@@ -51,7 +55,12 @@
 
 		res.on('data', (chunk: Uint8Array) => {
 			received += chunk.length;
+			const hasHadEvent = scanner !== undefined && scanner.events > 0;
 			const boundary = scanner?.scan(chunk) ?? chunk.length;
+			if (!hasHadEvent && scanner !== undefined && scanner.events > 0) {
+				onFirstEvent();
+			}
+
 			const bytes = position ? position.take(chunk, boundary) : chunk;
 			if (bytes.length > 0 && !reply.write(bytes)) {
 				res.pause();
--- a/packages/mastvalve-gateway/src/requests/request-progress.ts
+++ b/packages/mastvalve-gateway/src/requests/request-progress.ts
@@ -19,6 +19,8 @@
 	/** Whether any endpoint may have run the request. */
 	mayHaveRun: boolean;
 	streamPosition: StreamPosition | undefined;
+	/** Release of the endpoint that sent the first event of a resumable stream; what two releases send doesn't fit together. */
+	release: string | undefined;
 	/** Whether its caller has been told as a slow reader. */
 	hasToldSlowReader: boolean;
 };
@@ -30,6 +32,6 @@
 	}
 
 	return {
-		tried: new Set(), permitRetryAt: new Map(), reservation: undefined, sentCount: 0, unsentCount: 0, mayHaveRun: false, streamPosition, hasToldSlowReader: false,
+		tried: new Set(), permitRetryAt: new Map(), reservation: undefined, sentCount: 0, unsentCount: 0, mayHaveRun: false, streamPosition, release: undefined, hasToldSlowReader: false,
 	};
 };
--- a/packages/mastvalve-gateway/src/requests/select-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/select-endpoint.ts
@@ -15,10 +15,12 @@
 	tried: ReadonlySet<string>;
 	/** When a permit may be claimed again at a limited endpoint that had none, by endpoint id; monotonic ms. */
 	permitRetryAt: ReadonlyMap<string, number>;
+	/** Release that began the stream; only its endpoints may go on. Undefined for a stream without events, and for other requests. */
+	release: string | undefined;
 };
 
-const readChoiceInput = (core: GatewayCore, request: CallerRequest, {tried, permitRetryAt}: PriorAttempts): EndpointChoiceInput => ({
-	endpoints: core.view.listEndpoints(request.service),
+const readChoiceInput = (core: GatewayCore, request: CallerRequest, {tried, permitRetryAt, release}: PriorAttempts): EndpointChoiceInput => ({
+	endpoints: core.view.listEndpoints(request.service, release),
 	model: request.caller.model,
 	adapter: request.caller.adapter,
 	failureDomain: core.failureDomain,
--- a/packages/mastvalve-gateway/src/requests/wait-for-capacity.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-for-capacity.ts
@@ -23,7 +23,7 @@
 /** Time until a refused request may be served, ms; undefined when an endpoint accepts it now, or none will. */
 export const computeRetryAfterMs = (core: GatewayCore, request: CallerRequest): number | undefined => {
 	const now = core.clock.now();
-	const expected = listCapacityForecasts(core, request, {tried: new Set(), permitRetryAt: new Map()});
+	const expected = listCapacityForecasts(core, request, {tried: new Set(), permitRetryAt: new Map(), release: undefined});
 	const isFree = expected.some(({admission}) => admission.kind === AdmissionKind.Now);
 	const at = findCapacityAt(expected, now);
 	return isFree || at === undefined ? undefined : at - now;
--- a/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
@@ -34,8 +34,8 @@
 const unknownModelRetryAfterMs = 1200;
 
 /** Whether a load in progress is expected to end before the caller gives up; undefined when there is none. */
-const isLoadExpectedInTime = (core: GatewayCore, request: CallerRequest, model: string): boolean | undefined => {
-	const at = core.view.findModelReadyAt(request.service, model);
+const isLoadExpectedInTime = (core: GatewayCore, request: CallerRequest, model: string, release: string | undefined): boolean | undefined => {
+	const at = core.view.findModelReadyAt(request.service, model, release);
 	return at === undefined ? undefined : at + forecastMarginMs < computeWaitDeadline(request) && core.clock.now() < at + maxOverdueMs;
 };
 
@@ -141,7 +141,7 @@
 
 		/** Whether the model is neither held by an endpoint nor expected in time. Only its adapter may be missing, which takes milliseconds, or until a load in progress ends. */
 		const isModelMissing = (): boolean =>
-			!core.view.listEndpoints(request.service).some(({id, holds}) => !tried.has(id) && holds.some(({name}) => name === model)) && isLoadExpectedInTime(core, request, model) !== true;
+			!core.view.listEndpoints(request.service, attempts.release).some(({id, holds}) => !tried.has(id) && holds.some(({name}) => name === model)) && isLoadExpectedInTime(core, request, model, attempts.release) !== true;
 
 		const decide = (): void => {
 			if (isModelMissing() && !hasTimeForLoad(core, request, model)) {
