A caller's returning stream goes on only at the release that began it, at any entry

A caller that came back for a stream got its rest from any endpoint of the service. Cause: an entry knew nothing of streams that others had begun, and didn't read the name of the request that brought the first event. Change: entries keep the origins of their streams and report them to the leader while a service has several releases; a returning stream is bound by a recorded origin or by the proof that only one release has served, and refused as not run otherwise. Ambiguous successors under the same name prove nothing. Conclusion: whole as far as the tests go; placement by release is open.

--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -26,6 +26,7 @@
 import {LimitService, type LimitRequest} from './limit-service.js';
 import {Liveness} from './liveness.js';
 import {FreshnessTracker} from './freshness-tracker.js';
+import {StreamOriginService, type StreamOriginRequest} from './stream-origin-service.js';
 
 export type FleetControlOptions = Omit<ControlGroupOptions, 'machine'> & {
 	/** Time between two heartbeats of an endpoint, ms. */
@@ -63,6 +64,7 @@
 
 	readonly group: ControlGroup;
 	readonly dispatch: DispatchService;
+	readonly streamOrigins: StreamOriginService;
 	private readonly liveness = new Liveness();
 	private readonly maintenance: FleetMaintenance;
 	private readonly followers: FollowService;
@@ -99,6 +101,9 @@
 		this.dispatch = new DispatchService({
 			machine, readTerm: () => (group.isLeading ? group.leadingTerm : undefined), now: () => options.clock.now(),
 		});
+		this.streamOrigins = new StreamOriginService({
+			machine, readTerm: () => (group.isLeading ? group.leadingTerm : undefined), now: () => options.clock.now(), wall: () => options.clock.wall(),
+		});
 		this.limitPublisher = new LimitPublisher({
 			listChanged: () => this.limits.listChanged(),
 			propose: async command => {
@@ -148,6 +153,10 @@
 				const response = this.dispatch.answer(assumeType<DispatchRequest>(body));
 				return response ? ok(response) : err(new ControlUnavailableError('This control instance does not lead.'));
 			}],
+			['/streams', async body => {
+				const response = this.streamOrigins.answer(assumeType<StreamOriginRequest>(body));
+				return response ? ok(response) : err(new ControlUnavailableError('This control instance does not lead.'));
+			}],
 			['/crashes', async body => this.recordCrashes(assumeType<CrashReport[]>(body))],
 			['/heard', async body => {
 				this.liveness.recordHeartbeats(assumeType<string[]>(body), this.options.clock.now());
--- a/packages/mastvalve-fleet-control/src/index.ts
+++ b/packages/mastvalve-fleet-control/src/index.ts
@@ -11,6 +11,7 @@
 export * from './grant-recorder.js';
 export * from './limit-publisher.js';
 export * from './limit-service.js';
+export * from './stream-origin-service.js';
 export * from './freshness-tracker.js';
 export type * from './demand-report.js';
 export * from './engines/engine-scheduler.js';
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
@@ -74,6 +74,16 @@
 		await waitUntil(`all entries know ${count} endpoints`, async () => this.entries.every(({node}) => node.view.listEndpoints('s').length === count));
 	}
 
+	/** `ip:port` of an entry. */
+	addressOf(index: number): string {
+		return this.addresses[index]!;
+	}
+
+	/** Ends an entry; it isn't replaced. */
+	async end(index: number): Promise<void> {
+		await this.stopEntry(index);
+	}
+
 	async call(index: number, path: string, body: string): Promise<CallResult> {
 		this.requests += 1;
 		this.callsSinceRestart += 1;
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -19,7 +19,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {findFreePorts} from '../../../../features/support/free-ports.js';
 import {
-	AccessChecker, CapacityWaiters, CrashDetector, DispatchClient, EndpointTracker, FieldOwner, FleetView, EndpointLimiter, Gateway, FirstByteTimes, LimitClient, ModelDemand, probeListener, RequestQuarantine, ServiceRetryBudget, UpstreamAgent, type Dialect, type DispatchClientOptions,
+	AccessChecker, CapacityWaiters, CrashDetector, DispatchClient, EndpointTracker, FieldOwner, FleetView, EndpointLimiter, Gateway, FirstByteTimes, LimitClient, ModelDemand, probeListener, RequestQuarantine, ServiceRetryBudget, StreamOrigins, UpstreamAgent, type Dialect, type DispatchClientOptions,
 } from '../../src/index.js';
 
 const textOf = (value: string | string[] | undefined): string | undefined => (Array.isArray(value) ? value[0] : value);
@@ -35,7 +35,8 @@
 		expectedOutputTokens: 0,
 		promptParts: [],
 		declaredTokens: undefined,
-		resumeAfter: undefined,
+		resumeAfter: textOf(headers['x-resume']),
+		startedBy: textOf(headers['x-started-by']),
 	}),
 	fieldOwners: new Map([['x-resume', FieldOwner.Entry], ['x-workspace', FieldOwner.Entry], ['content-length', FieldOwner.Entry], ['authorization', FieldOwner.Credentials]]),
 	readKey: rawHeaders => parsePresentedKey(rawHeaders.filter((_, index) => index % 2 === 1 && rawHeaders[index - 1]?.toLowerCase() === 'authorization')),
@@ -152,6 +153,9 @@
 			dispatch: new DispatchClient(options.dispatch ?? {
 				entry: 'entry', client: {call: async ({address, path}) => err(new PeerError(address, path, 'no leader'))}, readLeader: () => undefined, now, wait: waitFor, signal: this.ending.signal, onEvent: () => undefined, isAlwaysActive: false,
 			}),
+			origins: new StreamOrigins({
+				entry: 'entry', client: {call: async ({address, path}) => err(new PeerError(address, path, 'no leader'))}, readLeader: () => undefined, view: this.view, clock: this.clock, wait: waitFor, signal: this.ending.signal,
+			}),
 			limiter: new EndpointLimiter({
 				view: this.view, tracker, client: limits, now,
 			}),
--- a/packages/mastvalve-gateway/__tests__/streams-over-releases.feature
+++ b/packages/mastvalve-gateway/__tests__/streams-over-releases.feature
@@ -21,3 +21,29 @@
     And an endpoint of release "v2" that sends the following events
     When a caller requests a stream from each of 5 new entries
     Then each of its streams has the events "1 2 3 4" and is complete
+
+  Scenario: A caller that returns to another entry goes on at the release that began its stream
+    Given 3 entries that follow control
+    And 2 reporting endpoints of release "v1" and 2 of release "v2" that break new streams after 2 events
+    When 24 callers begin streams at entry 0, and return to entry 1 after the events that they have
+    Then each of these streams goes on with events of its release
+
+  Scenario: A caller whose entry has ended goes on at another one
+    Given 3 entries that follow control
+    And 2 reporting endpoints of release "v1" and 2 of release "v2" that break new streams after 2 events
+    When 24 callers begin streams at entry 0, entry 0 ends, and they return to entry 1 after the events that they have
+    Then each of these streams goes on with events of its release
+
+  Scenario: A returning stream that nobody knows is refused at once and not run while two releases serve
+    Given 3 entries that follow control
+    And 2 reporting endpoints of release "v1" and 2 of release "v2" that break new streams after 2 events
+    When a caller returns to entry 1 with the stream "forged"
+    Then it is refused as not run within 200 ms
+    When a caller returns to entry 1 without the name of its stream
+    Then it is refused as not run within 200 ms
+
+  Scenario: A returning stream goes on without its name while a single release serves
+    Given 3 entries that follow control
+    And 2 reporting endpoints of release "v1" and 0 of release "v2" that break new streams after 2 events
+    When a caller returns to entry 1 without the name of its stream
+    Then it gets the events "3 4"
--- a/packages/mastvalve-gateway/__tests__/streams-over-releases.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/streams-over-releases.steps.ts
@@ -3,10 +3,13 @@
  */
 
 import {strict as assert} from 'node:assert';
+import {Buffer} from 'node:buffer';
+import {request} from 'node:http';
 import {
 	After, Before, Given, Then, When, type World,
 } from '@cucumber/cucumber';
-import {systemClock} from 'mastvalve-utils';
+import {systemClock, waitFor} from 'mastvalve-utils';
+import type {EntriesAndControl} from './__fixtures__/entries-and-control.js';
 import {RunningGateway, type Received} from './__fixtures__/running-gateway.js';
 import {idOf, startScriptedEndpoint, type ScriptedEndpoint} from './__fixtures__/scripted-endpoint.js';
 
@@ -14,14 +17,20 @@
 	releaseEndpoints: ScriptedEndpoint[];
 	releases: string[];
 	releaseResults: Array<Received & {tookMs: number}>;
+	following: EntriesAndControl;
+	returned: Array<{begun: StreamReply; after: StreamReply}>;
+	reply: StreamReply & {tookMs: number};
 };
 
+/** Status and events of an answer, whether or not it is complete. */
+type StreamReply = {status: number; body: string};
+
 const eventIds = [1, 2, 3, 4];
 const beforeBreakMs = 5;
 
-/** Formats the events after an id up to another one. */
-export const formatEvents = (after: number, last: number): string =>
-	eventIds.filter(id => id > after && id <= last).map(id => `id: ${id}\ndata: e${id}\n\n`).join('');
+/** Formats the events after an id up to another one; they name the release that sends them. */
+const formatEvents = (after: number, last: number, release = ''): string =>
+	eventIds.filter(id => id > after && id <= last).map(id => `id: ${id}\ndata: e${id} ${release}\n\n`).join('');
 
 const formatHead = (text: string): string => `HTTP/1.1 200 OK\r\nx-id: ${idOf(text)}\r\ncontent-type: text/event-stream\r\n`;
 
@@ -29,7 +38,7 @@
 const resumeIdOf = (text: string): number => Number(/x-resume: (?<after>\d+)/iv.exec(text)?.groups?.after ?? 0);
 
 /** Starts an endpoint that breaks each stream after an event. */
-export const startBreakingEndpoint = async (last: number): Promise<ScriptedEndpoint> => startScriptedEndpoint((socket, text) => {
+const startBreakingEndpoint = async (last: number): Promise<ScriptedEndpoint> => startScriptedEndpoint((socket, text) => {
 	socket.write(`${formatHead(text)}content-length: 10000\r\n\r\n${formatEvents(resumeIdOf(text), last)}`);
 	setTimeout(() => {
 		socket.destroy();
@@ -37,7 +46,7 @@
 });
 
 /** Starts an endpoint that sends all events after the id that it is given. */
-export const startWholeEndpoint = async (): Promise<ScriptedEndpoint> => startScriptedEndpoint((socket, text) => {
+const startWholeEndpoint = async (): Promise<ScriptedEndpoint> => startScriptedEndpoint((socket, text) => {
 	const body = formatEvents(resumeIdOf(text), eventIds.length);
 	socket.write(`${formatHead(text)}content-length: ${body.length}\r\n\r\n${body}`);
 });
@@ -83,6 +92,117 @@
 	}, Promise.resolve([]));
 });
 
+/** Time in which an entry reports the beginnings of streams, ms. */
+const reportMs = 150;
+
+/** Starts an endpoint that breaks new streams after some events, and finishes resumed ones. */
+const startReportingEndpoint = async ({following, releaseEndpoints}: ReleaseWorld, release: string, last: number): Promise<void> => {
+	const endpoint = await startScriptedEndpoint((socket, text) => {
+		const after = resumeIdOf(text);
+		const end = after === 0 ? last : eventIds.length;
+		const body = formatEvents(after, end, release);
+		socket.write(`${formatHead(text)}content-length: ${after === 0 ? body.length + 1 : body.length}\r\n\r\n${body}`);
+		if (after === 0) {
+			setTimeout(() => {
+				socket.destroy();
+			}, beforeBreakMs);
+		}
+	});
+	releaseEndpoints.push(endpoint);
+	const number = releaseEndpoints.length;
+	const reported = await following.single.control.report({
+		id: `engine-${number}`, sequence: 1, service: 's', address: endpoint.address, failureDomain: 'a', release, slots: 64, isLeaving: false, remainingMs: undefined, holds: [], inMemory: [], onDisk: [],
+	});
+	reported._unsafeUnwrap();
+};
+
+Given('{int} reporting endpoints of release {string} and {int} of release {string} that break new streams after {int} events', async function (this: ReleaseWorld, count: number, release: string, otherCount: number, other: string, last: number) {
+	const releases = [...Array.from({length: count}, () => release), ...Array.from({length: otherCount}, () => other)];
+	await releases.reduce<Promise<void>>(async (before, each) => {
+		await before;
+		await startReportingEndpoint(this, each, last);
+	}, Promise.resolve());
+	await this.following.waitForEndpoints(releases.length);
+});
+
+const callStream = async ({following}: ReleaseWorld, entry: number, headers: Record<string, string>): Promise<StreamReply> =>
+	new Promise(resolve => {
+		const [host, port] = following.addressOf(entry).split(':');
+		const req = request({
+			host, port, path: '/stream/x', agent: false, method: 'POST', headers: {host: 'h', ...headers},
+		}, res => {
+			let body = '';
+			res.on('data', (chunk: Uint8Array) => {
+				body += Buffer.from(chunk).toString();
+			});
+			res.on('error', () => undefined);
+			res.once('close', () => {
+				resolve({status: res.statusCode ?? 0, body});
+			});
+		});
+		req.once('error', () => {
+			resolve({status: 0, body: ''});
+		});
+		req.end();
+	});
+
+/** Every second attempt of an answer would be resumed by the entry itself; callers that leave after their first events return instead. */
+const beginStreams = async (world: ReleaseWorld, count: number): Promise<StreamReply[]> => {
+	const begun = await Promise.all(Array.from({length: count}, async (_, index) => callStream(world, 0, {'x-id': `stream-${index}`})));
+	await waitFor(reportMs);
+	return begun;
+};
+
+const returnAll = async (world: ReleaseWorld, begun: readonly StreamReply[], entry: number): Promise<void> => {
+	world.returned = await Promise.all(begun.map(async (reply, index) => ({begun: reply, after: await callStream(world, entry, {'x-id': `return-${index}`, 'x-resume': '2', 'x-started-by': `stream-${index}`})})));
+};
+
+When('{int} callers begin streams at entry 0, and return to entry {int} after the events that they have', async function (this: ReleaseWorld, count: number, entry: number) {
+	await returnAll(this, await beginStreams(this, count), entry);
+});
+
+When('{int} callers begin streams at entry 0, entry 0 ends, and they return to entry {int} after the events that they have', async function (this: ReleaseWorld, count: number, entry: number) {
+	const begun = await beginStreams(this, count);
+	await this.following.end(0);
+	await returnAll(this, begun, entry);
+});
+
+const releasesOf = (body: string): string[] => [...new Set([...body.matchAll(/^data: e\d+ (?<release>.+)$/gmv)].map(match => match.groups!.release!))];
+
+Then('each of these streams goes on with events of its release', function (this: ReleaseWorld) {
+	this.returned.forEach(({begun, after}) => {
+		assert.equal(after.status, 200, after.body);
+		assert.equal(idsOf(after.body), '3 4');
+		assert.deepEqual(releasesOf(after.body), releasesOf(begun.body));
+	});
+});
+
+const returnOnce = async (world: ReleaseWorld, entry: number, headers: Record<string, string>): Promise<void> => {
+	const startedAt = systemClock.now();
+	const reply = await callStream(world, entry, {'x-id': `return ${startedAt}`.replaceAll(/[ .]/gv, '-'), 'x-resume': '2', ...headers});
+	world.reply = {...reply, tookMs: systemClock.now() - startedAt};
+};
+
+When('a caller returns to entry {int} with the stream {string}', async function (this: ReleaseWorld, entry: number, name: string) {
+	await returnOnce(this, entry, {'x-started-by': name});
+});
+
+When('a caller returns to entry {int} without the name of its stream', async function (this: ReleaseWorld, entry: number) {
+	await returnOnce(this, entry, {});
+});
+
+Then('it is refused as not run within {int} ms', function (this: ReleaseWorld, limitMs: number) {
+	const {status, body, tookMs} = this.reply;
+	assert.equal(status, 503);
+	assert.ok(body.includes('stream-release-unknown'), body);
+	assert.ok(tookMs <= limitMs, `${tookMs} ms`);
+	assert.equal(this.releaseEndpoints.flatMap(({requests}) => requests).length, 0);
+});
+
+Then('it gets the events {string}', function (this: ReleaseWorld, ids: string) {
+	assert.equal(idsOf(this.reply.body), ids);
+});
+
 const idsOf = (body: string): string => [...body.matchAll(/^id: (?<id>\d+)$/gmv)].map(match => match.groups!.id).join(' ');
 
 Then('each of its streams has the events {string} and is complete', function (this: ReleaseWorld, ids: string) {
--- a/packages/mastvalve-gateway/src/dialect.ts
+++ b/packages/mastvalve-gateway/src/dialect.ts
@@ -25,6 +25,8 @@
 	promptParts: PromptPart[];
 	/** Id of the event after which the stream is resumed. */
 	resumeAfter: string | undefined;
+	/** Id of the caller's earlier request that brought the first event of the resumed stream. */
+	startedBy: string | undefined;
 };
 
 /** A part of a prompt that other requests may share. */
--- a/packages/mastvalve-gateway/src/fleet/fleet-view.ts
+++ b/packages/mastvalve-gateway/src/fleet/fleet-view.ts
@@ -5,6 +5,7 @@
 import {
 	EndpointPhase, takesRequests, type FleetEndpoint, type FleetCursor, type FleetUpdate,
 } from 'mastvalve-fleet';
+import {ReleaseHistory} from './release-history.js';
 import {ConfigurationAssembler, type ActiveConfiguration} from './active-configuration.js';
 
 /** Groups the endpoints that accept new requests by service. */
@@ -27,6 +28,9 @@
 	cursor: FleetCursor = {};
 	/** Whether all endpoints as of some time are known, rather than only the first pages of them. */
 	hasAllEndpoints = false;
+	/** When control was last heard, monotonic ms. */
+	heardAt = Number.NEGATIVE_INFINITY;
+	private readonly releases = new ReleaseHistory();
 	private readonly assembler = new ConfigurationAssembler();
 	private readonly endpoints = new Map<string, FleetEndpoint>();
 	/** When this entry was notified that a request is quarantined, by fingerprint; monotonic ms. */
@@ -45,6 +49,7 @@
 	apply({revision, endpoints, configuration, quarantine}: FleetUpdate, isNewest = false): void {
 		const hasChanges = [endpoints, configuration, quarantine].some(part => part.isWhole || part.changes.length > 0);
 		this.revision = revision;
+		this.heardAt = this.now();
 		this.cursor = {endpoints: endpoints.cursor, configuration: configuration.cursor, quarantine: quarantine.cursor};
 		this.applyEndpoints(endpoints);
 		this.applyQuarantine(quarantine);
@@ -73,6 +78,16 @@
 		return readyTimes.length === 0 ? undefined : Math.min(...readyTimes);
 	}
 
+	/** Returns the endpoints of a service that serve, or that have ended within the time that a stream lasts. */
+	listRecentEndpoints(service: string): Array<Pick<FleetEndpoint, 'id' | 'release'>> {
+		return this.releases.list(service, this.now());
+	}
+
+	/** Whether these endpoints have several releases. */
+	hasSeveralReleases(service: string): boolean {
+		return this.releases.isMixed(service, this.now());
+	}
+
 	findEndpoint(id: string): FleetEndpoint | undefined {
 		return this.endpoints.get(id);
 	}
@@ -123,6 +138,7 @@
 		}
 
 		changes.forEach(endpoint => {
+			this.releases.record(endpoint, endpoint.phase === EndpointPhase.Gone, this.now());
 			if (endpoint.phase === EndpointPhase.Gone) {
 				this.endpoints.delete(endpoint.id);
 				this.expectedLoads.delete(endpoint.id);
@@ -131,6 +147,10 @@
 				this.recordLoad(endpoint);
 			}
 		});
+		if (isLast && (isWhole || changes.length > 0)) {
+			this.releases.retain(id => this.endpoints.has(id), this.now());
+		}
+
 		if (isWhole || changes.length > 0) {
 			this.availableByService = groupAvailableByService([...this.endpoints.values()]);
 		}
--- a/packages/mastvalve-gateway/src/index.ts
+++ b/packages/mastvalve-gateway/src/index.ts
@@ -33,5 +33,6 @@
 export * from './server/gateway-observer.js';
 export * from './streams/answer-end.js';
 export * from './streams/event-stream-scanner.js';
+export * from './streams/stream-origins.js';
 export * from './streams/stream-position.js';
 export * from './upstream/upstream-agent.js';
--- a/packages/mastvalve-gateway/src/requests/handle-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/handle-answer.ts
@@ -13,6 +13,7 @@
 import type {AnswerEnd} from '../streams/answer-end.js';
 import {findStreamContent, StreamContent} from '../streams/stream-content.js';
 import type {ExchangeKind, ExchangeOutcome} from '../upstream/exchange.js';
+import {bindBegunStream} from './bind-stream.js';
 import {isRepeatable, type CallerRequest} from './caller-request.js';
 import type {ClaimedEndpoint} from './claim-endpoint.js';
 import {failUnlessRetryable, hasTimeForAttempt} from './fail-request.js';
@@ -164,7 +165,7 @@
 	const reader = watchReader(core, request, progress, {endpointId: endpoint.id, res, reply});
 	const end = await verifyEnd(core, endpoint, await relayBody(res, reply, {
 		content, position: progress.streamPosition, isBroken, reader, onFirstEvent() {
-			progress.release ??= endpoint.release;
+			bindBegunStream(core, request, progress, endpoint);
 		},
 	}));
 	core.observer.recordAnswerEnd(end);
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -6,6 +6,7 @@
 import type {FleetEndpoint} from 'mastvalve-fleet';
 import type {GatewayCore} from '../server/gateway-core.js';
 import {ExchangeKind} from '../upstream/exchange.js';
+import {bindReturningStream} from './bind-stream.js';
 import type {CallerRequest} from './caller-request.js';
 import {failUnlessRetryable, rejectQuarantined} from './fail-request.js';
 import {prepareAttempt} from './prepare-attempt.js';
@@ -25,6 +26,10 @@
 		return false;
 	}
 
+	if (!await bindReturningStream(core, request, reply, progress)) {
+		return false;
+	}
+
 	core.retryBudget.recordRequest(request.service);
 	if (caller.model !== undefined) {
 		core.demand.recordRequest(caller.model, caller.adapter, hasTimeForSwap(core, request, caller.model));
--- a/packages/mastvalve-gateway/src/routing/endpoint-tracker.ts
+++ b/packages/mastvalve-gateway/src/routing/endpoint-tracker.ts
@@ -78,7 +78,7 @@
 
 	getOrCreate(id: string): EndpointObservations {
 		const observations = this.observationsById.get(id) ?? {
-			inFlight: 0, awaitingFirstByte: 0, pendingPromptTokens: 0, load: undefined, loadReportedAt: Number.NEGATIVE_INFINITY, startDelayMs: 0, startDelayAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, notListeningUntil: 0, lastByteAt: Number.NEGATIVE_INFINITY, busySince: 0, missingModels: new Map<string, number>(), permitAt: 0, announcedLimit: {kind: LimitHeaderKind.Absent}, backoff: new EndpointBackoff(), isReplaced: false, isLeaving: false,
+			inFlight: 0, awaitingFirstByte: 0, pendingPromptTokens: 0, load: undefined, loadReportedAt: Number.NEGATIVE_INFINITY, startDelayMs: 0, startDelayAt: Number.NEGATIVE_INFINITY, suspectUntil: 0, failures: 0, notListeningUntil: Number.NEGATIVE_INFINITY, lastByteAt: Number.NEGATIVE_INFINITY, busySince: 0, missingModels: new Map<string, number>(), permitAt: 0, announcedLimit: {kind: LimitHeaderKind.Absent}, backoff: new EndpointBackoff(), isReplaced: false, isLeaving: false,
 		};
 		this.observationsById.set(id, observations);
 		return observations;
@@ -201,6 +201,14 @@
 		this.getOrCreate(id).notListeningUntil = this.now() + notListeningMs;
 	}
 
+	/**
+	 * Whether another process than the recorded incarnation may answer at its address: nobody has listened there, and control has not been heard
+	 * since its successor has had time to register. `heardAt` in ms.
+	 */
+	mayHaveSuccessor(id: string, heardAt: number): boolean {
+		return heardAt < this.getOrCreate(id).notListeningUntil;
+	}
+
 	/** Records a failure or time-out: others are preferred for a while. */
 	recordFailure(id: string): void {
 		const observations = this.getOrCreate(id);
--- a/packages/mastvalve-gateway/src/server/gateway-core.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-core.ts
@@ -18,6 +18,7 @@
 import type {ServiceRetryBudget} from '../routing/service-retry-budget.js';
 import type {FirstByteTimes} from '../routing/first-byte-times.js';
 import type {ModelDemand} from '../routing/model-demand.js';
+import type {StreamOrigins} from '../streams/stream-origins.js';
 import type {UpstreamAgent} from '../upstream/upstream-agent.js';
 import type {GatewayObserver} from './gateway-observer.js';
 
@@ -39,6 +40,8 @@
 	limiter: EndpointLimiter;
 	/** Lets the leader choose engines. */
 	dispatch: DispatchClient;
+	/** Knows at which release streams began. */
+	origins: StreamOrigins;
 	retryBudget: ServiceRetryBudget;
 	firstByteTimes: FirstByteTimes;
 	demand: ModelDemand;
--- a/packages/mastvalve-gateway/src/server/gateway-metrics.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-metrics.ts
@@ -27,6 +27,9 @@
 	const answerEnds = new Counter({
 		name: 'mastvalve_answer_ends_total', help: 'Bodies of endpoints\' answers by what frames them, how they ended, and whether a stream ended inside an event or between two', labelNames: ['framing', 'end', 'event'], registers: [registry],
 	});
+	const takeUps = new Counter({
+		name: 'mastvalve_stream_returns_total', help: 'Streams that callers have come back for, by how the release that began them was proved, or that it was not', labelNames: ['outcome'], registers: [registry],
+	});
 	const refusals = new Counter({
 		name: 'mastvalve_refusals_total', help: 'Requests refused on admission, by reason', labelNames: ['reason'], registers: [registry],
 	});
@@ -79,6 +82,9 @@
 		recordAnswerEnd({framing, end, isInsideEvent}) {
 			answerEnds.inc({framing, end, event: isInsideEvent ? 'inside' : 'between'});
 		},
+		recordTakeUp(outcome) {
+			takeUps.inc({outcome});
+		},
 		recordRefusal(reason) {
 			refusals.inc({reason});
 		},
--- a/packages/mastvalve-gateway/src/server/gateway-node.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-node.ts
@@ -24,6 +24,7 @@
 import {FirstByteTimes} from '../routing/first-byte-times.js';
 import {ModelDemand} from '../routing/model-demand.js';
 import {ServiceRetryBudget, type RetryLimits} from '../routing/service-retry-budget.js';
+import {StreamOrigins} from '../streams/stream-origins.js';
 import {UpstreamAgent} from '../upstream/upstream-agent.js';
 import type {LogDecision} from './gateway-core.js';
 import type {GatewayObserver} from './gateway-observer.js';
@@ -91,6 +92,7 @@
 			onEvent,
 			onLeaderChange() {
 				limits.informNewLeader();
+				origins.informNewLeader();
 			},
 		});
 		this.reporter = new DemandReporter(client, () => this.follower.leader);
@@ -110,6 +112,9 @@
 			entry: `${instance} ${random()}`,
 			client, readLeader: () => this.follower.leader, readEntryCount: () => this.reporter.entryCount, random, now, windowMs: limitWindowMs, signal: this.shutdown.signal, wait: waitFor, onEvent,
 		});
+		const origins = new StreamOrigins({
+			entry: `${instance} ${random()}`, client, readLeader: () => this.follower.leader, view: this.view, clock, wait: waitFor, signal: this.shutdown.signal,
+		});
 		const dispatch = new DispatchClient({
 			entry: `${instance} ${random()}`, client, readLeader: () => this.follower.leader, now, wait: waitFor, signal: this.shutdown.signal, onEvent, isAlwaysActive: hasContention,
 		});
@@ -125,6 +130,7 @@
 			access: this.access,
 			limits,
 			dispatch,
+			origins,
 			limiter: new EndpointLimiter({
 				view: this.view, tracker, client: limits, now,
 			}),
