--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -37,7 +37,7 @@
 		seed, controls: Number(values.controls), entries: Number(values.entries), endpoints: Number(values.endpoints), faults: Number(values.faults), faultsMs: Number(values.seconds) * 1000, perSecond: Number(values.rate), bundle: values.bundle,
 		engines: Number(values.engines), engineFaults: Number(values['engine-faults']), canCopy: !values['without-copies'],
 	});
-	figures.push(`seed ${seed}: ${run.findings.length} findings; prompts ${JSON.stringify(run.engineFigures)}`);
+	figures.push(`seed ${seed}: ${run.findings.length} findings; prompts ${JSON.stringify(run.engineFigures)}; streams ${JSON.stringify(run.streamFigures)}`);
 	done += 1;
 	if (run.findings.length > 0) {
 		failed.push(`npm run soak -- --seed ${seed} --controls ${values.controls} --entries ${values.entries}: ${run.findings.slice(0, 3).join('; ')} (${run.findings.length} findings, logs in ${run.folder})`);
