No circles of imports in mastvalve-dispatch and mastvalve-fleet/engines

Cause: the type of a copy stood beside the policy that plans copies, and the target utilization beside the loss of copies, so that four and three modules imported each other in a circle. Ruled out: other circles (a search over all sources finds none). Change: plan-copy.ts holds the policy, prompt-copy.ts the type; target-utilization.ts the constant. No behaviour changes.

--- a/packages/mastvalve-dispatch/__tests__/prompt-copies.steps.ts
+++ b/packages/mastvalve-dispatch/__tests__/prompt-copies.steps.ts
@@ -11,7 +11,7 @@
 	Dispatcher, DispatchDecisionKind, RunEventKind, type DispatchClaim, type DispatchDecision, type EngineCandidate,
 } from '../src/index.js';
 import {measureHitRate} from '../src/copy-hit-rates.js';
-import {isWorthwhile} from '../src/prompt-copy.js';
+import {isWorthwhile} from '../src/plan-copy.js';
 import {createClaim} from './__fixtures__/workloads.js';
 
 type Engine = EngineCandidate & {isGone: boolean; models: string[]};
--- a/packages/mastvalve-dispatch/src/prompt-copies.ts
+++ b/packages/mastvalve-dispatch/src/prompt-copies.ts
@@ -8,7 +8,7 @@
 import type {DispatchClaim} from './dispatch-claim.js';
 import type {EngineRun} from './engine-run.js';
 import type {AssignmentInput} from './estimate-cost.js';
-import {planCopy} from './prompt-copy.js';
+import {planCopy} from './plan-copy.js';
 
 /** Returns the tokens of a claim's prompt that an engine has read. */
 export type ReadTokens = (engine: string) => number;
--- a/packages/mastvalve-fleet/src/engines/copy-loss.ts
+++ b/packages/mastvalve-fleet/src/engines/copy-loss.ts
@@ -3,6 +3,7 @@
  */
 
 import type {EngineState} from './engine-state.js';
+import {targetUtilization} from './target-utilization.js';
 import type {WorkPlan} from './work-plan.js';
 
 /** Price of a load, in requests: each takes a place, and blocks the orders of an engine while it lasts. */
@@ -12,8 +13,6 @@
 /** Returns the price of a load that takes some seconds, in requests. */
 export const computeLoadPrice = (seconds: number): number => loadPrice + (loadPricePerSecond * seconds);
 
-/** Share of their time that engines may work; the rest is for bursts. */
-export const targetUtilization = 0.55;
 /** A busy model gives up a copy only if its other engines work less than this, so that it doesn't need the copy again soon. */
 const releaseUtilization = 0.25;
 /** Work that other engines take over whatever else they do, as a share of their time. */
--- a/packages/mastvalve-fleet/src/engines/plan-move-by-work.ts
+++ b/packages/mastvalve-fleet/src/engines/plan-move-by-work.ts
@@ -7,8 +7,9 @@
 
 import {findMapped, minBy} from 'mastvalve-utils';
 import {
-	computeLoadPrice, computeRareValue, countUsualEngines, targetUtilization,
+	computeLoadPrice, computeRareValue, countUsualEngines,
 } from './copy-loss.js';
+import {targetUtilization} from './target-utilization.js';
 import {getLoadSeconds} from './engine-memory.js';
 import {hasLaterPlace, listWorkOptions, type WorkOption} from './list-work-options.js';
 import type {ModelMove} from './model-move.js';
--- a/packages/mastvalve-fleet/src/engines/room-for-all.ts
+++ b/packages/mastvalve-fleet/src/engines/room-for-all.ts
@@ -4,7 +4,7 @@
  * Sizes are packed, since their sum would count gaps that no model fits into.
  */
 
-import {targetUtilization} from './copy-loss.js';
+import {targetUtilization} from './target-utilization.js';
 import {computeFreeMemory} from './engine-memory.js';
 import type {ModelPlanInput} from './model-plan-input.js';
 import type {WorkOutlook} from './work-outlook.js';
