An answer that is cut off is always logged as cut off

Cause: caller.cut-off was written only if its caller hadn't been told as a slow reader before; an answer that is unread for a second is told, and may be cut off after that. Ruled out: the load as the cause: a scenario that holds answers for 1300 ms fails on a quiet test process too (20 lines, 26 answers cut off). Change: the cut-off is logged in any case; it ends its request, so it comes once. Conclusion: a cut-off without a log line was a fault of the product, not of the test.

--- a/packages/mastvalve-gateway/__tests__/slow-readers.feature
+++ b/packages/mastvalve-gateway/__tests__/slow-readers.feature
@@ -17,6 +17,12 @@
     Then the entry holds at most 1 MB of unread answers
     And the answers that were unread for longest are aborted, and their requests cancelled at the endpoint
 
+  # Guards against an answer that was cut off without a log line, since its caller had been told as a slow reader before.
+  Scenario: An answer that is cut off after its caller was told as a slow reader is logged as cut off
+    Given an entry that holds at most 1 MB of unread answers, with an endpoint that answers with 64 MB
+    When 16 callers do not read their answers for 1300 ms, and 16 more for 500 ms
+    Then the answers that were unread for longest are aborted, and their requests cancelled at the endpoint
+
   # Guards against an event that never ends: an entry kept all bytes since the last complete event of a resumable stream, so an answer
   # without an empty line was held as a whole, and copied with each of its parts.
   Scenario: An event of a resumable stream that is too long is passed on in parts
--- a/packages/mastvalve-gateway/__tests__/slow-readers.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/slow-readers.steps.ts
@@ -163,6 +163,20 @@
 	this.attach(`${Math.round(this.heldBytes / bytesPerKilobyte)} KB for ${count} unread answers, ${Math.round(this.heldBytes / bytesPerKilobyte / count)} KB each`);
 });
 
+When('{int} callers do not read their answers for {int} ms, and {int} more for {int} ms', async function (this: ReaderWorld, first: number, firstMs: number, second: number, secondMs: number) {
+	const connectUnreading = async (count: number, ms: number): Promise<void> => {
+		Array.from({length: count}).forEach(() => {
+			const caller = this.readerRun.connect(false);
+			caller.send('/patient/x', 'x-left: 60000\r\n');
+			this.slowCallers.push(caller);
+		});
+		await waitFor(ms);
+	};
+
+	await connectUnreading(first, firstMs);
+	await connectUnreading(second, secondMs);
+});
+
 Then('the entry holds at most {int} KB for each of them', function (this: ReaderWorld, limit: number) {
 	assert.equal(this.readerRun.gateway.inFlight, this.slowCallers.length);
 	assert.ok(this.heldBytes <= limit * bytesPerKilobyte * this.slowCallers.length, `${this.heldBytes} bytes`);
--- a/packages/mastvalve-gateway/src/requests/watch-reader.ts
+++ b/packages/mastvalve-gateway/src/requests/watch-reader.ts
@@ -18,14 +18,10 @@
 /** Watches whether the caller reads an answer, until the caller's connection or the answer to it is closed. */
 export const watchReader = (core: GatewayCore, request: CallerRequest, progress: RequestProgress, {endpointId, res, reply}: RelayedAnswer): AnswerReader => {
 	const readHeldBytes = (): number => connectionBufferBytes + reply.bufferedBytes + res.readableLength + (progress.streamPosition?.heldBytes ?? 0);
-	/** One line for each request, so that a caller that stops reading again and again fills no log. */
 	const tell = (kind: string): void => {
-		if (!progress.hasToldSlowReader) {
-			progress.hasToldSlowReader = true;
-			core.log(kind, {
-				request: request.requestId, route: request.route.name, workspace: request.admission.workspace?.name, endpoint: endpointId, heldBytes: readHeldBytes(),
-			});
-		}
+		core.log(kind, {
+			request: request.requestId, route: request.route.name, workspace: request.admission.workspace?.name, endpoint: endpointId, heldBytes: readHeldBytes(),
+		});
 	};
 
 	const reader = new AnswerReader({
@@ -33,7 +29,11 @@
 		readHeldBytes,
 		onSlow() {
 			core.observer.recordSlowReader(false);
-			tell('caller.reads-slowly');
+			// One line for each request, so that a caller whose stream is resumed again and again fills no log.
+			if (!progress.hasToldSlowReader) {
+				progress.hasToldSlowReader = true;
+				tell('caller.reads-slowly');
+			}
 		},
 		cutOff() {
 			core.observer.recordSlowReader(true);
