The rest of a stream goes only to an endpoint whose process the leader confirms

What callers saw: nothing reported. Cause: only the beginning of a stream was proved; its target was taken from the view, which is as old as the entry's last word from control. Change: while a service has several releases, the leader confirms the target's incarnation before it is sent the rest; replaced ones are passed over, and without a leader nobody goes on.

--- a/packages/mastvalve-fleet-control/src/stream-origin-service.ts
+++ b/packages/mastvalve-fleet-control/src/stream-origin-service.ts
@@ -6,11 +6,11 @@
  */
 
 import {
-	proveRelease, StreamOriginTable, type FleetMachine, type ProvedRelease, type StreamOrigin,
+	EndpointPhase, proveRelease, StreamOriginTable, type FleetMachine, type ProvedRelease, type StreamOrigin,
 } from 'mastvalve-fleet';
 
 export type StreamOriginServiceOptions = {
-	machine: Pick<FleetMachine, 'list'>;
+	machine: Pick<FleetMachine, 'find' | 'list'>;
 	/** Returns the term in which this instance leads with a valid lease; undefined if it doesn't lead. */
 	readTerm: () => number | undefined;
 	/** Monotonic, ms. */
@@ -30,6 +30,8 @@
 	/** Whether `origins` has all that the entry knows. */
 	isWhole: boolean;
 	questions: OriginQuestion[];
+	/** Incarnations that the entry wants to send the rest of streams to. */
+	targets: string[];
 };
 
 export type StreamOriginResponse = {
@@ -38,6 +40,8 @@
 	needsAll: boolean;
 	/** One for each question. */
 	answers: ProvedRelease[];
+	/** The targets that are the newest incarnations of their names. */
+	confirmed: string[];
 };
 
 /** Largest number of streams in progress or just broken; an origin takes about 300 bytes. */
@@ -57,7 +61,9 @@
 	}
 
 	/** Records origins and answers questions; undefined if another instance may lead. */
-	answer({entry, origins, isWhole, questions}: StreamOriginRequest): StreamOriginResponse | undefined {
+	answer({
+		entry, origins, isWhole, questions, targets,
+	}: StreamOriginRequest): StreamOriginResponse | undefined {
 		const account = this.readAccount();
 		if (!account) {
 			return undefined;
@@ -71,7 +77,15 @@
 			account.entries.add(entry);
 		}
 
-		return {term: account.term, needsAll: !account.entries.has(entry), answers: questions.map(question => this.prove(account, question, now))};
+		return {
+			term: account.term, needsAll: !account.entries.has(entry), answers: questions.map(question => this.prove(account, question, now)), confirmed: targets.filter(id => this.isNewest(id)),
+		};
+	}
+
+	/** A former incarnation is gone once its successor has registered. */
+	private isNewest(id: string): boolean {
+		const endpoint = this.options.machine.find(id);
+		return endpoint !== undefined && endpoint.phase !== EndpointPhase.Gone;
 	}
 
 	private prove({table}: Account, {key, service}: OriginQuestion, now: number): ProvedRelease {
--- a/packages/mastvalve-fleet/src/streams/stream-origin.ts
+++ b/packages/mastvalve-fleet/src/streams/stream-origin.ts
@@ -29,7 +29,7 @@
  * Time by which an endpoint's clock may be ahead of an instance's, ms. Within it, an endpoint that started after a stream's first event
  * may have started before it.
  */
-const clockSkewMs = 2000;
+const clockSkewMs = 300;
 
 /**
  * Whether another incarnation of the endpoint, with another release, may have answered in its place: one that had started before the first
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
@@ -84,6 +84,11 @@
 		await this.stopEntry(index);
 	}
 
+	/** From now on, an entry applies nothing that control tells of the fleet. */
+	stopHearing(index: number): void {
+		this.entries[index]!.node.view.apply = () => undefined;
+	}
+
 	async call(index: number, path: string, body: string): Promise<CallResult> {
 		this.requests += 1;
 		this.callsSinceRestart += 1;
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -7,10 +7,10 @@
 import {connect} from 'node:net';
 import {parsePresentedKey, wholeShare, type Workspace} from 'mastvalve-access';
 import {PeerError} from 'mastvalve-cluster';
-import type {LimitRequest} from 'mastvalve-fleet-control';
+import type {LimitRequest, StreamOriginRequest} from 'mastvalve-fleet-control';
 import {
-	ConfigurationChangeKind, EndpointPhase, RouteKind,
-	type ConfigurationChange, type ConfigurationFrame, type ExpectedLoad, type FleetEndpoint, type Route,
+	ConfigurationChangeKind, EndpointPhase, ReleaseProof, RouteKind,
+	type ProvedRelease, type ConfigurationChange, type ConfigurationFrame, type ExpectedLoad, type FleetEndpoint, type Route,
 } from 'mastvalve-fleet';
 import {parseLimitHeader, parseRetryAfter} from 'mastvalve-limits';
 import {
@@ -154,7 +154,7 @@
 				entry: 'entry', client: {call: async ({address, path}) => err(new PeerError(address, path, 'no leader'))}, readLeader: () => undefined, now, wait: waitFor, signal: this.ending.signal, onEvent: () => undefined, isAlwaysActive: false,
 			}),
 			origins: new StreamOrigins({
-				entry: 'entry', client: {call: async ({address, path}) => err(new PeerError(address, path, 'no leader'))}, readLeader: () => undefined, view: this.view, clock: this.clock, wait: waitFor, signal: this.ending.signal,
+				entry: 'entry', client: {call: async ({body}) => this.answerOrigins(body)}, readLeader: () => 'leader', view: this.view, clock: this.clock, wait: waitFor, signal: this.ending.signal,
 			}),
 			limiter: new EndpointLimiter({
 				view: this.view, tracker, client: limits, now,
@@ -333,6 +333,15 @@
 		this.upstream.destroy();
 	}
 
+	/** Answers as a leader that knows all endpoints as current, and no origins of other entries. */
+	private async answerOrigins(body: unknown): Promise<Result<never, PeerError>> {
+		const {questions, targets} = assumeType<StreamOriginRequest>(body);
+		const answers: ProvedRelease[] = questions.map(() => ({proof: ReleaseProof.None, reason: 'not recorded'}));
+		return ok(assumeType<never>({
+			term: 1, needsAll: false, answers, confirmed: targets,
+		}));
+	}
+
 	private async answerClaims(body: unknown): Promise<Result<never, PeerError>> {
 		const {claims, handovers, released, unused} = assumeType<LimitRequest>(body);
 		this.returned.push(...unused);
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/virtual-origins.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/virtual-origins.ts
@@ -158,7 +158,7 @@
 	private createLeader(): StreamOriginService {
 		const {term} = this;
 		return new StreamOriginService({
-			machine: {list: () => this.registry}, readTerm: () => (this.hasLeader ? term : undefined), now: () => this.now, wall: () => wallStart + this.now,
+			machine: {list: () => this.registry, find: id => this.registry.find(endpoint => endpoint.id === id)}, readTerm: () => (this.hasLeader ? term : undefined), now: () => this.now, wall: () => wallStart + this.now,
 		});
 	}
 
--- a/packages/mastvalve-gateway/__tests__/streams-over-releases.feature
+++ b/packages/mastvalve-gateway/__tests__/streams-over-releases.feature
@@ -47,3 +47,10 @@
     And 2 reporting endpoints of release "v1" and 0 of release "v2" that break new streams after 2 events
     When a caller returns to entry 1 without the name of its stream
     Then it gets the events "3 4"
+
+  # Guards against a rest of another release: the process behind a recorded endpoint had been replaced, and its entry had not heard of it.
+  Scenario: A returning stream goes to no endpoint whose process has been replaced, as the leader knows
+    Given 3 entries that follow control
+    And 2 reporting endpoints of release "v1" and 2 of release "v2" that break new streams after 2 events
+    When 8 callers begin streams at entry 0, entry 1 hears no more of endpoints, those of release "v1" restart with "v2", and the callers return to entry 1
+    Then none of these streams has events of two releases
--- a/packages/mastvalve-gateway/__tests__/streams-over-releases.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/streams-over-releases.steps.ts
@@ -8,6 +8,7 @@
 import {
 	After, Before, Given, Then, When, type World,
 } from '@cucumber/cucumber';
+import {formatIncarnation} from 'mastvalve-fleet';
 import {systemClock, waitFor} from 'mastvalve-utils';
 import type {EntriesAndControl} from './__fixtures__/entries-and-control.js';
 import {RunningGateway, type Received} from './__fixtures__/running-gateway.js';
@@ -18,6 +19,7 @@
 	releases: string[];
 	releaseResults: Array<Received & {tookMs: number}>;
 	following: EntriesAndControl;
+	releasesByEndpoint: Array<{release: string; /** Replaces the process of an endpoint by one of another release, which registers. */ restart: (index: number, release: string) => Promise<void>}>;
 	returned: Array<{begun: StreamReply; after: StreamReply}>;
 	reply: StreamReply & {tookMs: number};
 };
@@ -55,6 +57,7 @@
 	this.releaseEndpoints = [];
 	this.releases = [];
 	this.releaseResults = [];
+	this.releasesByEndpoint = [];
 });
 
 After(function (this: ReleaseWorld) {
@@ -92,15 +95,18 @@
 	}, Promise.resolve([]));
 });
 
+/** When the first processes of reporting endpoints started, ms since the epoch. */
+const firstStartAt = 1000;
 /** Time in which an entry reports the beginnings of streams, ms. */
 const reportMs = 150;
 
 /** Starts an endpoint that breaks new streams after some events, and finishes resumed ones. */
-const startReportingEndpoint = async ({following, releaseEndpoints}: ReleaseWorld, release: string, last: number): Promise<void> => {
+const startReportingEndpoint = async ({following, releaseEndpoints, releasesByEndpoint}: ReleaseWorld, release: string, last: number): Promise<void> => {
+	const process = {release};
 	const endpoint = await startScriptedEndpoint((socket, text) => {
 		const after = resumeIdOf(text);
 		const end = after === 0 ? last : eventIds.length;
-		const body = formatEvents(after, end, release);
+		const body = formatEvents(after, end, process.release);
 		socket.write(`${formatHead(text)}content-length: ${after === 0 ? body.length + 1 : body.length}\r\n\r\n${body}`);
 		if (after === 0) {
 			setTimeout(() => {
@@ -109,11 +115,21 @@
 		}
 	});
 	releaseEndpoints.push(endpoint);
-	const number = releaseEndpoints.length;
-	const reported = await following.single.control.report({
-		id: `engine-${number}`, sequence: 1, service: 's', address: endpoint.address, failureDomain: 'a', release, slots: 64, isLeaving: false, remainingMs: undefined, holds: [], inMemory: [], onDisk: [],
+	const report = async (index: number, startedAt: number): Promise<void> => {
+		const reported = await following.single.control.report({
+			id: formatIncarnation({name: `engine-${index}`, startedAt}), sequence: 1, service: 's', address: endpoint.address, failureDomain: 'a', release: process.release, slots: 64, isLeaving: false, remainingMs: undefined, holds: [], inMemory: [], onDisk: [],
+		});
+		reported._unsafeUnwrap();
+	};
+
+	await report(releaseEndpoints.length - 1, firstStartAt);
+	releasesByEndpoint.push({
+		release,
+		async restart(index, next) {
+			process.release = next;
+			await report(index, systemClock.wall());
+		},
 	});
-	reported._unsafeUnwrap();
 };
 
 Given('{int} reporting endpoints of release {string} and {int} of release {string} that break new streams after {int} events', async function (this: ReleaseWorld, count: number, release: string, otherCount: number, other: string, last: number) {
@@ -167,6 +183,22 @@
 	await returnAll(this, begun, entry);
 });
 
+When('{int} callers begin streams at entry 0, entry {int} hears no more of endpoints, those of release {string} restart with {string}, and the callers return to entry {int}', async function (this: ReleaseWorld, count: number, deaf: number, release: string, next: string, entry: number) {
+	const begun = await beginStreams(this, count);
+	this.following.stopHearing(deaf);
+	await this.releasesByEndpoint.reduce<Promise<void>>(async (before, each, index) => {
+		await before;
+		if (each.release === release) {
+			await each.restart(index, next);
+		}
+	}, Promise.resolve());
+	await returnAll(this, begun, entry);
+});
+
+Then('none of these streams has events of two releases', function (this: ReleaseWorld) {
+	assert.deepEqual(this.returned.filter(({begun, after}) => new Set([...releasesOf(begun.body), ...releasesOf(after.body)]).size > 1), []);
+});
+
 const releasesOf = (body: string): string[] => [...new Set([...body.matchAll(/^data: e\d+ (?<release>.+)$/gmv)].map(match => match.groups!.release!))];
 
 Then('each of these streams goes on with events of its release', function (this: ReleaseWorld) {
--- a/packages/mastvalve-gateway/src/requests/prepare-attempt.ts
+++ b/packages/mastvalve-gateway/src/requests/prepare-attempt.ts
@@ -8,11 +8,13 @@
 import type {DispatchRun} from '../dispatch/dispatch-run.js';
 import type {EndpointRequest} from '../routing/endpoint-tracker.js';
 import type {GatewayCore} from '../server/gateway-core.js';
+import {TargetState} from '../streams/stream-origins.js';
 import type {CallerRequest} from './caller-request.js';
 import {claimEndpoint, type ClaimedEndpoint} from './claim-endpoint.js';
 import {failRequest, rejectKey, rejectQuarantined} from './fail-request.js';
 import type {RequestProgress} from './request-progress.js';
 import type {Reply} from './reply.js';
+import {clampRetryAfterMs} from './wait-budget.js';
 
 /** An attempt that may be sent now and is already counted as in flight at its endpoint. */
 export type PreparedAttempt = ClaimedEndpoint & {
@@ -33,17 +35,38 @@
 const beginRun = (core: GatewayCore, request: CallerRequest, progress: RequestProgress, {endpoint, claim}: ClaimedEndpoint): DispatchRun | undefined =>
 	(claim !== undefined || isDispatched(core, request) ? core.dispatch.beginRun(claim ?? createClaim(core, request, progress), endpoint.id, claim !== undefined) : undefined);
 
-/** Claims again while the claimed endpoint has since asked for backoff, begun to leave, or lost its capacity to other requests. */
+/** Retry-After of a stream that nobody can go on with while no leader answers, ms: an election takes about as long. */
+const noLeaderRetryAfterMs = 1000;
+
+/** Whether a claimed endpoint may be sent the request: the rest of a stream goes only to the process whose release is recorded. */
+const findTargetState = async ({origins}: GatewayCore, {release}: RequestProgress, {endpoint}: ClaimedEndpoint): Promise<TargetState> =>
+	release === undefined ? TargetState.Current : origins.confirmTarget(endpoint);
+
+/**
+ * Claims again while the claimed endpoint has since asked for backoff, begun to leave, lost its capacity to other requests, or been replaced by
+ * another process.
+ */
 const claimAdmittingEndpoint = async (core: GatewayCore, request: CallerRequest, progress: RequestProgress): Promise<Awaited<ReturnType<typeof claimEndpoint>>> => {
-	let claimed = await claimEndpoint(core, request, progress);
-	while (!('reason' in claimed) && !core.tracker.canSend(claimed.endpoint.id)) {
-		releaseClaim(core, claimed);
-		// Claims are sequential.
-		// eslint-disable-next-line no-await-in-loop
-		claimed = await claimEndpoint(core, request, progress);
+	const claimed = await claimEndpoint(core, request, progress);
+	if ('reason' in claimed) {
+		return claimed;
+	}
+
+	const state = await findTargetState(core, progress, claimed);
+	if (state === TargetState.Current && core.tracker.canSend(claimed.endpoint.id)) {
+		return claimed;
+	}
+
+	releaseClaim(core, claimed);
+	if (state === TargetState.Unknown) {
+		return {reason: `no leader confirms that ${claimed.endpoint.id} still has the release that began the stream`, retryAfterMs: clampRetryAfterMs(core, request, noLeaderRetryAfterMs)};
+	}
+
+	if (state === TargetState.Replaced) {
+		progress.tried.add(claimed.endpoint.id);
 	}
 
-	return claimed;
+	return claimAdmittingEndpoint(core, request, progress);
 };
 
 /** Prepares an attempt; undefined when the request has ended. */
--- a/packages/mastvalve-gateway/src/streams/stream-origins.ts
+++ b/packages/mastvalve-gateway/src/streams/stream-origins.ts
@@ -8,7 +8,7 @@
 import type {PeerClient} from 'mastvalve-cluster';
 import type {StreamOriginRequest, StreamOriginResponse} from 'mastvalve-fleet-control';
 import {
-	proveRelease, ReleaseProof, StreamOriginTable, type ProvedRelease, type StreamOrigin,
+	proveRelease, ReleaseProof, StreamOriginTable, type FleetEndpoint, type ProvedRelease, type StreamOrigin,
 } from 'mastvalve-fleet';
 import type {Clock} from 'mastvalve-utils';
 import type {FleetView} from '../fleet/fleet-view.js';
@@ -24,6 +24,15 @@
 	signal: AbortSignal;
 };
 
+/** What the leader knows of the endpoint that is to send the rest of a stream. */
+export enum TargetState {
+	Current = 'current',
+	/** Its process has ended, and another one may have its name. */
+	Replaced = 'replaced',
+	/** No leader answers. */
+	Unknown = 'unknown',
+}
+
 /** Largest number of own streams in progress or just broken. */
 const maxOrigins = 20_000;
 /** Origins are reported together after this time, ms. */
@@ -78,7 +87,7 @@
 			return own;
 		}
 
-		const response = await this.call([{key, service}]);
+		const response = await this.call({questions: [{key, service}]});
 		const answer = response?.answers[0];
 		if (answer) {
 			return answer;
@@ -88,6 +97,23 @@
 		return isViewFresh ? own : {proof: ReleaseProof.None, reason: 'no leader answers'};
 	}
 
+	/**
+	 * Whether the rest of a stream may be sent to an endpoint: nothing else than the recorded incarnation answers there, as far as the leader
+	 * knows now. Without a leader nobody would know of a successor with another release.
+	 */
+	async confirmTarget({id, service}: Pick<FleetEndpoint, 'id' | 'service'>): Promise<TargetState> {
+		if (!this.options.view.hasSeveralReleases(service)) {
+			return TargetState.Current;
+		}
+
+		const response = await this.call({targets: [id]});
+		if (!response) {
+			return TargetState.Unknown;
+		}
+
+		return response.confirmed.includes(id) ? TargetState.Current : TargetState.Replaced;
+	}
+
 	/** Reports in batches until the leader knows all origins of services with several releases. */
 	private report(): void {
 		const hasMixedService = [...this.services].some(service => this.options.view.hasSeveralReleases(service));
@@ -108,7 +134,7 @@
 			// eslint-disable-next-line no-await-in-loop
 			await wait(batchMs, signal);
 			// eslint-disable-next-line no-await-in-loop
-			const response = await this.call([]);
+			const response = await this.call({});
 			if (!response) {
 				// eslint-disable-next-line no-await-in-loop
 				await wait(retryDelayMs, signal);
@@ -117,7 +143,7 @@
 	}
 
 	/** Calls the leader with all origins that it lacks; undefined when it doesn't answer. */
-	private async call(questions: StreamOriginRequest['questions']): Promise<StreamOriginResponse | undefined> {
+	private async call({questions = [], targets = []}: Partial<Pick<StreamOriginRequest, 'questions' | 'targets'>>): Promise<StreamOriginResponse | undefined> {
 		const {entry, client, readLeader, signal} = this.options;
 		const address = readLeader();
 		if (address === undefined) {
@@ -128,7 +154,7 @@
 		const isWhole = this.term === undefined;
 		const response = await client.call<StreamOriginResponse>({
 			address, path: '/streams', idleTimeoutMs: silenceTimeoutMs, signal, body: {
-				entry, origins, isWhole, questions,
+				entry, origins, isWhole, questions, targets,
 			} satisfies StreamOriginRequest,
 		});
 		if (response.isErr()) {
