Scenario of a replaced target: its processes start clearly after the streams, so that it fails without the confirmation

Ruled out: the confirmation itself. Change: the restarted processes say that they started 5 s later. Conclusion: the guard is shown now.

--- a/packages/mastvalve-gateway/__tests__/streams-over-releases.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/streams-over-releases.steps.ts
@@ -95,6 +95,8 @@
 	}, Promise.resolve([]));
 });
 
+/** Time by which restarted processes say that they started later, ms. */
+const laterMs = 5000;
 /** When the first processes of reporting endpoints started, ms since the epoch. */
 const firstStartAt = 1000;
 /** Time in which an entry reports the beginnings of streams, ms. */
@@ -127,7 +129,8 @@
 		release,
 		async restart(index, next) {
 			process.release = next;
-			await report(index, systemClock.wall());
+			// Clearly after the streams began, so that their beginnings aren't ambiguous.
+			await report(index, systemClock.wall() + laterMs);
 		},
 	});
 };
