The soak tells a finding at once

Ruled out: - Change: the line of a run with findings is printed when the run has ended. Conclusion: the finding stays open.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -40,7 +40,10 @@
 	figures.push(`seed ${seed}: ${run.findings.length} findings; prompts ${JSON.stringify(run.engineFigures)}; streams ${JSON.stringify(run.streamFigures)}`);
 	done += 1;
 	if (run.findings.length > 0) {
-		failed.push(`npm run soak -- --seed ${seed} --controls ${values.controls} --entries ${values.entries}: ${run.findings.slice(0, 3).join('; ')} (${run.findings.length} findings, logs in ${run.folder})`);
+		const line = `npm run soak -- --seed ${seed} --controls ${values.controls} --entries ${values.entries}: ${run.findings.slice(0, 3).join('; ')} (${run.findings.length} findings, logs in ${run.folder})`;
+		failed.push(line);
+		// At once, so that a run that is ended early has told it.
+		process.stderr.write(`${line}\n`);
 	}
 
 	process.stderr.write(`${process.stderr.isTTY ? '\r' : ''}${done} of ${total} seeds, ${failed.length} with findings${process.stderr.isTTY ? '' : '\n'}`);
