Read-through: the observer of streams whose callers return is named as its metric

Cause: one thing was called take-up, return and returned. Ruled out: the metric and the log line, whose names operators know by now. Change: recordStreamReturn. The statements are the same.

--- a/packages/mastvalve-gateway/src/requests/bind-stream.ts
+++ b/packages/mastvalve-gateway/src/requests/bind-stream.ts
@@ -25,7 +25,7 @@
 
 	const startedAt = core.clock.now();
 	const proved = await core.origins.prove(formatStreamKey(caller.startedBy ?? '', admission.workspace?.name), service);
-	core.observer.recordTakeUp(proved.proof);
+	core.observer.recordStreamReturn(proved.proof);
 	core.log('stream.returned', {
 		request: request.requestId, startedBy: caller.startedBy, after: caller.resumeAfter, ...proved, provedMs: Math.round(core.clock.now() - startedAt),
 	});
--- a/packages/mastvalve-gateway/src/server/gateway-metrics.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-metrics.ts
@@ -27,7 +27,7 @@
 	const answerEnds = new Counter({
 		name: 'mastvalve_answer_ends_total', help: 'Bodies of endpoints\' answers by what frames them, how they ended, and whether a stream ended inside an event or between two', labelNames: ['framing', 'end', 'event'], registers: [registry],
 	});
-	const takeUps = new Counter({
+	const streamReturns = new Counter({
 		name: 'mastvalve_stream_returns_total', help: 'Streams that callers have come back for, by how the release that began them was proved, or that it was not', labelNames: ['outcome'], registers: [registry],
 	});
 	const refusals = new Counter({
@@ -82,8 +82,8 @@
 		recordAnswerEnd({framing, end, isInsideEvent}) {
 			answerEnds.inc({framing, end, event: isInsideEvent ? 'inside' : 'between'});
 		},
-		recordTakeUp(outcome) {
-			takeUps.inc({outcome});
+		recordStreamReturn(outcome) {
+			streamReturns.inc({outcome});
 		},
 		recordRefusal(reason) {
 			refusals.inc({reason});
--- a/packages/mastvalve-gateway/src/server/gateway-observer.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-observer.ts
@@ -14,8 +14,8 @@
 	recordAttempt: (outcome: string) => void;
 	/** The body of an endpoint's answer has ended. */
 	recordAnswerEnd: (end: AnswerEnd) => void;
-	/** A caller has come back for a stream; `outcome` tells how its release was proved, or why the stream isn't taken up. */
-	recordTakeUp: (outcome: string) => void;
+	/** A caller has come back for a stream; `outcome` is the proof of the release that began it. */
+	recordStreamReturn: (outcome: string) => void;
 	/** A permit for limited endpoints was requested; `hasPermit` is whether one was granted. */
 	recordPermit: (hasPermit: boolean) => void;
 	/** An endpoint has refused a request and asked this entry to back off. */
@@ -36,7 +36,7 @@
 	recordRefusal: () => undefined,
 	recordAttempt: () => undefined,
 	recordAnswerEnd: () => undefined,
-	recordTakeUp: () => undefined,
+	recordStreamReturn: () => undefined,
 	recordPermit: () => undefined,
 	recordBackoff: () => undefined,
 	recordClaim: () => undefined,
