--- a/packages/mastvalve-sidecar/src/server/dispatch.ts
+++ b/packages/mastvalve-sidecar/src/server/dispatch.ts
@@ -62,6 +62,7 @@
 	req.once('socket', socket => {
 		if (!socket.connecting) {
 			clearTimeout(timer);
+			return;
 		}
 
 		socket.once('connect', () => {
