--- a/packages/mastvalve-gateway/__tests__/broken-streams.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/broken-streams.steps.ts
@@ -8,7 +8,8 @@
 import {
 	After, Before, Given, Then, When, type World,
 } from '@cucumber/cucumber';
-import {assumeType, waitFor} from 'mastvalve-utils';
+import {waitFor} from 'mastvalve-utils';
+import {resetConnection} from '../../../features/support/reset-connection.js';
 import {RunningGateway, type Received} from './__fixtures__/running-gateway.js';
 import {idOf, startScriptedEndpoint, type ScriptedEndpoint} from './__fixtures__/scripted-endpoint.js';
 import {
@@ -38,13 +39,6 @@
 /** Streams above this length are sent in one part, bytes. */
 const maxSplitBytes = 200;
 
-/** Resets a connection at once; `resetAndDestroy` would close it regularly first. */
-const reset = (socket: Socket): void => {
-	assumeType<{_handle: {reset: (done: () => void) => void}}>(socket)._handle.reset(() => {
-		socket.destroy();
-	});
-};
-
 const sendParts = async (socket: Socket, parts: readonly Uint8Array[], framing: Framing): Promise<void> => {
 	await parts.reduce<Promise<void>>(async (before, part) => {
 		await before;
@@ -59,7 +53,7 @@
 		socket.end();
 	} else if (framing === 'nothing, then resets') {
 		await waitFor(partPauseMs);
-		reset(socket);
+		resetConnection(socket);
 	}
 };
 
--- a/packages/mastvalve-gateway/__tests__/gateway.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/gateway.steps.ts
@@ -8,8 +8,9 @@
 	After, Before, Given, Then, When, type World,
 } from '@cucumber/cucumber';
 import {WeightSource} from 'mastvalve-fleet';
-import {assumeType, waitFor} from 'mastvalve-utils';
+import {waitFor} from 'mastvalve-utils';
 import {waitUntil} from '../../../features/support/conditions.js';
+import {resetConnection} from '../../../features/support/reset-connection.js';
 import {
 	chooseEndpoint, EndpointTracker, FirstByteTimes, ServiceRetryBudget,
 } from '../src/index.js';
@@ -29,13 +30,6 @@
 	servedAfterMs: number;
 };
 
-/** Resets a connection immediately; `resetAndDestroy` would close it gracefully first. */
-const reset = (socket: Socket): void => {
-	assumeType<{_handle: {reset: (done: () => void) => void}}>(socket)._handle.reset(() => {
-		socket.destroy();
-	});
-};
-
 /** Sends answers that scripted endpoints hold back until a test releases them. */
 const heldAnswers: Array<() => void> = [];
 
@@ -51,7 +45,7 @@
 	'without a length, then resets'(socket, text) {
 		socket.write(`HTTP/1.1 200 OK\r\nx-id: ${idOf(text)}\r\n\r\nhalf`, () => {
 			setImmediate(() => {
-				reset(socket);
+				resetConnection(socket);
 			});
 		});
 	},
@@ -71,7 +65,7 @@
 		socket.write(formatAnswer(idOf(text), '', '503 Service Unavailable'));
 	},
 	'nothing, then resets'(socket) {
-		reset(socket);
+		resetConnection(socket);
 	},
 	nothing: () => undefined,
 	'not run when the test releases it'(socket, text) {
@@ -89,7 +83,7 @@
 		const events = `${event(1)}${event(2)}id: 3\nda`;
 		socket.write(`HTTP/1.1 200 OK\r\nx-id: ${idOf(text)}\r\ntransfer-encoding: chunked\r\n\r\n${events.length.toString(16)}\r\n${events}\r\n`, () => {
 			setImmediate(() => {
-				reset(socket);
+				resetConnection(socket);
 			});
 		});
 	},
--- a/packages/mastvalve-gateway/src/requests/handle-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/handle-answer.ts
@@ -97,65 +97,71 @@
 /** The head of an answer, and the endpoint that sent it. */
 export type ReceivedAnswer = ClaimedEndpoint & {outcome: Extract<ExchangeOutcome, {kind: ExchangeKind.Answered}>; use: EndpointRequest; run: DispatchRun | undefined};
 
-/** Handles an answer and relays its body if it is for the caller; true when the request has ended. */
-export const handleAnswer = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, {endpoint, grantedAt, outcome, use, run}: ReceivedAnswer): Promise<boolean> => {
-	const {res, cancel, isBroken} = outcome;
-	const status = res.statusCode ?? 0;
-	const head = core.dialect.parseAnswerHeaders(status, res.headers, res.rawHeaders);
-	const isForOtherRequest = head.requestId !== undefined && head.requestId !== request.requestId;
-	recordAnswerHead(core, request, {
-		endpoint, grantedAt, use, status,
-	}, head);
+/** An answer whose head has been decoded. */
+type DecodedAnswer = ReceivedAnswer & {status: number; head: AnswerHeaders};
+
+/** Handles an answer that says that the request was not run; true when the request has ended. */
+const handleRefusal = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, {
+	endpoint, outcome, run, status, head,
+}: DecodedAnswer): boolean => {
+	outcome.res.resume();
+	run?.end(head.isMisdirected ? RunEventKind.Cancelled : RunEventKind.Failed);
+	recordMisdirection(core, request, endpoint, head);
+	core.log('attempt.refused', {
+		request: request.requestId, endpoint: endpoint.id, status, load: head.load, retryAfterMs: head.retryAfter.kind === RetryAfterKind.Delay ? head.retryAfter.delayMs : undefined, isLeaving: head.isLeaving,
+	});
+	return failUnlessRetryable(core, request, reply, progress, `the endpoint refused it with ${status}`);
+};
 
-	recordDuration(core, request, run, head);
-	if (head.isNotRun) {
-		res.resume();
-		run?.end(head.isMisdirected ? RunEventKind.Cancelled : RunEventKind.Failed);
-		recordMisdirection(core, request, endpoint, head);
-		core.log('attempt.refused', {
-			request: request.requestId, endpoint: endpoint.id, status, load: head.load, retryAfterMs: head.retryAfter.kind === RetryAfterKind.Delay ? head.retryAfter.delayMs : undefined, isLeaving: head.isLeaving,
-		});
-		return failUnlessRetryable(core, request, reply, progress, `the endpoint refused it with ${status}`);
+/** Returns why an answer can't be passed on; undefined if it can. */
+const findDefect = ({requestId, route}: CallerRequest, {status, head}: DecodedAnswer): string | undefined => {
+	if (head.requestId !== undefined && head.requestId !== requestId) {
+		return `the answer belongs to ${head.requestId}`;
 	}
 
-	const isRefusal = refusalStatuses.has(status);
-	if (isForOtherRequest || (isRefusal && !isRepeatable(request.route))) {
-		cancel();
-		progress.mayHaveRun = true;
-		core.tracker.recordFailure(endpoint.id);
-		core.log('attempt.failed', {
-			request: request.requestId, fingerprint: request.fingerprint, endpoint: endpoint.id, status, reason: isForOtherRequest ? `the answer belongs to ${head.requestId}` : 'refusal without the statement that the request was not run',
-		});
-		return failUnlessRetryable(core, request, reply, progress, `an answer with status ${status} that can't be passed on`);
-	}
+	return refusalStatuses.has(status) && !isRepeatable(route) ? 'refusal without the statement that the request was not run' : undefined;
+};
 
+/** Handles an answer that can't be passed on; true when the request has ended. */
+const handleDefect = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, {endpoint, outcome, status, reason}: DecodedAnswer & {reason: string}): boolean => {
+	outcome.cancel();
+	progress.mayHaveRun = true;
+	core.tracker.recordFailure(endpoint.id);
+	core.log('attempt.failed', {
+		request: request.requestId, fingerprint: request.fingerprint, endpoint: endpoint.id, status, reason,
+	});
+	return failUnlessRetryable(core, request, reply, progress, `an answer with status ${status} that can't be passed on`);
+};
+
+/** Records whether the endpoint has served the request. */
+const recordStatus = ({tracker}: GatewayCore, {endpoint, run, status}: DecodedAnswer): void => {
 	if (status >= minServerErrorStatus) {
 		run?.end(RunEventKind.Failed);
-		core.tracker.recordFailure(endpoint.id);
+		tracker.recordFailure(endpoint.id);
 	} else {
-		core.tracker.recordSuccess(endpoint.id);
+		tracker.recordSuccess(endpoint.id);
 	}
 
-	core.tracker.recordByte(endpoint.id);
-	progress.mayHaveRun = true;
-	const mayRetryFailure = status >= minServerErrorStatus && !reply.hasBegun && isRepeatable(request.route) && progress.sentCount < request.route.maxAttempts;
-	if (mayRetryFailure && hasTimeForAttempt(core, request)) {
-		res.resume();
-		return false;
-	}
+	tracker.recordByte(endpoint.id);
+};
 
-	res.once('data', () => {
+/** Records when bytes of the body arrive. */
+const watchBody = ({tracker}: GatewayCore, {
+	endpoint, outcome, use, run,
+}: DecodedAnswer): void => {
+	outcome.res.once('data', () => {
 		use.recordFirstByte();
 		run?.recordFirstByte();
 	});
-	res.on('data', () => {
-		core.tracker.recordByte(endpoint.id);
+	outcome.res.on('data', () => {
+		tracker.recordByte(endpoint.id);
 	});
-	if (reply.hasBegun && status !== okStatus) {
-		cancel();
-		return failUnlessRetryable(core, request, reply, progress, `the stream can't go on: status ${status}`);
-	}
+};
 
+/** Relays an answer to the caller; true when the request has ended. */
+const relayAnswer = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, {
+	endpoint, outcome: {res, cancel, isBroken}, run, status,
+}: DecodedAnswer): Promise<boolean> => {
 	const content = findStreamContent(res, {method: request.method, isStreamRoute: request.route.kind === RouteKind.Stream});
 	if (!reply.hasBegun) {
 		reply.begin(status, res.statusMessage ?? '', content === StreamContent.None ? res.rawHeaders : removeLength(res.rawHeaders));
@@ -169,22 +175,58 @@
 		},
 	}));
 	core.observer.recordAnswerEnd(end);
-	if (end.isComplete) {
-		if (status === okStatus) {
-			core.quarantine.recordSuccess(request.fingerprint);
-			run?.end(RunEventKind.Completed);
-		}
-
-		logAnswer(core, request, progress, {
-			endpoint: endpoint.id, status, headAt, end,
+	if (!end.isComplete) {
+		cancel();
+		reader.resume();
+		return request.signal.aborted || failBrokenAnswer(core, request, reply, progress, {
+			endpoint, status, reader, run, end,
 		});
-		reply.end();
-		return true;
 	}
 
-	cancel();
-	reader.resume();
-	return request.signal.aborted || failBrokenAnswer(core, request, reply, progress, {
-		endpoint, status, reader, run, end,
+	if (status === okStatus) {
+		core.quarantine.recordSuccess(request.fingerprint);
+		run?.end(RunEventKind.Completed);
+	}
+
+	logAnswer(core, request, progress, {
+		endpoint: endpoint.id, status, headAt, end,
 	});
+	reply.end();
+	return true;
+};
+
+/** Handles an answer and relays its body if it is for the caller; true when the request has ended. */
+export const handleAnswer = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, received: ReceivedAnswer): Promise<boolean> => {
+	const {endpoint, grantedAt, outcome: {res, cancel}, use, run} = received;
+	const status = res.statusCode ?? 0;
+	const head = core.dialect.parseAnswerHeaders(status, res.headers, res.rawHeaders);
+	const answer: DecodedAnswer = {...received, status, head};
+	recordAnswerHead(core, request, {
+		endpoint, grantedAt, use, status,
+	}, head);
+	recordDuration(core, request, run, head);
+	if (head.isNotRun) {
+		return handleRefusal(core, request, reply, progress, answer);
+	}
+
+	const reason = findDefect(request, answer);
+	if (reason !== undefined) {
+		return handleDefect(core, request, reply, progress, {...answer, reason});
+	}
+
+	progress.mayHaveRun = true;
+	recordStatus(core, answer);
+	const mayRetryFailure = status >= minServerErrorStatus && !reply.hasBegun && isRepeatable(request.route) && progress.sentCount < request.route.maxAttempts;
+	if (mayRetryFailure && hasTimeForAttempt(core, request)) {
+		res.resume();
+		return false;
+	}
+
+	watchBody(core, answer);
+	if (reply.hasBegun && status !== okStatus) {
+		cancel();
+		return failUnlessRetryable(core, request, reply, progress, `the stream can't go on: status ${status}`);
+	}
+
+	return relayAnswer(core, request, reply, progress, answer);
 };
--- a/packages/mastvalve-sidecar/__tests__/broken-answers.steps.ts
+++ b/packages/mastvalve-sidecar/__tests__/broken-answers.steps.ts
@@ -11,6 +11,7 @@
 	After, Given, Then, When, type World,
 } from '@cucumber/cucumber';
 import {assumeType, collectText, waitFor} from 'mastvalve-utils';
+import {resetConnection} from '../../../features/support/reset-connection.js';
 import {dispatchRequest} from '../src/server/dispatch.js';
 
 type BrokenWorld = World & {brokenServer: Server; brokenAgent: Agent; bodies: string[]};
@@ -19,13 +20,6 @@
 const pauseMs = 5;
 const timeLimitMs = 3000;
 
-/** Resets a connection at once; `resetAndDestroy` would close it regularly first. */
-const reset = (socket: Socket): void => {
-	assumeType<{_handle: {reset: (done: () => void) => void}}>(socket)._handle.reset(() => {
-		socket.destroy();
-	});
-};
-
 const head = (fields: string): string => `HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n${fields}\r\n`;
 const chunk = `${body.length.toString(16)}\r\n${body}\r\n`;
 
@@ -52,7 +46,7 @@
 		socket.end();
 	} else if (end !== undefined) {
 		await waitFor(end === 'reset' ? 0 : pauseMs);
-		reset(socket);
+		resetConnection(socket);
 	}
 };
 
