A former incarnation of an endpoint makes no beginning of a stream ambiguous

Cause: isAmbiguousOrigin looked at each other incarnation of the name with another release that had started by the first event, the predecessor too, which control remembers for 120 s. So each endpoint that had changed its release once proved no stream for two minutes. Ruled out: the margin for clocks (0.3 s; endpoints are down for 0.2 s or more), endpoints that are down (the refusals name their reason). Change: only later incarnations count, by the start times that heartbeats tell. A clock that is set back between two starts of one name is a limit, as with heartbeats.

--- a/packages/mastvalve-fleet/src/streams/stream-origin.ts
+++ b/packages/mastvalve-fleet/src/streams/stream-origin.ts
@@ -3,7 +3,7 @@
  * the release that sent its first event.
  */
 
-import {parseIncarnation} from '../state/endpoint-incarnation.js';
+import {isEarlierIncarnation, parseIncarnation} from '../state/endpoint-incarnation.js';
 import type {FleetEndpoint} from '../state/fleet-endpoint.js';
 
 export type StreamOrigin = {
@@ -32,13 +32,15 @@
 const clockSkewMs = 300;
 
 /**
- * Whether another incarnation of the endpoint, with another release, may have answered in its place: one that had started before the first
- * event, and whose first heartbeat came after. `wall` is the time of day, ms.
+ * Whether a later incarnation of the endpoint, with another release, may have answered in its place: one that had started before the first
+ * event, and whose first heartbeat came after. Start times order the incarnations of a name unless its clock is set back. `wall` is the time of
+ * day, ms.
  */
 export const isAmbiguousOrigin = ({endpoint, release, ageMs}: StreamOrigin, endpoints: ReadonlyArray<Pick<FleetEndpoint, 'id' | 'release'>>, wall: number): boolean => {
 	const {name} = parseIncarnation(endpoint);
 	return endpoints.some(other => {
 		const incarnation = parseIncarnation(other.id);
-		return incarnation.name === name && other.id !== endpoint && other.release !== release && (incarnation.startedAt ?? 0) <= wall - ageMs + clockSkewMs;
+		const isLater = incarnation.name === name && other.id !== endpoint && !isEarlierIncarnation(other.id, endpoint);
+		return isLater && other.release !== release && (incarnation.startedAt ?? 0) <= wall - ageMs + clockSkewMs;
 	});
 };
--- a/packages/mastvalve-gateway/__tests__/stream-origins.feature
+++ b/packages/mastvalve-gateway/__tests__/stream-origins.feature
@@ -29,6 +29,13 @@
     Then all of 100 returning streams are proved
     And the leader holds 0 origins
 
+  # Guards against returning streams that are refused: a former incarnation of the endpoint, with another release, was taken for a possible successor.
+  Scenario: Streams of an endpoint that had another release before are proved
+    Given 5 entries in touch, and endpoints of two releases
+    And all endpoints have started again with the other release, and registered
+    When each entry begins 20 streams, and after 100 ms other entries get their callers back
+    Then all of 100 returning streams are proved
+
   Scenario: An unknown stream is not proved while two releases serve
     Given 5 entries in touch, and endpoints of two releases
     Then a stream that nobody has begun is not proved
--- a/packages/mastvalve-gateway/__tests__/stream-origins.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/stream-origins.steps.ts
@@ -104,6 +104,13 @@
 	this.returning = [];
 });
 
+Given('all endpoints have started again with the other release, and registered', async function (this: OriginWorld) {
+	this.virtual.startEndpoint('e0', 'v2');
+	this.virtual.startEndpoint('e1', 'v2');
+	this.virtual.startEndpoint('e2', 'v1');
+	await this.virtual.advance(3000);
+});
+
 const beginAll = ({virtual}: OriginWorld, count: number): VirtualStream[] =>
 	virtual.entries.flatMap((_, entry) => Array.from({length: count}, (__, index) => virtual.beginStream(entry, endpoints => index % endpoints)!));
 
