Log lines of broken answers and failed attempts name the shared parts of the prompt

Cause: in the incident, 12 ends of engines each broke off exactly one answer with a head and no complete event, with 12 different fingerprints. The log lines could not tell whether those requests had anything in common. Change: answer.broken and attempt.failed hold the fingerprints of all parts but the last, which is the request's own. Ids of parts are callers' text of any length, so they are hashed. No decision depends on them.

--- a/packages/mastvalve-gateway/src/requests/caller-request.ts
+++ b/packages/mastvalve-gateway/src/requests/caller-request.ts
@@ -11,6 +11,8 @@
 	requestId: string;
 	/** Equal for all requests with the same content, regardless of their ids. */
 	fingerprint: string;
+	/** Fingerprints of the parts of its prompt that other requests may share. */
+	partFingerprints: readonly string[];
 	route: Route;
 	service: string;
 	caller: CallerHeaders;
--- a/packages/mastvalve-gateway/src/requests/handle-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/handle-answer.ts
@@ -75,7 +75,7 @@
 }: {endpoint: FleetEndpoint; status: number; reader: AnswerReader; run: DispatchRun | undefined; end: AnswerEnd}): boolean => {
 	core.crashDetector.recordBrokenConnection(endpoint, request.fingerprint);
 	core.log('answer.broken', {
-		request: request.requestId, fingerprint: request.fingerprint, endpoint: endpoint.id, status, lastEvent: progress.streamPosition?.lastEventId, isSlowReader: reader.hasBeenSlow, ...describeEnd(end),
+		request: request.requestId, fingerprint: request.fingerprint, parts: request.partFingerprints, endpoint: endpoint.id, status, lastEvent: progress.streamPosition?.lastEventId, isSlowReader: reader.hasBeenSlow, ...describeEnd(end),
 	});
 	// An endpoint cuts off an answer that stays unread: that is no failure of it, and another endpoint's would stay unread too.
 	if (reader.hasBeenSlow) {
@@ -128,7 +128,7 @@
 	progress.mayHaveRun = true;
 	core.tracker.recordFailure(endpoint.id);
 	core.log('attempt.failed', {
-		request: request.requestId, fingerprint: request.fingerprint, endpoint: endpoint.id, status, reason,
+		request: request.requestId, fingerprint: request.fingerprint, parts: request.partFingerprints, endpoint: endpoint.id, status, reason,
 	});
 	return failUnlessRetryable(core, request, reply, progress, `an answer with status ${status} that can't be passed on`);
 };
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -88,7 +88,7 @@
 	}
 
 	core.log('attempt.failed', {
-		request: request.requestId, fingerprint: request.fingerprint, endpoint: endpoint.id, outcome: outcome.kind, reason: outcome.reason,
+		request: request.requestId, fingerprint: request.fingerprint, parts: request.partFingerprints, endpoint: endpoint.id, outcome: outcome.kind, reason: outcome.reason,
 	});
 	return failUnlessRetryable(core, request, reply, progress, outcome.reason);
 };
--- a/packages/mastvalve-gateway/src/server/gateway.ts
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -15,6 +15,7 @@
 import {defaultMemoryLimits, type MemoryLimits} from '../memory/memory-limits.js';
 import {UnreadAnswers} from '../memory/unread-answers.js';
 import type {CallerRequest} from '../requests/caller-request.js';
+import {fingerprintSharedParts} from '../requests/fingerprint-parts.js';
 import {fingerprintRequest} from '../requests/request-fingerprint.js';
 import {Reply} from '../requests/reply.js';
 import {serveRequest} from '../requests/serve-request.js';
@@ -215,7 +216,7 @@
 			method, host: req.headers.host ?? '', path, caller, body: read.body,
 		});
 		const request: CallerRequest = {
-			requestId: caller.requestId, fingerprint, route, service, caller, admission, method, path, headers: req.headers, rawHeaders: req.rawHeaders, body: read.body, arrivedAt: read.arrivedAt, deadlineAt, callerDeadlineAt, signal: closed.signal,
+			requestId: caller.requestId, fingerprint, partFingerprints: fingerprintSharedParts(caller.promptParts), route, service, caller, admission, method, path, headers: req.headers, rawHeaders: req.rawHeaders, body: read.body, arrivedAt: read.arrivedAt, deadlineAt, callerDeadlineAt, signal: closed.signal,
 		};
 		const timer = setTimeout(() => {
 			this.expire(request, reply);
