A failing test: requests with a part that crashes engines go on reaching engines

What callers saw: engines end one after the other, with all that runs on them, while requests with one part in their prompts arrive. The test: three or five real entries, a control instance, 12 engines that crash inside the first event of an answer to the part and are back after 1.5 s; all else in those requests differs; 30 sound requests a second share their first part. The engines' stand-in crashes a process once only.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/crashing-engines.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/crashing-engines.ts
@@ -6,6 +6,7 @@
 import type {Socket} from 'node:net';
 import type {EndpointReport} from 'mastvalve-fleet';
 import type {FleetControl} from 'mastvalve-fleet-control';
+import {systemClock} from 'mastvalve-utils';
 import {waitUntil} from '../../../../features/support/conditions.js';
 import {
 	formatAnswer, idOf, startScriptedEndpoint, type ScriptedEndpoint,
@@ -16,18 +17,42 @@
 /** Time from the start of a request to its answer or to the crash of its engine, ms. */
 const runMs = 60;
 
-type EngineProcess = {endpoint: ScriptedEndpoint; report: EndpointReport};
+type EngineProcess = {endpoint: ScriptedEndpoint; report: EndpointReport; hasEnded: boolean};
+
+/** Runs a request at an engine; `crash` ends the engine's process. */
+export type EngineRun = (socket: Socket, text: string, crash: () => void) => void;
+
+/** Answers after a while, or crashes before it has answered anything. */
+const runPlain: EngineRun = (socket, text, crash) => {
+	setTimeout(() => {
+		if (text.includes(crashingText)) {
+			crash();
+		} else {
+			socket.write(formatAnswer(idOf(text), 'whole'));
+		}
+	}, runMs);
+};
 
 export class CrashingEngines {
-	/** Number of engines crashed by a request. */
-	crashed = 0;
-	/** Number of crashing requests that engines accepted. */
-	crashingAccepted = 0;
+	/** When engines were crashed by a request, monotonic ms. */
+	readonly crashTimes: number[] = [];
+	/** Crashing requests that engines accepted, and when, monotonic ms. */
+	readonly crashingArrivals: Array<{text: string; at: number}> = [];
 	private readonly processes: EngineProcess[] = [];
 	private startCount = 0;
 	private isClosing = false;
 
-	constructor(private readonly control: FleetControl, private readonly restartAfterMs: number) {}
+	constructor(private readonly control: FleetControl, private readonly restartAfterMs: number, private readonly runRequest: EngineRun = runPlain) {}
+
+	/** Number of engines crashed by a request. */
+	get crashed(): number {
+		return this.crashTimes.length;
+	}
+
+	/** Number of crashing requests that engines accepted. */
+	get crashingAccepted(): number {
+		return this.crashingArrivals.length;
+	}
 
 	get count(): number {
 		return this.processes.length;
@@ -37,9 +62,14 @@
 		await Promise.all(Array.from({length: count}, async (_, index) => this.startEngine(index)));
 	}
 
-	/** Crashes an engine externally, regardless of what it runs. */
+	/** Crashes an engine externally, regardless of what it runs, unless it has ended already. */
 	crash(index: number): void {
 		const process = this.processes[index]!;
+		if (process.hasEnded) {
+			return;
+		}
+
+		process.hasEnded = true;
 		process.endpoint.close();
 		setTimeout(() => {
 			void this.restart(index, process);
@@ -78,22 +108,22 @@
 		const report: EndpointReport = {
 			id, sequence: 1, service: 's', address: endpoint.address, failureDomain: 'a', release: '', slots: 64, isLeaving: false, remainingMs: undefined, holds: [], inMemory: [], onDisk: [],
 		};
-		this.processes[index] = {endpoint, report};
+		this.processes[index] = {endpoint, report, hasEnded: false};
 		await this.sendReport(report);
 	}
 
 	private run(index: number, state: {hasCrashed: boolean}, socket: Socket, text: string): void {
-		const isCrashing = text.includes(crashingText);
-		this.crashingAccepted += isCrashing ? 1 : 0;
-		setTimeout(() => {
-			if (isCrashing && !state.hasCrashed) {
+		if (text.includes(crashingText)) {
+			this.crashingArrivals.push({text, at: systemClock.now()});
+		}
+
+		this.runRequest(socket, text, () => {
+			if (!state.hasCrashed) {
 				state.hasCrashed = true;
-				this.crashed += 1;
+				this.crashTimes.push(systemClock.now());
 				this.crash(index);
-			} else {
-				socket.write(formatAnswer(idOf(text), 'whole'));
 			}
-		}, runMs);
+		});
 	}
 
 	private async restart(index: number, {endpoint}: EngineProcess): Promise<void> {
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
@@ -15,7 +15,7 @@
 export type LoggedLine = {kind: string; fields: Record<string, unknown>};
 
 /** Answer to a caller; status 0 when it is incomplete or missing. */
-export type CallResult = {status: number; retryAfter: number | undefined; tookMs: number};
+export type CallResult = {requestId: string; status: number; retryAfter: number | undefined; tookMs: number};
 
 const createRoute = (kind: RouteKind): Route => ({
 	name: kind, host: 'h', pathPrefix: `/${kind}/`, kind, timeoutMs: 2000, objectiveMs: 500, patienceMs: undefined, priority: 1, targets: [{service: 's', weight: 1}], maxAttempts: 2, isResumable: kind === RouteKind.Stream, isAnonymous: false,
@@ -55,6 +55,7 @@
 	callsSinceRestart = 0;
 	private readonly entries: RunningEntry[] = [];
 	private requests = 0;
+	private hasEndedControl = false;
 
 	private constructor(readonly single: SingleControl, private readonly controlAddress: string, private readonly addresses: string[]) {}
 
@@ -89,19 +90,22 @@
 		this.entries[index]!.node.view.apply = () => undefined;
 	}
 
-	async call(index: number, path: string, body: string): Promise<CallResult> {
+	async call(index: number, path: string, body: string, headers: Record<string, string> = {}): Promise<CallResult> {
 		this.requests += 1;
 		this.callsSinceRestart += 1;
-		this.entryOf.set(`request-${this.requests}`, index);
+		const requestId = `request-${this.requests}`;
+		this.entryOf.set(requestId, index);
 		const [host, port] = this.addresses[index]!.split(':');
 		const startedAt = systemClock.now();
 		return new Promise<CallResult>(resolve => {
 			const done = (status: number, retryAfter?: number): void => {
-				resolve({status, retryAfter, tookMs: systemClock.now() - startedAt});
+				resolve({
+					requestId, status, retryAfter, tookMs: systemClock.now() - startedAt,
+				});
 			};
 
 			const req = request({
-				host, port, path, agent: false, method: 'POST', headers: {host: 'h', 'x-id': `request-${this.requests}`},
+				host, port, path, agent: false, method: 'POST', headers: {host: 'h', 'x-id': requestId, ...headers},
 			}, res => {
 				const retryAfter = res.headers['retry-after'];
 				res.resume();
@@ -120,9 +124,17 @@
 		});
 	}
 
+	/** Ends control; it isn't replaced. */
+	async endControl(): Promise<void> {
+		if (!this.hasEndedControl) {
+			this.hasEndedControl = true;
+			await this.single.close();
+		}
+	}
+
 	async close(): Promise<void> {
 		await Promise.all(this.addresses.map(async (_, index) => this.stopEntry(index)));
-		await this.single.close();
+		await this.endControl();
 	}
 
 	private async startEntry(index: number): Promise<void> {
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -33,7 +33,7 @@
 		promptTokens: 0,
 		maxOutputTokens: 0,
 		expectedOutputTokens: 0,
-		promptParts: [],
+		promptParts: (textOf(headers['x-parts']) ?? '').split(',').filter(Boolean).map(id => ({id, tokens: 100})),
 		declaredTokens: undefined,
 		resumeAfter: textOf(headers['x-resume']),
 		startedBy: textOf(headers['x-started-by']),
--- a/packages/mastvalve-gateway/__tests__/crashing-requests.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/crashing-requests.steps.ts
@@ -4,18 +4,15 @@
 
 import {strict as assert} from 'node:assert';
 import {
-	After, Given, Then, When, type World,
+	After, Given, Then, When,
 } from '@cucumber/cucumber';
 import {waitFor} from 'mastvalve-utils';
 import {CrashingEngines, crashingText} from './__fixtures__/crashing-engines.js';
-import {EntriesAndControl, type CallResult} from './__fixtures__/entries-and-control.js';
+import type {CrashWorld} from './__fixtures__/crash-world.js';
+import {EntriesAndControl} from './__fixtures__/entries-and-control.js';
 import {withEventLoopDelay} from './__fixtures__/event-loop-delay.js';
 
-type CrashWorld = World & {
-	following: EntriesAndControl;
-	crashingEngines: CrashingEngines;
-	crashing: CallResult[];
-	others: CallResult[];
+type RequestWorld = CrashWorld & {
 	/** Crashing requests that engines had accepted, and lines that entries had logged, before those that follow the restart. */
 	acceptedAtRestart: number;
 	loggedAtRestart: number;
@@ -112,7 +109,7 @@
 	await Promise.all(Array.from({length: this.following.count}, async (_, index) => this.following.restart(index)));
 });
 
-When('a crashing request arrives once more at each entry', async function (this: CrashWorld) {
+When('a crashing request arrives once more at each entry', async function (this: RequestWorld) {
 	this.acceptedAtRestart = this.crashingEngines.crashingAccepted;
 	this.loggedAtRestart = this.following.logged.length;
 	const {result, delayMs} = await withEventLoopDelay(async () =>
@@ -121,7 +118,7 @@
 	this.loopDelayMs = delayMs;
 });
 
-Then('the last {int} crashing requests are each refused as quarantined within {int} ms plus loop delay', function (this: CrashWorld, count: number, limitMs: number) {
+Then('the last {int} crashing requests are each refused as quarantined within {int} ms plus loop delay', function (this: RequestWorld, count: number, limitMs: number) {
 	const last = this.crashing.slice(-count);
 	const lines = this.following.logged.slice(this.loggedAtRestart).filter(({kind}) => kind === 'request.given-up');
 	const text = `${JSON.stringify(last)}, event loop delayed by ${Math.round(this.loopDelayMs)} ms, ${JSON.stringify(lines)}`;
@@ -131,7 +128,7 @@
 	assert.ok(last.every(({tookMs}) => tookMs <= limitMs + this.loopDelayMs), text);
 });
 
-Then('no engine has received a crashing request since the restart', function (this: CrashWorld) {
+Then('no engine has received a crashing request since the restart', function (this: RequestWorld) {
 	assert.equal(this.crashingEngines.crashingAccepted, this.acceptedAtRestart);
 });
 
