--- a/packages/mastvalve-fleet-control/__tests__/crash-history.steps.ts
+++ b/packages/mastvalve-fleet-control/__tests__/crash-history.steps.ts
@@ -9,7 +9,7 @@
 import {
 	CrashHistory, crashLimit, quarantineMs, type FeedCursor,
 } from 'mastvalve-fleet';
-import {QuarantineExpiry} from '../src/quarantine-expiry.js';
+import {ElapsedTimes} from '../src/elapsed-times.js';
 
 type HistoryWorld = World & {history: CrashHistory; revision: number};
 
@@ -77,10 +77,10 @@
 });
 
 When('its time is over by the leader\'s clock', function (this: HistoryWorld) {
-	const clock = new QuarantineExpiry();
-	assert.deepEqual(clock.listExpired(this.history.listQuarantined(), 0), []);
-	assert.deepEqual(clock.listExpired(this.history.listQuarantined(), quarantineMs), []);
-	this.history.release(clock.listExpired(this.history.listQuarantined(), quarantineMs + 1), this.revision);
+	const clock = new ElapsedTimes(() => quarantineMs);
+	assert.deepEqual(clock.listElapsed(this.history.listQuarantined(), 0), []);
+	assert.deepEqual(clock.listElapsed(this.history.listQuarantined(), quarantineMs), []);
+	this.history.release(clock.listElapsed(this.history.listQuarantined(), quarantineMs + 1), this.revision);
 });
 
 Then('it is released, and {int} more crashes don\'t quarantine it again', function (this: HistoryWorld, count: number) {
--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -6,7 +6,7 @@
 import type {LimitTolerance} from 'mastvalve-access';
 import {ControlGroup, type ControlGroupOptions, type PeerHandler} from 'mastvalve-cluster';
 import {
-	FleetCommandKind, FleetMachine, type CrashReport, type EndpointReport, type FleetCommand, type StatedConfiguration, takesRequests,
+	FleetCommandKind, FleetMachine, type CrashReport, type EndpointReport, type FleetCommand, type StatedConfiguration, type SuccessReport, takesRequests,
 } from 'mastvalve-fleet';
 import {ControlUnavailableError, UnknownEndpointError, type MastvalveError} from 'mastvalve-types';
 import {
@@ -158,6 +158,7 @@
 				return response ? ok(response) : err(new ControlUnavailableError('This control instance does not lead.'));
 			}],
 			['/crashes', async body => this.recordCrashes(assumeType<CrashReport[]>(body))],
+			['/successes', async body => this.recordSuccesses(assumeType<SuccessReport[]>(body))],
 			['/heard', async body => {
 				this.liveness.recordHeartbeats(assumeType<string[]>(body), this.options.clock.now());
 				return ok(true);
@@ -259,6 +260,22 @@
 		return result.map(() => true as const);
 	}
 
+	/** Records requests that were answered although their content is suspected. Only the first report of the same goes through the log. */
+	private async recordSuccesses(reports: SuccessReport[]): Promise<Result<true, MastvalveError>> {
+		const news = this.group.isLeading ? reports.filter(report => this.machine.isSuccessNews(report)) : reports;
+		if (news.length === 0) {
+			return ok(true);
+		}
+
+		const result = await this.propose({kind: FleetCommandKind.RecordSuccesses, reports: news});
+		if (result.isOk()) {
+			const released = assumeType<string[]>(result.value);
+			this.options.onEvent('suspects.cleared', `${news.map(({fingerprint, answeredNumber}) => `${fingerprint} of the crashes up to ${answeredNumber}`).join(', ')}; quarantine ended: ${released.join(', ') || 'none'}`);
+		}
+
+		return result.map(() => true as const);
+	}
+
 	/** Records that endpoints are leaving. Entries repeat reports that were not committed. */
 	private async markLeaving(reported: readonly string[]): Promise<void> {
 		const ids = reported.filter(id => {
--- a/packages/mastvalve-fleet-control/src/fleet-maintenance.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-maintenance.ts
@@ -1,17 +1,17 @@
 /**
- * Periodic tasks of a control instance: the leader marks silent endpoints, forgets old ones, ends quarantines and records
- * limits; other instances forward the heartbeats that they receive to the leader.
+ * Periodic tasks of a control instance: the leader marks silent endpoints, forgets old ones, begins and ends quarantines
+ * and records limits; other instances forward the heartbeats that they receive to the leader.
  */
 
 import type {ControlGroup} from 'mastvalve-cluster';
 import {
-	FleetCommandKind, quarantineMs, type FleetCommand, type FleetMachine,
+	contradictionMs, FleetCommandKind, getProbationDelayMs, quarantineMs, type FleetCommand, type FleetMachine,
 } from 'mastvalve-fleet';
 import type {MastvalveError} from 'mastvalve-types';
 import type {Clock} from 'mastvalve-utils';
 import type {Result} from 'neverthrow';
 import type {Liveness, LivenessTimes} from './liveness.js';
-import {QuarantineExpiry} from './quarantine-expiry.js';
+import {ElapsedTimes} from './elapsed-times.js';
 
 export type FleetMaintenanceOptions = {
 	group: ControlGroup;
@@ -32,7 +32,9 @@
 const forgetSilentAfterMs = 90_000;
 
 export class FleetMaintenance {
-	private readonly quarantineExpiry = new QuarantineExpiry();
+	private readonly quarantineTimes = new ElapsedTimes(() => quarantineMs);
+	private readonly dueTimes = new ElapsedTimes(() => contradictionMs);
+	private readonly probationTimes = new ElapsedTimes(fingerprint => getProbationDelayMs(this.options.machine.countProbations(fingerprint) ?? 0));
 	private readonly times: LivenessTimes;
 	private wasLeading = false;
 
@@ -52,11 +54,15 @@
 		if (!this.wasLeading) {
 			this.wasLeading = true;
 			liveness.reset();
-			this.quarantineExpiry.reset();
+			this.quarantineTimes.reset();
+			this.dueTimes.reset();
+			this.probationTimes.reset();
 		}
 
 		await publishLimits();
 		await this.markSilent();
+		await this.quarantineDue();
+		await this.beginProbations();
 		await this.releaseExpiredQuarantines();
 		await this.forgetExpired();
 	}
@@ -70,9 +76,30 @@
 		}
 	}
 
+	/** Quarantines what endpoints have crashed under and no answer has cleared in the meantime. */
+	private async quarantineDue(): Promise<void> {
+		const {machine, clock, propose, onEvent} = this.options;
+		const fingerprints = this.dueTimes.listElapsed(machine.listDue(), clock.now());
+		if (fingerprints.length > 0) {
+			await propose({kind: FleetCommandKind.QuarantineDue, fingerprints});
+			onEvent('quarantine.begun', `no answer within ${contradictionMs} ms after the crashes: ${fingerprints.join(', ')}`);
+		}
+	}
+
+	/** Lifts quarantines of what was answered before: nothing else could clear it while all that was in flight crashed. */
+	private async beginProbations(): Promise<void> {
+		const {machine, clock, propose, onEvent} = this.options;
+		const sound = machine.listQuarantined().filter(fingerprint => machine.countProbations(fingerprint) !== undefined);
+		const fingerprints = this.probationTimes.listElapsed(sound, clock.now());
+		if (fingerprints.length > 0) {
+			await propose({kind: FleetCommandKind.BeginProbation, fingerprints});
+			onEvent('quarantine.probation', `lifted until the next crash: ${fingerprints.join(', ')}`);
+		}
+	}
+
 	private async releaseExpiredQuarantines(): Promise<void> {
 		const {machine, clock, propose, onEvent} = this.options;
-		const fingerprints = this.quarantineExpiry.listExpired(machine.listQuarantined(), clock.now());
+		const fingerprints = this.quarantineTimes.listElapsed(machine.listQuarantined(), clock.now());
 		if (fingerprints.length > 0) {
 			await propose({kind: FleetCommandKind.ReleaseQuarantine, fingerprints});
 			onEvent('quarantine.ended', `after ${quarantineMs} ms: ${fingerprints.join(', ')}`);
--- a/packages/mastvalve-fleet-control/src/fleet-metrics.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-metrics.ts
@@ -2,7 +2,7 @@
  * Metrics of a control instance, collected on each scrape.
  */
 
-import {countAbsentModels, EndpointPhase} from 'mastvalve-fleet';
+import {countAbsentModels, EndpointPhase, isPartFingerprint} from 'mastvalve-fleet';
 import {Gauge, type Registry} from 'prom-client';
 import type {FleetControl} from './fleet-control.js';
 
@@ -53,7 +53,8 @@
 		{name: 'mastvalve_fleet_revision', help: 'Log index of the last change of the fleet', read: control => control.machine.revision},
 		{name: 'mastvalve_configuration_version', help: 'Version of the configuration in force', read: control => control.machine.configuration?.configuration.version ?? 0},
 		{name: 'mastvalve_endpoints', help: 'Endpoints on record', read: control => control.machine.list().length},
-		{name: 'mastvalve_quarantined_requests', help: 'Requests that are not dispatched since several endpoints crashed running them', read: control => control.machine.listQuarantined().length},
+		{name: 'mastvalve_quarantined_requests', help: 'Requests that are not dispatched since several endpoints crashed running them', read: control => control.machine.listQuarantined().filter(fingerprint => !isPartFingerprint(fingerprint)).length},
+		{name: 'mastvalve_quarantined_prompt_parts', help: 'Parts of prompts whose requests are not dispatched since several endpoints crashed running such requests', read: control => control.machine.listQuarantined().filter(fingerprint => isPartFingerprint(fingerprint)).length},
 		{name: 'mastvalve_engine_runs', help: 'Requests at engines that this leader chose or was told of; 0 while another instance leads', read: control => control.dispatch.runCount},
 		{name: 'mastvalve_waiting_claims', help: 'Claims that wait at this leader for an engine; 0 while another instance leads', read: control => control.dispatch.waitingCount},
 	];
--- a/packages/mastvalve-fleet/src/state/fleet-command.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-command.ts
@@ -2,7 +2,7 @@
  * Commands of the fleet's state machine.
  */
 
-import type {CrashReport} from '../quarantine/crash-report.js';
+import type {CrashReport, SuccessReport} from '../quarantine/crash-report.js';
 import type {StatedConfiguration} from '../configuration/serving-configuration.js';
 import type {EndpointReport, ExpectedLoad} from './fleet-endpoint.js';
 
@@ -16,6 +16,9 @@
 	RecordHoldings = 'record-holdings',
 	ClaimOrders = 'claim-orders',
 	RecordCrashes = 'record-crashes',
+	RecordSuccesses = 'record-successes',
+	QuarantineDue = 'quarantine-due',
+	BeginProbation = 'begin-probation',
 	ReleaseQuarantine = 'release-quarantine',
 	RecordLimits = 'record-limits',
 	RecordGrants = 'record-grants',
@@ -52,6 +55,9 @@
 		| {kind: FleetCommandKind.RecordHoldings; holdings: Holdings}
 		| {kind: FleetCommandKind.ClaimOrders; holder: string}
 		| {kind: FleetCommandKind.RecordCrashes; reports: CrashReport[]}
+		| {kind: FleetCommandKind.RecordSuccesses; reports: SuccessReport[]}
+		| {kind: FleetCommandKind.QuarantineDue; fingerprints: string[]}
+		| {kind: FleetCommandKind.BeginProbation; fingerprints: string[]}
 		| {kind: FleetCommandKind.ReleaseQuarantine; fingerprints: string[]}
 		| {kind: FleetCommandKind.RecordLimits; limits: RecordedLimit[]}
 		| {kind: FleetCommandKind.RecordGrants; grants: RecordedGrants[]};
--- a/packages/mastvalve-fleet/src/state/fleet-machine.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-machine.ts
@@ -9,7 +9,7 @@
 import {ConfigurationHistory, type HistorySnapshot} from '../configuration/configuration-history.js';
 import type {StatedConfiguration} from '../configuration/serving-configuration.js';
 import {CrashHistory, type CrashSnapshot} from '../quarantine/crash-history.js';
-import type {CrashReport} from '../quarantine/crash-report.js';
+import type {CrashReport, SuccessReport} from '../quarantine/crash-report.js';
 import {changesEndpoint} from './apply-report.js';
 import type {FeedPosition} from './change-feed.js';
 import {EndpointRegistry} from './endpoint-registry.js';
@@ -73,7 +73,22 @@
 		return this.acceptsReport(report) && changesEndpoint(this.endpoints.find(report.id), report);
 	}
 
-	/** Returns the fingerprints of quarantined requests. */
+	/** Whether a report of requests that were answered would change the state; only then it goes through the log. */
+	isSuccessNews(report: SuccessReport): boolean {
+		return this.crashes.isNews(report);
+	}
+
+	/** Returns the fingerprints of what is to be quarantined unless answers clear it. */
+	listDue(): string[] {
+		return this.crashes.listDue();
+	}
+
+	/** Returns the times that the quarantine of something was lifted on probation; undefined if it isn't to be lifted. */
+	countProbations(fingerprint: string): number | undefined {
+		return this.crashes.countProbations(fingerprint);
+	}
+
+	/** Returns the fingerprints of quarantined requests and parts of prompts. */
 	listQuarantined(): string[] {
 		return this.crashes.listQuarantined();
 	}
@@ -88,7 +103,7 @@
 		return [...this.grants.keys()];
 	}
 
-	/** Applies a command. Returns the active version for a configuration, and the newly quarantined fingerprints for crashes. */
+	/** Applies a command. Returns the active version for a configuration, and for crashes and successes the fingerprints whose quarantine begins or ends. */
 	apply(command: unknown, index: number): unknown {
 		const before = this.revision;
 		const result = this.applyCommand(assumeType<FleetCommand>(command), index);
@@ -132,6 +147,7 @@
 			endpoints: this.endpoints.feed.readAfter(cursor.endpoints),
 			configuration: this.history.feed.readAfter(cursor.configuration),
 			quarantine: this.crashes.feed.readAfter(cursor.quarantine),
+			crashCount: this.crashes.crashCount,
 		};
 	}
 
@@ -185,6 +201,18 @@
 				return this.recordCrashes(command.reports, index);
 			}
 
+			case FleetCommandKind.RecordSuccesses: {
+				return this.recordSuccesses(command.reports, index);
+			}
+
+			case FleetCommandKind.QuarantineDue: {
+				return this.quarantineDue(command.fingerprints, index);
+			}
+
+			case FleetCommandKind.BeginProbation: {
+				return this.updateRevision(this.crashes.beginProbation(command.fingerprints, index), index);
+			}
+
 			case FleetCommandKind.ReleaseQuarantine: {
 				return this.updateRevision(this.crashes.release(command.fingerprints, index), index);
 			}
@@ -213,11 +241,23 @@
 		return version;
 	}
 
-	/** Records the requests that ran on crashed endpoints as suspects. An endpoint that had announced that it leaves did not crash. */
+	/** Records what was in flight at crashed endpoints. An endpoint that had announced that it leaves did not crash. */
 	private recordCrashes(reports: readonly CrashReport[], index: number): string[] {
 		const quarantined = reports
 			.filter(({endpointId}) => this.endpoints.find(endpointId)?.isLeaving === false)
 			.flatMap(report => this.crashes.record(report, index));
+		this.updateRevision(this.crashes.changedAt === index, index);
+		return quarantined;
+	}
+
+	private recordSuccesses(reports: readonly SuccessReport[], index: number): string[] {
+		const released = this.crashes.recordSuccesses(reports, index);
+		this.updateRevision(this.crashes.changedAt === index, index);
+		return released;
+	}
+
+	private quarantineDue(fingerprints: readonly string[], index: number): string[] {
+		const quarantined = this.crashes.quarantineDue(fingerprints, index);
 		this.updateRevision(quarantined.length > 0, index);
 		return quarantined;
 	}
--- a/packages/mastvalve-fleet/src/state/fleet-update.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-update.ts
@@ -17,4 +17,6 @@
 	endpoints: FeedPage<FleetEndpoint>;
 	configuration: FeedPage<ConfigurationChange>;
 	quarantine: FeedPage<QuarantineChange>;
+	/** Number of the newest recorded crash of an endpoint; missing from earlier versions. */
+	crashCount?: number;
 };
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/crashing-engines.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/crashing-engines.ts
@@ -9,7 +9,7 @@
 import {systemClock} from 'mastvalve-utils';
 import {waitUntil} from '../../../../features/support/conditions.js';
 import {
-	formatAnswer, idOf, startScriptedEndpoint, type ScriptedEndpoint,
+	formatAnswer, idOf, startScriptedEndpoint, type Script, type ScriptedEndpoint,
 } from './scripted-endpoint.js';
 
 /** A request that contains this text crashes the engine that runs it. */
@@ -102,9 +102,9 @@
 		const state = {hasCrashed: false};
 		this.startCount += 1;
 		const id = `engine-${index}-${this.startCount}`;
-		const endpoint = await startScriptedEndpoint((socket, text) => {
+		const endpoint = await this.listen(port, (socket, text) => {
 			this.run(index, state, socket, text);
-		}, port);
+		});
 		const report: EndpointReport = {
 			id, sequence: 1, service: 's', address: endpoint.address, failureDomain: 'a', release: '', slots: 64, isLeaving: false, remainingMs: undefined, holds: [], inMemory: [], onDisk: [],
 		};
@@ -112,6 +112,16 @@
 		await this.sendReport(report);
 	}
 
+	/** Listens at a port. While an engine is down, an outgoing connection may have been given its port. */
+	private async listen(port: number, script: Script): Promise<ScriptedEndpoint> {
+		let endpoint: ScriptedEndpoint | undefined;
+		await waitUntil(`port ${port} is free`, async () => {
+			endpoint = await startScriptedEndpoint(script, port).catch(() => undefined);
+			return endpoint !== undefined;
+		});
+		return endpoint!;
+	}
+
 	private run(index: number, state: {hasCrashed: boolean}, socket: Socket, text: string): void {
 		if (text.includes(crashingText)) {
 			this.crashingArrivals.push({text, at: systemClock.now()});
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/entries-and-control.ts
@@ -157,8 +157,11 @@
 			retries: {ratio: 1, slack: 50, windowMs: 10_000},
 		});
 		const address = this.addresses[index]!;
-		const started = await node.start(address);
-		started._unsafeUnwrap();
+		// While an entry is down, an outgoing connection may have been given its port.
+		await waitUntil('the entry listens', async () => {
+			const started = await node.start(address);
+			return started.isOk();
+		});
 		this.entries[index] = {node, address, client};
 		await waitUntil('the entry is ready', async () => node.isReady);
 	}
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -167,9 +167,8 @@
 				now,
 				probe: probeListener,
 				isAlive: () => true,
-				hasSucceededRecently: () => false,
-				onCrash(report) {
-					quarantine.recordCrash(report);
+				onCrash({endpointId, ...inFlight}) {
+					quarantine.recordCrash(quarantine.createReport(endpointId, inFlight));
 				},
 			}),
 			log: (kind, fields) => {
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/scripted-endpoint.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/scripted-endpoint.ts
@@ -45,7 +45,8 @@
 			}
 		});
 	});
-	await new Promise<void>(resolve => {
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
 		server.listen(port, '127.0.0.1', resolve);
 	});
 	return {
--- a/packages/mastvalve-gateway/src/fleet/fleet-view.ts
+++ b/packages/mastvalve-gateway/src/fleet/fleet-view.ts
@@ -3,7 +3,7 @@
  */
 
 import {
-	EndpointPhase, takesRequests, type FleetEndpoint, type FleetCursor, type FleetUpdate,
+	EndpointPhase, takesRequests, type FleetEndpoint, type FleetCursor, type FleetUpdate, type QuarantineChange,
 } from 'mastvalve-fleet';
 import {ReleaseHistory} from './release-history.js';
 import {ConfigurationAssembler, type ActiveConfiguration} from './active-configuration.js';
@@ -30,13 +30,17 @@
 	hasAllEndpoints = false;
 	/** When control was last heard, monotonic ms. */
 	heardAt = Number.NEGATIVE_INFINITY;
+	/** Number of the newest crash of an endpoint that control has recorded. */
+	crashCount = 0;
 	private readonly releases = new ReleaseHistory();
 	/** Whether a state is arriving that lacks endpoints of which nothing else says that they have ended. */
 	private isReceivingAll = false;
 	private readonly assembler = new ConfigurationAssembler();
 	private readonly endpoints = new Map<string, FleetEndpoint>();
-	/** When this entry was notified that a request is quarantined, by fingerprint; monotonic ms. */
+	/** When this entry was notified that a request or a part of prompts is quarantined, by fingerprint; monotonic ms. */
 	private readonly quarantineTimes = new Map<string, number>();
+	/** What crashes count against, by fingerprint. */
+	private readonly suspicions = new Map<string, QuarantineChange>();
 	private availableByService = new Map<string, FleetEndpoint[]>();
 	/** Models that are being loaded, with the expected end, by endpoint; monotonic ms. */
 	private readonly expectedLoads = new Map<string, {model: string; at: number}>();
@@ -48,10 +52,11 @@
 	 * Applies an update that follows the view's cursor. `isNewest` is whether it was read from the newest state; the view is
 	 * synced once it has received the last page of such a state.
 	 */
-	apply({revision, endpoints, configuration, quarantine}: FleetUpdate, isNewest = false): void {
+	apply({revision, endpoints, configuration, quarantine, crashCount = 0}: FleetUpdate, isNewest = false): void {
 		const hasChanges = [endpoints, configuration, quarantine].some(part => part.isWhole || part.changes.length > 0);
 		this.revision = revision;
 		this.heardAt = this.now();
+		this.crashCount = Math.max(this.crashCount, crashCount);
 		this.cursor = {endpoints: endpoints.cursor, configuration: configuration.cursor, quarantine: quarantine.cursor};
 		this.applyEndpoints(endpoints);
 		this.applyQuarantine(quarantine);
@@ -105,11 +110,20 @@
 		return endpoint !== undefined && takesRequests(endpoint);
 	}
 
-	/** Returns when this entry was notified that a request is quarantined, monotonic ms; undefined if it isn't. */
+	/** Returns when this entry was notified that a request or a part of prompts is quarantined, monotonic ms; undefined if it isn't. */
 	findQuarantinedAt(fingerprint: string): number | undefined {
 		return this.quarantineTimes.get(fingerprint);
 	}
 
+	/** Returns the crashes that count against a request or a part of prompts; undefined if there are none. */
+	findSuspicion(fingerprint: string): QuarantineChange | undefined {
+		return this.suspicions.get(fingerprint);
+	}
+
+	listSuspicions(): QuarantineChange[] {
+		return [...this.suspicions.values()];
+	}
+
 	/** Calls a listener after each change until the returned function is called. */
 	subscribe(listener: () => void): () => void {
 		this.listeners.add(listener);
@@ -121,14 +135,22 @@
 	private applyQuarantine({isWhole, changes}: FleetUpdate['quarantine']): void {
 		if (isWhole) {
 			this.quarantineTimes.clear();
+			this.suspicions.clear();
 		}
 
-		changes.forEach(({fingerprint, isQuarantined}) => {
+		changes.forEach(change => {
+			const {fingerprint, isQuarantined, crashes} = change;
 			if (isQuarantined) {
-				this.quarantineTimes.set(fingerprint, this.now());
+				this.quarantineTimes.set(fingerprint, this.quarantineTimes.get(fingerprint) ?? this.now());
 			} else {
 				this.quarantineTimes.delete(fingerprint);
 			}
+
+			if (crashes) {
+				this.suspicions.set(fingerprint, change);
+			} else {
+				this.suspicions.delete(fingerprint);
+			}
 		});
 	}
 
--- a/packages/mastvalve-gateway/src/quarantine/crash-detector.ts
+++ b/packages/mastvalve-gateway/src/quarantine/crash-detector.ts
@@ -5,9 +5,10 @@
  * crash is confirmed when no process listens at the address any more, or by control, which detects the next incarnation there.
  */
 
-import type {CrashReport, FleetEndpoint} from 'mastvalve-fleet';
+import type {FleetEndpoint} from 'mastvalve-fleet';
 import {BoundedMap} from 'mastvalve-utils';
 import {ListenerState} from './probe-listener.js';
+import type {QuarantinedContent} from './request-quarantine.js';
 
 export type CrashDetectorOptions = {
 	/** Monotonic clock, ms. */
@@ -15,9 +16,25 @@
 	probe: (address: string) => Promise<ListenerState>;
 	/** Whether control still lists an endpoint as alive. */
 	isAlive: (endpointId: string) => boolean;
-	/** Whether a request with this fingerprint was recently answered completely, which rules it out as the cause of crashes. */
-	hasSucceededRecently: (fingerprint: string) => boolean;
-	onCrash: (report: CrashReport) => void;
+	onCrash: (crash: DetectedCrash) => void;
+};
+
+/** A crashed endpoint and what was in flight there. */
+export type DetectedCrash = {
+	endpointId: string;
+	/** Fingerprints of the requests. */
+	requests: string[];
+	/** Numbers of requests by the fingerprints of requests and of parts of their prompts. */
+	inFlight: Map<string, InFlightCount>;
+};
+
+/** Number of requests, and of those whose answer had begun and had no complete event yet. */
+export type InFlightCount = {requests: number; beginnings: number};
+
+/** A request whose connection broke. */
+export type BrokenRequest = QuarantinedContent & {
+	/** Whether its answer had begun and had no complete event yet. */
+	isBeginning: boolean;
 };
 
 /** Time for which the requests of one crash are collected into one report, ms: all connections to a crashing endpoint break within a few ms. */
@@ -27,7 +44,17 @@
 /** Maximum number of endpoints with recently broken connections. */
 const maxUndecided = 256;
 
-type BrokenEndpoint = {endpoint: FleetEndpoint; fingerprints: Set<string>; isCrashed: boolean; isCollecting: boolean; brokenAt: number};
+type BrokenEndpoint = {endpoint: FleetEndpoint; contents: BrokenRequest[]; isCrashed: boolean; isCollecting: boolean; brokenAt: number};
+
+/** Counts requests by their fingerprints and by those of the parts of their prompts. */
+const countContents = (contents: readonly BrokenRequest[]): Map<string, InFlightCount> =>
+	contents.reduce((counts, {fingerprint, partFingerprints, isBeginning}) => {
+		[fingerprint, ...partFingerprints].forEach(each => {
+			const {requests, beginnings} = counts.get(each) ?? {requests: 0, beginnings: 0};
+			counts.set(each, {requests: requests + 1, beginnings: beginnings + Number(isBeginning)});
+		});
+		return counts;
+	}, new Map<string, InFlightCount>());
 
 export class CrashDetector {
 	private readonly broken = new BoundedMap<string, BrokenEndpoint>(maxUndecided);
@@ -35,13 +62,9 @@
 	constructor(private readonly options: CrashDetectorOptions) {}
 
 	/** Records that the connection of a request to an endpoint broke for a reason other than the caller's disconnect. */
-	recordBrokenConnection(endpoint: FleetEndpoint, fingerprint: string): void {
-		if (this.options.hasSucceededRecently(fingerprint)) {
-			return;
-		}
-
+	recordBrokenConnection(endpoint: FleetEndpoint, content: BrokenRequest): void {
 		const broken = this.getOrCreate(endpoint);
-		broken.fingerprints.add(fingerprint);
+		broken.contents.push(content);
 		if (!broken.isCollecting) {
 			broken.isCollecting = true;
 			setTimeout(() => {
@@ -70,7 +93,7 @@
 	private getOrCreate(endpoint: FleetEndpoint): BrokenEndpoint {
 		const known = this.broken.get(endpoint.id);
 		const broken = known ?? {
-			endpoint, fingerprints: new Set<string>(), isCrashed: false, isCollecting: false, brokenAt: 0,
+			endpoint, contents: [], isCrashed: false, isCollecting: false, brokenAt: 0,
 		};
 		broken.brokenAt = this.options.now();
 		this.broken.set(endpoint.id, broken);
@@ -87,7 +110,9 @@
 
 	private reportCrash(broken: BrokenEndpoint): void {
 		broken.isCrashed = true;
-		this.options.onCrash({endpointId: broken.endpoint.id, fingerprints: [...broken.fingerprints]});
-		broken.fingerprints.clear();
+		this.options.onCrash({
+			endpointId: broken.endpoint.id, requests: [...new Set(broken.contents.map(({fingerprint}) => fingerprint))], inFlight: countContents(broken.contents),
+		});
+		broken.contents = [];
 	}
 }
--- a/packages/mastvalve-gateway/src/quarantine/request-quarantine.ts
+++ b/packages/mastvalve-gateway/src/quarantine/request-quarantine.ts
@@ -1,57 +1,98 @@
 /**
- * Quarantines requests, which this entry then sends to no endpoint: those that control has quarantined, and those that crashed
- * enough endpoints when sent by this entry alone, so that they are stopped even while control is unreachable.
+ * Quarantines requests, and parts of prompts, whose requests this entry then sends to no endpoint: those that control has quarantined, and
+ * those that crashed enough endpoints when sent by this entry alone, so that they are stopped even while control is unreachable.
  *
- * A request that was recently answered completely is exempt. Many callers send the same short requests; without the exemption,
- * one that is in flight when endpoints crash for another reason would be refused for all callers.
+ * Endpoints crash for other reasons too. What was answered after a crash did not cause it, so answers are remembered with the crashes that
+ * were known when their requests were sent. Where they speak against what control suspects, this entry says so.
  */
 
-import {CrashHistory, quarantineMs, type CrashReport} from 'mastvalve-fleet';
+import {
+	contradictionMs, CrashHistory, isPartFingerprint, quarantineMs, reachesCrashLimit, type CrashReport, type QuarantineChange, type SuccessReport,
+} from 'mastvalve-fleet';
 import {BoundedMap} from 'mastvalve-utils';
+import type {InFlightCount} from './crash-detector.js';
+import {AnsweredContents, type AnsweredContent, type CrashMark} from './answered-content.js';
 
 /** The entry's copy of control's quarantine. */
 export type SharedQuarantine = {
-	/** Returns when this entry was notified that a request is quarantined, monotonic ms; undefined if it isn't. */
+	/** Number of the newest crash that control has recorded, as far as this entry has heard. */
+	readonly crashCount: number;
+	/** When control was last heard, monotonic ms. */
+	readonly heardAt: number;
+	/** Returns when this entry was notified that a request or a part is quarantined, monotonic ms; undefined if it isn't. */
 	findQuarantinedAt: (fingerprint: string) => number | undefined;
+	findSuspicion: (fingerprint: string) => QuarantineChange | undefined;
+	/** Returns all that control suspects or has quarantined, with the crashes that count against it. */
+	listSuspicions: () => QuarantineChange[];
 };
 
-/** Maximum number of remembered successful requests; those that many callers send are among the most recent. */
-const maxSuccesses = 2048;
-/** Time for which a success exempts a request, ms; an older one may stem from a software version that the endpoints no longer run. */
-const successTtlMs = 60_000;
-/** Maximum number of requests that this entry has quarantined itself. */
+/** What a request may be quarantined for. */
+export type QuarantinedContent = {
+	fingerprint: string;
+	partFingerprints: readonly string[];
+};
+
+/** Why a request is refused, and how much longer, ms. */
+export type Quarantined = {fingerprint: string; remainingMs: number};
+
+/** Maximum number of requests and parts that this entry has quarantined itself. */
 const maxLocal = 100;
+/** Time after which control has decided on the crashes that this entry has reported, ms: reports are repeated until a leader has recorded them. */
+const controlDecisionMs = 5000;
+/** Time without word of control after which an entry decides by itself, ms; it hears of control twice a second. */
+const controlSilenceMs = 1500;
 
 /** Quarantine of one entry. */
 export class RequestQuarantine {
 	private readonly crashes = new CrashHistory();
-	/** When this entry quarantined requests itself, by fingerprint; monotonic ms. */
+	/** When this entry quarantined something itself, by fingerprint; monotonic ms. */
 	private readonly localTimes = new BoundedMap<string, number>(maxLocal);
-	private readonly succeededAt = new BoundedMap<string, number>(maxSuccesses);
+	/** Since when something is to be quarantined unless answers clear it, by fingerprint; monotonic ms. */
+	private readonly dueTimes = new BoundedMap<string, number>(maxLocal);
+	private readonly answered: AnsweredContents;
 	private revision = 0;
 
-	/** `now` is a monotonic clock, ms. */
-	constructor(private readonly shared: SharedQuarantine, private readonly now: () => number) {}
+	/** `now` is a monotonic clock, ms; `reportSuccess` reports what speaks against control's suspicions. */
+	constructor(private readonly shared: SharedQuarantine, private readonly now: () => number, private readonly reportSuccess: (report: SuccessReport) => void = () => undefined) {
+		this.answered = new AnsweredContents(now);
+	}
 
-	/** Returns how much longer a request is quarantined, ms; undefined if it may be sent. */
-	findRemainingMs(fingerprint: string): number | undefined {
-		const quarantinedAt = this.shared.findQuarantinedAt(fingerprint) ?? this.localTimes.get(fingerprint);
-		if (quarantinedAt === undefined || this.hasSucceededRecently(fingerprint)) {
-			return undefined;
-		}
+	/** Returns the crashes that are known now, for requests that are sent now. */
+	takeMark(): CrashMark {
+		return {shared: this.shared.crashCount, local: this.crashes.crashCount};
+	}
 
-		const remainingMs = quarantinedAt + quarantineMs - this.now();
-		return remainingMs > 0 ? remainingMs : undefined;
+	/** Returns for what a request is quarantined; undefined if it may be sent. */
+	findQuarantined({fingerprint, partFingerprints}: QuarantinedContent): Quarantined | undefined {
+		return [fingerprint, ...partFingerprints]
+			.flatMap(each => ({fingerprint: each, remainingMs: this.findRemainingMs(each)}))
+			.find((each): each is Quarantined => each.remainingMs !== undefined);
 	}
 
-	/** Whether a request was recently answered completely, which rules it out as the cause of crashes. */
-	hasSucceededRecently(fingerprint: string): boolean {
-		return this.now() - (this.succeededAt.get(fingerprint) ?? Number.NEGATIVE_INFINITY) < successTtlMs;
+	/** Records a request that was answered whole; `hasBegun` is whether its beginning was recorded. */
+	recordAnswered({fingerprint, partFingerprints}: QuarantinedContent, sentAt: CrashMark, hasBegun: boolean): void {
+		this.answered.recordAnswered(fingerprint, sentAt, false);
+		partFingerprints.forEach(part => {
+			this.answered.recordAnswered(part, sentAt, hasBegun);
+		});
+		this.clearSuspects([fingerprint, ...partFingerprints]);
+	}
+
+	/** Records a request whose answer has gone on after its beginning. That says something of its parts, but not of the whole request. */
+	recordBegun({partFingerprints}: QuarantinedContent, sentAt: CrashMark): void {
+		partFingerprints.forEach(part => {
+			this.answered.recordBegun(part, sentAt);
+		});
+		this.clearSuspects(partFingerprints);
 	}
 
-	/** Records that a request was answered successfully and completely. */
-	recordSuccess(fingerprint: string): void {
-		this.succeededAt.set(fingerprint, this.now());
+	/** Creates the report of a crash from the numbers of requests in flight there by what they have in common. */
+	createReport(endpointId: string, {requests, inFlight}: {requests: readonly string[]; inFlight: ReadonlyMap<string, InFlightCount>}): CrashReport {
+		return {
+			endpointId,
+			fingerprints: requests.filter(fingerprint => this.answered.get(fingerprint) === undefined),
+			suspects: [...inFlight].map(([fingerprint, count]) => ({fingerprint, ...count, successes: this.answered.get(fingerprint)?.successes ?? 0})),
+		};
 	}
 
 	/** Records that an endpoint crashed while running requests of this entry. */
@@ -60,5 +101,101 @@
 		this.crashes.record(report, this.revision).forEach(fingerprint => {
 			this.localTimes.set(fingerprint, this.now());
 		});
+		report.suspects?.filter(({fingerprint}) => this.crashes.isDue(fingerprint)).forEach(({fingerprint}) => {
+			this.dueTimes.set(fingerprint, this.dueTimes.get(fingerprint) ?? this.now());
+		});
+	}
+
+	/** Reports all answers that speak against what control suspects by now. */
+	reviewSuspicions(): void {
+		this.shared.listSuspicions().forEach(suspicion => {
+			this.contradict(suspicion);
+		});
+	}
+
+	private findRemainingMs(fingerprint: string): number | undefined {
+		const quarantinedAt = this.findSharedTime(fingerprint) ?? this.findLocalTime(fingerprint);
+		const remainingMs = quarantinedAt === undefined ? 0 : quarantinedAt + quarantineMs - this.now();
+		return remainingMs > 0 ? remainingMs : undefined;
+	}
+
+	/** Returns when control has quarantined something, unless this entry knows answers that control doesn't know yet. */
+	private findSharedTime(fingerprint: string): number | undefined {
+		const at = this.shared.findQuarantinedAt(fingerprint);
+		const content = at === undefined ? undefined : this.answered.get(fingerprint);
+		if (!content) {
+			return at;
+		}
+
+		const suspicion = this.shared.findSuspicion(fingerprint);
+		// A control instance of an earlier version doesn't tell the crashes, and asks for no answers.
+		return suspicion?.crashes && this.isBeyondLimit(suspicion.crashes, suspicion, content) ? at : undefined;
+	}
+
+	private isBeyondLimit(crashes: readonly number[], {begunNumber = 0}: QuarantineChange, {answered, begun}: AnsweredContent): boolean {
+		return reachesCrashLimit({
+			crashes: crashes.filter(crash => crash > answered.shared), begunNumber: Math.max(begunNumber, begun.shared), isSound: true,
+		});
+	}
+
+	/** Returns when this entry has quarantined something itself, until control has decided on it. */
+	private findLocalTime(fingerprint: string): number | undefined {
+		this.quarantineIfDue(fingerprint);
+		const at = this.localTimes.get(fingerprint);
+		return at !== undefined && this.crashes.isQuarantined(fingerprint) && this.isLocalDecision(fingerprint, at) ? at : undefined;
+	}
+
+	/** Whether this entry decides by itself: on requests until control has decided, and on parts only while control is silent, since what other entries had in flight tells which part causes a crash. */
+	private isLocalDecision(fingerprint: string, quarantinedAt: number): boolean {
+		return isPartFingerprint(fingerprint) ? this.now() - this.shared.heardAt > controlSilenceMs : this.shared.heardAt < quarantinedAt + controlDecisionMs;
+	}
+
+	private quarantineIfDue(fingerprint: string): void {
+		const dueSince = this.dueTimes.get(fingerprint);
+		if (dueSince === undefined) {
+			return;
+		}
+
+		if (!this.crashes.isDue(fingerprint)) {
+			this.dueTimes.delete(fingerprint);
+		} else if (this.now() - dueSince > contradictionMs) {
+			this.dueTimes.delete(fingerprint);
+			this.crashes.quarantineDue([fingerprint], this.revision).forEach(each => {
+				this.localTimes.set(each, this.now());
+			});
+		}
+	}
+
+	private clearSuspects(fingerprints: readonly string[]): void {
+		fingerprints.forEach(fingerprint => {
+			const content = this.answered.get(fingerprint);
+			const suspicion = this.shared.findSuspicion(fingerprint);
+			if (content) {
+				this.revision += 1;
+				this.crashes.recordSuccesses([{
+					fingerprint, answeredNumber: content.answered.local, begunNumber: content.begun.local, successes: content.successes,
+				}], this.revision);
+			}
+
+			if (suspicion) {
+				this.contradict(suspicion);
+			}
+		});
+	}
+
+	/** Reports the answers to requests with what control suspects, if they change anything. */
+	private contradict({fingerprint, crashes = [], begunNumber = 0, isSound = false}: QuarantineChange): void {
+		const content = this.answered.get(fingerprint);
+		if (!content) {
+			return;
+		}
+
+		const {answered, begun, successes} = content;
+		const isNews = crashes.some(crash => crash <= answered.shared || (crash > begunNumber && crash <= begun.shared));
+		if (isNews || !isSound) {
+			this.reportSuccess({
+				fingerprint, answeredNumber: answered.shared, begunNumber: begun.shared, successes,
+			});
+		}
 	}
 }
--- a/packages/mastvalve-gateway/src/requests/fail-request.ts
+++ b/packages/mastvalve-gateway/src/requests/fail-request.ts
@@ -3,6 +3,7 @@
  * was sent to no endpoint, or if each endpoint stated that it did not run it.
  */
 
+import {isPartFingerprint} from 'mastvalve-fleet';
 import {keyRefusals} from '../access/admit-caller.js';
 import type {GatewayCore} from '../server/gateway-core.js';
 import {isRepeatable, type CallerRequest} from './caller-request.js';
@@ -43,16 +44,19 @@
 };
 
 /**
- * Rejects a quarantined request: several endpoints crashed while serving its content, and another one would crash too, together with
- * all requests that run there. Returns true when it was rejected.
+ * Rejects a quarantined request: several endpoints crashed while serving its content, or a part of its prompt, and another one would crash
+ * too, together with all requests that run there. Returns true when it was rejected.
  */
 export const rejectQuarantined = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress): boolean => {
-	const remainingMs = core.quarantine.findRemainingMs(request.fingerprint);
-	if (remainingMs === undefined) {
+	const quarantined = core.quarantine.findQuarantined(request);
+	if (quarantined === undefined) {
 		return false;
 	}
 
-	const reason = `quarantined, since endpoints have crashed under requests with this content (fingerprint ${request.fingerprint})`;
+	const {fingerprint, remainingMs} = quarantined;
+	const content = isPartFingerprint(fingerprint) ? 'this part in their prompts' : 'this content';
+	const reason = `quarantined, since endpoints have crashed under requests with ${content} (fingerprint ${fingerprint})`;
+	core.observer.recordQuarantined(isPartFingerprint(fingerprint));
 	failRequest(core, request, reply, progress, {reason, retryAfterMs: remainingMs, code: 'quarantined'});
 	return true;
 };
--- a/packages/mastvalve-gateway/src/requests/fingerprint-parts.ts
+++ b/packages/mastvalve-gateway/src/requests/fingerprint-parts.ts
@@ -4,6 +4,7 @@
  */
 
 import {createHash} from 'node:crypto';
+import {formatPartFingerprint} from 'mastvalve-fleet';
 import type {PromptPart} from '../dialect.js';
 
 /** Parts of one prompt that are considered; prompts have a few, and a header could list a thousand. */
@@ -12,7 +13,7 @@
 const fingerprintDigits = 16;
 
 const fingerprintPart = (id: string): string =>
-	`part-${createHash('sha256').update(id).digest('hex').slice(0, fingerprintDigits)}`;
+	formatPartFingerprint(createHash('sha256').update(id).digest('hex').slice(0, fingerprintDigits));
 
 /** Returns the fingerprints of all parts but the last one, which belongs to the request itself or to its session. */
 export const fingerprintSharedParts = (parts: readonly PromptPart[]): string[] =>
--- a/packages/mastvalve-gateway/src/requests/handle-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/handle-answer.ts
@@ -8,12 +8,14 @@
 import type {AnswerHeaders} from '../dialect.js';
 import type {DispatchRun} from '../dispatch/dispatch-run.js';
 import type {AnswerReader} from '../memory/answer-reader.js';
+import type {CrashMark} from '../quarantine/answered-content.js';
 import type {EndpointRequest} from '../routing/endpoint-tracker.js';
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {AnswerEnd} from '../streams/answer-end.js';
 import {findStreamContent, StreamContent} from '../streams/stream-content.js';
 import type {ExchangeKind, ExchangeOutcome} from '../upstream/exchange.js';
 import {bindBegunStream} from './bind-stream.js';
+import {BeginningWatch} from './beginning-watch.js';
 import {isRepeatable, type CallerRequest} from './caller-request.js';
 import type {ClaimedEndpoint} from './claim-endpoint.js';
 import {failUnlessRetryable, hasTimeForAttempt} from './fail-request.js';
@@ -69,11 +71,16 @@
 	}
 };
 
+/** An answer that broke off after its head. */
+type BrokenAnswer = {endpoint: FleetEndpoint; status: number; reader: AnswerReader; run: DispatchRun | undefined; end: AnswerEnd; beginning: BeginningWatch};
+
 /** Records that an answer broke off after its head, and ends its request unless it can be resumed; true when it has ended. */
 const failBrokenAnswer = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, {
-	endpoint, status, reader, run, end,
-}: {endpoint: FleetEndpoint; status: number; reader: AnswerReader; run: DispatchRun | undefined; end: AnswerEnd}): boolean => {
-	core.crashDetector.recordBrokenConnection(endpoint, request.fingerprint);
+	endpoint, status, reader, run, end, beginning,
+}: BrokenAnswer): boolean => {
+	core.crashDetector.recordBrokenConnection(endpoint, {
+		fingerprint: request.fingerprint, partFingerprints: beginning.isOver ? [] : request.partFingerprints, isBeginning: end.events === 0,
+	});
 	core.log('answer.broken', {
 		request: request.requestId, fingerprint: request.fingerprint, parts: request.partFingerprints, endpoint: endpoint.id, status, lastEvent: progress.streamPosition?.lastEventId, isSlowReader: reader.hasBeenSlow, ...describeEnd(end),
 	});
@@ -95,7 +102,13 @@
 };
 
 /** The head of an answer, and the endpoint that sent it. */
-export type ReceivedAnswer = ClaimedEndpoint & {outcome: Extract<ExchangeOutcome, {kind: ExchangeKind.Answered}>; use: EndpointRequest; run: DispatchRun | undefined};
+export type ReceivedAnswer = ClaimedEndpoint & {
+	outcome: Extract<ExchangeOutcome, {kind: ExchangeKind.Answered}>;
+	use: EndpointRequest;
+	run: DispatchRun | undefined;
+	/** Crashes of endpoints that were known when the request was sent. */
+	knownCrashes: CrashMark;
+};
 
 /** An answer whose head has been decoded. */
 type DecodedAnswer = ReceivedAnswer & {status: number; head: AnswerHeaders};
@@ -160,7 +173,7 @@
 
 /** Relays an answer to the caller; true when the request has ended. */
 const relayAnswer = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, {
-	endpoint, outcome: {res, cancel, isBroken}, run, status,
+	endpoint, outcome: {res, cancel, isBroken}, run, status, knownCrashes,
 }: DecodedAnswer): Promise<boolean> => {
 	const content = findStreamContent(res, {method: request.method, isStreamRoute: request.route.kind === RouteKind.Stream});
 	if (!reply.hasBegun) {
@@ -169,9 +182,16 @@
 
 	const headAt = core.clock.now();
 	const reader = watchReader(core, request, progress, {endpointId: endpoint.id, res, reply});
+	const beginning = new BeginningWatch(() => core.clock.now(), () => {
+		core.quarantine.recordBegun(request, knownCrashes);
+	});
 	const end = await verifyEnd(core, endpoint, await relayBody(res, reply, {
-		content, position: progress.streamPosition, isBroken, reader, onFirstEvent() {
-			bindBegunStream(core, request, progress, endpoint);
+		content, position: progress.streamPosition, isBroken, reader, onEvents(events) {
+			if (!beginning.hasEvents) {
+				bindBegunStream(core, request, progress, endpoint);
+			}
+
+			beginning.recordEvents(events);
 		},
 	}));
 	core.observer.recordAnswerEnd(end);
@@ -179,12 +199,12 @@
 		cancel();
 		reader.resume();
 		return request.signal.aborted || failBrokenAnswer(core, request, reply, progress, {
-			endpoint, status, reader, run, end,
+			endpoint, status, reader, run, end, beginning,
 		});
 	}
 
 	if (status === okStatus) {
-		core.quarantine.recordSuccess(request.fingerprint);
+		core.quarantine.recordAnswered(request, knownCrashes, beginning.isOver);
 		run?.end(RunEventKind.Completed);
 	}
 
--- a/packages/mastvalve-gateway/src/requests/relay-body.ts
+++ b/packages/mastvalve-gateway/src/requests/relay-body.ts
@@ -22,13 +22,13 @@
 	/** Whether the connection to the endpoint has failed. */
 	isBroken: () => boolean;
 	reader: AnswerReader;
-	/** Called when the first event is passed on. */
-	onFirstEvent: () => void;
+	/** Called when complete events are passed on, with their number so far. */
+	onEvents: (events: number) => void;
 };
 
 /** Relays a body with backpressure; resolves to how it ended. */
 export const relayBody = async (res: IncomingMessage, reply: Reply, {
-	content, position, isBroken, reader, onFirstEvent,
+	content, position, isBroken, reader, onEvents,
 }: RelayOptions): Promise<AnswerEnd> =>
 	new Promise(resolve => {
 		const framing = findFraming(res);
@@ -55,10 +55,10 @@
 
 		res.on('data', (chunk: Uint8Array) => {
 			received += chunk.length;
-			const hasHadEvent = scanner !== undefined && scanner.events > 0;
+			const eventsBefore = scanner?.events ?? 0;
 			const boundary = scanner?.scan(chunk) ?? chunk.length;
-			if (!hasHadEvent && scanner !== undefined && scanner.events > 0) {
-				onFirstEvent();
+			if (scanner && scanner.events > eventsBefore) {
+				onEvents(scanner.events);
 			}
 
 			const bytes = position ? position.take(chunk, boundary) : chunk;
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -55,13 +55,14 @@
 	const {endpoint, grantedAt, use, run} = attempt;
 	progress.tried.add(endpoint.id);
 	const sentAt = core.clock.now();
+	const knownCrashes = core.quarantine.takeMark();
 	const outcome = await sendAttempt(core, request, attempt, progress);
 	core.observer.recordAttempt(outcome.kind);
 	if (outcome.kind === ExchangeKind.Answered) {
 		recordHeadTime(core, request, endpoint, outcome.res.statusCode ?? 0, core.clock.now() - sentAt);
 		progress.sentCount += 1;
 		const isOver = await handleAnswer(core, request, reply, progress, {
-			endpoint, grantedAt, outcome, use, run,
+			endpoint, grantedAt, outcome, use, run, knownCrashes,
 		});
 		use.end();
 		run?.end(RunEventKind.Cancelled);
@@ -78,7 +79,7 @@
 	}
 
 	if (outcome.kind === ExchangeKind.Lost) {
-		core.crashDetector.recordBrokenConnection(endpoint, request.fingerprint);
+		core.crashDetector.recordBrokenConnection(endpoint, {...request, isBeginning: false});
 	}
 
 	core.tracker.recordFailure(endpoint.id);
--- a/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
+++ b/packages/mastvalve-gateway/src/requests/wait-for-endpoint.ts
@@ -161,7 +161,7 @@
 		};
 
 		const unsubscribe = core.view.subscribe(() => {
-			if (core.quarantine.findRemainingMs(request.fingerprint) !== undefined) {
+			if (core.quarantine.findQuarantined(request) !== undefined) {
 				stopWaiting();
 				return;
 			}
--- a/packages/mastvalve-gateway/src/server/gateway-metrics.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-metrics.ts
@@ -33,6 +33,9 @@
 	const refusals = new Counter({
 		name: 'mastvalve_refusals_total', help: 'Requests refused on admission, by reason', labelNames: ['reason'], registers: [registry],
 	});
+	const quarantined = new Counter({
+		name: 'mastvalve_quarantined_refusals_total', help: 'Requests refused since endpoints have crashed under their content or under a part of their prompts', labelNames: ['content'], registers: [registry],
+	});
 	const permits = new Counter({
 		name: 'mastvalve_limited_endpoint_requests_total', help: 'Permit requests for endpoints with an announced limit, by outcome', labelNames: ['outcome'], registers: [registry],
 	});
@@ -88,6 +91,9 @@
 		recordRefusal(reason) {
 			refusals.inc({reason});
 		},
+		recordQuarantined(isPart) {
+			quarantined.inc({content: isPart ? 'prompt-part' : 'request'});
+		},
 		recordAttempt(outcome) {
 			attempts.inc({outcome});
 		},
--- a/packages/mastvalve-gateway/src/server/gateway-node.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-node.ts
@@ -3,6 +3,7 @@
  */
 
 import type {PeerClient} from 'mastvalve-cluster';
+import {isPartFingerprint, type CrashReport, type SuccessReport} from 'mastvalve-fleet';
 import type {MastvalveError} from 'mastvalve-types';
 import {waitFor, type Clock} from 'mastvalve-utils';
 import type {Result} from 'neverthrow';
@@ -14,7 +15,8 @@
 import {FleetView} from '../fleet/fleet-view.js';
 import {EndpointLimiter} from '../limits/endpoint-limiter.js';
 import {LimitClient} from '../limits/limit-client.js';
-import {CrashReporter} from '../quarantine/crash-reporter.js';
+import {createCrashReporter, createSuccessReporter} from '../quarantine/create-reporters.js';
+import type {ControlReporter} from '../quarantine/control-reporter.js';
 import {CrashDetector} from '../quarantine/crash-detector.js';
 import {probeListener} from '../quarantine/probe-listener.js';
 import {RequestQuarantine} from '../quarantine/request-quarantine.js';
@@ -59,7 +61,8 @@
 	private readonly gateway: Gateway;
 	private readonly reporter: DemandReporter;
 	private readonly demand: ModelDemand;
-	private readonly crashReporter: CrashReporter;
+	private readonly crashReporter: ControlReporter<CrashReport>;
+	private readonly successReporter: ControlReporter<SuccessReport>;
 	private readonly upstream = new UpstreamAgent();
 	private readonly shutdown = new AbortController();
 
@@ -100,8 +103,12 @@
 		this.demand = new ModelDemand(instance, now, () => {
 			this.reporter.reportNow();
 		}, firstByteTimes);
-		this.crashReporter = new CrashReporter({client, listTargets: () => this.listControl()});
-		const quarantine = new RequestQuarantine(this.view, now);
+		const reporterOptions = {client, random, listTargets: () => this.listControl()};
+		this.crashReporter = createCrashReporter(reporterOptions);
+		this.successReporter = createSuccessReporter(reporterOptions);
+		const quarantine = new RequestQuarantine(this.view, now, report => {
+			this.successReporter.enqueue(report);
+		});
 		const waiters = new CapacityWaiters(clock);
 		const tracker = new EndpointTracker(now, () => {
 			waiters.wakeAll();
@@ -175,6 +182,7 @@
 			void this.follower.run(this.shutdown.signal);
 			void this.reporter.run(this.demand, this.shutdown.signal);
 			void this.crashReporter.run(this.shutdown.signal);
+			void this.successReporter.run(this.shutdown.signal);
 		}
 
 		return started;
@@ -198,17 +206,18 @@
 			now,
 			probe: probeListener,
 			isAlive: id => !this.view.hasAllEndpoints || this.view.hasEndpoint(id),
-			hasSucceededRecently: fingerprint => quarantine.hasSucceededRecently(fingerprint),
-			onCrash: report => {
-				log('endpoint.crashed', {endpoint: report.endpointId, fingerprints: report.fingerprints});
+			onCrash: ({endpointId, ...inFlight}) => {
+				const report = quarantine.createReport(endpointId, inFlight);
+				log('endpoint.crashed', {endpoint: endpointId, fingerprints: inFlight.requests, parts: report.suspects?.filter(({fingerprint}) => isPartFingerprint(fingerprint))});
 				quarantine.recordCrash(report);
 				this.crashReporter.enqueue(report);
-				tracker.recordNotListening(report.endpointId);
-				this.demand.recordNotListening(report.endpointId);
+				tracker.recordNotListening(endpointId);
+				this.demand.recordNotListening(endpointId);
 			},
 		});
 		this.view.subscribe(() => {
 			detector.reviewUndecided();
+			quarantine.reviewSuspicions();
 		});
 		return detector;
 	}
--- a/packages/mastvalve-gateway/src/server/gateway-observer.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-observer.ts
@@ -10,6 +10,8 @@
 	recordRequest: (kind: string, status: number, durationMs: number) => void;
 	/** A request was refused on admission. */
 	recordRefusal: (reason: string) => void;
+	/** A request was refused since its content, or a part of its prompt, is quarantined. */
+	recordQuarantined: (isPart: boolean) => void;
 	/** An attempt at an endpoint has ended. */
 	recordAttempt: (outcome: string) => void;
 	/** The body of an endpoint's answer has ended. */
@@ -34,6 +36,7 @@
 export const noopObserver: GatewayObserver = {
 	recordRequest: () => undefined,
 	recordRefusal: () => undefined,
+	recordQuarantined: () => undefined,
 	recordAttempt: () => undefined,
 	recordAnswerEnd: () => undefined,
 	recordStreamReturn: () => undefined,
