--- a/packages/mastvalve-fleet-control/__tests__/crash-history.feature
+++ b/packages/mastvalve-fleet-control/__tests__/crash-history.feature
@@ -20,3 +20,39 @@
   Scenario: Old quarantines give way when there are too many, and followers know of it
     Given 1200 requests that are quarantined one after the other
     Then a follower that reads all of it holds the last 1000
+
+  Scenario: What many requests share is spared while something narrower accounts for the crashes
+    Given 3 crashes with one request each that has a shared and a crashing part, and 5 others with the shared one
+    Then only the crashing part is quarantined
+
+  Scenario Outline: A crash at which answers were just beginning counts only against their parts
+    Given 3 crashes, each reported with a part of a queued request and with a part of an answer that was just beginning, the <first> first
+    Then only the part of the beginning answers is quarantined
+
+    Examples:
+      | first     |
+      | queued    |
+      | beginning |
+
+  Scenario: A part that was answered after the crashes is cleared of them, and one that was answered before is not
+    Given a part that is quarantined after 3 crashes
+    When an entry reports an answer to a request that it sent after crash 0
+    Then the part is quarantined by 5 crashes from now on
+    When an entry reports an answer to a request that it sent after crash 4
+    Then only the crashes after that one count
+
+  Scenario: A part that was answered before is due after five crashes, and lifted on probation
+    Given a part that was answered and is in flight at 5 crashes
+    Then it is due, but not quarantined
+    When nothing has cleared it in time
+    Then it is quarantined, and a probation is allowed
+    When it is on probation
+    Then it is neither quarantined nor due
+    And one more crash quarantines it again
+
+  Scenario: A history is the same after it is restored from its snapshot
+    Then for 200 drawn histories, a restored one quarantines what the original does
+
+  Scenario: The snapshot of an earlier version, which knew whole requests only, is restored
+    Given the snapshot of an earlier version with a request that was in flight at 2 crashes
+    Then a third crash quarantines it
--- a/packages/mastvalve-gateway/src/index.ts
+++ b/packages/mastvalve-gateway/src/index.ts
@@ -14,6 +14,7 @@
 export * from './limits/endpoint-limiter.js';
 export type * from './limits/limit-batch.js';
 export * from './limits/limit-client.js';
+export * from './quarantine/answered-content.js';
 export * from './quarantine/control-reporter.js';
 export * from './quarantine/crash-detector.js';
 export * from './quarantine/probe-listener.js';
