An entry decides on parts by itself only by what it has seen since control was last heard

The entry's own count of parts took a crash for one under all parts that it had queued there, since another entry had the answer that was beginning; and a part that had been answered could be quarantined by one entry's view alone. Change: an entry counts parts of its own beginning answers, added to what control had published; never what was answered before.

--- a/packages/mastvalve-gateway/src/quarantine/request-quarantine.ts
+++ b/packages/mastvalve-gateway/src/quarantine/request-quarantine.ts
@@ -1,17 +1,19 @@
 /**
  * Quarantines requests, and parts of prompts, whose requests this entry then sends to no endpoint: those that control has quarantined, and
- * those that crashed enough endpoints when sent by this entry alone, so that they are stopped even while control is unreachable.
+ * those that crashed enough endpoints when sent by this entry, so that they are stopped even while control is unreachable. What was answered
+ * before it never quarantines by itself: other entries may have seen it answered since.
  *
  * Endpoints crash for other reasons too. What was answered after a crash did not cause it, so answers are remembered with the crashes that
  * were known when their requests were sent. Where they speak against what control suspects, this entry says so.
  */
 
 import {
-	contradictionMs, CrashHistory, isPartFingerprint, quarantineMs, reachesCrashLimit, type CrashReport, type QuarantineChange, type SuccessReport,
+	crashLimit, CrashHistory, isPartFingerprint, quarantineMs, reachesCrashLimit, type CrashReport, type QuarantineChange, type SuccessReport,
 } from 'mastvalve-fleet';
 import {BoundedMap} from 'mastvalve-utils';
 import type {InFlightCount} from './crash-detector.js';
 import {AnsweredContents, type AnsweredContent, type CrashMark} from './answered-content.js';
+import {SilentCrashes} from './silent-crashes.js';
 
 /** The entry's copy of control's quarantine. */
 export type SharedQuarantine = {
@@ -35,26 +37,26 @@
 /** Why a request is refused, and how much longer, ms. */
 export type Quarantined = {fingerprint: string; remainingMs: number};
 
-/** Maximum number of requests and parts that this entry has quarantined itself. */
+/** Maximum number of requests that this entry has quarantined itself. */
 const maxLocal = 100;
 /** Time after which control has decided on the crashes that this entry has reported, ms: reports are repeated until a leader has recorded them. */
 const controlDecisionMs = 5000;
 /** Time without word of control after which an entry decides by itself, ms; it hears of control twice a second. */
-const controlSilenceMs = 1500;
+const controlSilenceMs = 1000;
 
 /** Quarantine of one entry. */
 export class RequestQuarantine {
 	private readonly crashes = new CrashHistory();
 	/** When this entry quarantined something itself, by fingerprint; monotonic ms. */
 	private readonly localTimes = new BoundedMap<string, number>(maxLocal);
-	/** Since when something is to be quarantined unless answers clear it, by fingerprint; monotonic ms. */
-	private readonly dueTimes = new BoundedMap<string, number>(maxLocal);
 	private readonly answered: AnsweredContents;
+	private readonly silentCrashes: SilentCrashes;
 	private revision = 0;
 
 	/** `now` is a monotonic clock, ms; `reportSuccess` reports what speaks against control's suspicions. */
 	constructor(private readonly shared: SharedQuarantine, private readonly now: () => number, private readonly reportSuccess: (report: SuccessReport) => void = () => undefined) {
 		this.answered = new AnsweredContents(now);
+		this.silentCrashes = new SilentCrashes(() => shared.heardAt);
 	}
 
 	/** Returns the crashes that are known now, for requests that are sent now. */
@@ -98,11 +100,13 @@
 	/** Records that an endpoint crashed while running requests of this entry. */
 	recordCrash(report: CrashReport): void {
 		this.revision += 1;
-		this.crashes.record(report, this.revision).forEach(fingerprint => {
+		const suspects = report.suspects ?? [];
+		this.crashes.record({...report, suspects: suspects.filter(({fingerprint}) => !isPartFingerprint(fingerprint))}, this.revision).forEach(fingerprint => {
 			this.localTimes.set(fingerprint, this.now());
 		});
-		report.suspects?.filter(({fingerprint}) => this.crashes.isDue(fingerprint)).forEach(({fingerprint}) => {
-			this.dueTimes.set(fingerprint, this.dueTimes.get(fingerprint) ?? this.now());
+		// Another entry may have had the beginning answer that crashed the endpoint.
+		suspects.filter(({fingerprint, beginnings}) => beginnings > 0 && isPartFingerprint(fingerprint)).forEach(({fingerprint}) => {
+			this.silentCrashes.record(fingerprint);
 		});
 	}
 
@@ -138,32 +142,24 @@
 		});
 	}
 
-	/** Returns when this entry has quarantined something itself, until control has decided on it. */
+	/** Returns when this entry has quarantined something itself. */
 	private findLocalTime(fingerprint: string): number | undefined {
-		this.quarantineIfDue(fingerprint);
-		const at = this.localTimes.get(fingerprint);
-		return at !== undefined && this.crashes.isQuarantined(fingerprint) && this.isLocalDecision(fingerprint, at) ? at : undefined;
+		return isPartFingerprint(fingerprint) ? this.findSilentTime(fingerprint) : this.findRequestTime(fingerprint);
 	}
 
-	/** Whether this entry decides by itself: on requests until control has decided, and on parts only while control is silent, since what other entries had in flight tells which part causes a crash. */
-	private isLocalDecision(fingerprint: string, quarantinedAt: number): boolean {
-		return isPartFingerprint(fingerprint) ? this.now() - this.shared.heardAt > controlSilenceMs : this.shared.heardAt < quarantinedAt + controlDecisionMs;
+	/** Returns when this entry has quarantined a request, until control has decided on it. */
+	private findRequestTime(fingerprint: string): number | undefined {
+		const at = this.localTimes.get(fingerprint);
+		return at !== undefined && this.crashes.isQuarantined(fingerprint) && this.shared.heardAt < at + controlDecisionMs ? at : undefined;
 	}
 
-	private quarantineIfDue(fingerprint: string): void {
-		const dueSince = this.dueTimes.get(fingerprint);
-		if (dueSince === undefined) {
-			return;
-		}
-
-		if (!this.crashes.isDue(fingerprint)) {
-			this.dueTimes.delete(fingerprint);
-		} else if (this.now() - dueSince > contradictionMs) {
-			this.dueTimes.delete(fingerprint);
-			this.crashes.quarantineDue([fingerprint], this.revision).forEach(each => {
-				this.localTimes.set(each, this.now());
-			});
-		}
+	/** Returns since when control has been silent about a part that was never answered and has crashed enough endpoints, by control's count and by what this entry has seen since. */
+	private findSilentTime(fingerprint: string): number | undefined {
+		const {heardAt} = this.shared;
+		const {crashes = [], isSound = false} = this.shared.findSuspicion(fingerprint) ?? {};
+		const isNeverAnswered = !isSound && this.answered.get(fingerprint) === undefined;
+		const count = this.silentCrashes.count(fingerprint);
+		return isNeverAnswered && this.now() - heardAt > controlSilenceMs && count > 0 && crashes.length + count >= crashLimit ? heardAt : undefined;
 	}
 
 	private clearSuspects(fingerprints: readonly string[]): void {
