An entry takes new connections at the rate at which it gets its work done, and closes the others unread

What callers saw: when most new connections of a failure domain reach one entry, it accepts all of them, and all that it has read becomes late together. Cause: nothing in an entry looks at how busy its own process is. Change: the entry learns what a request costs it (busy time of the event loop by ended request) and how long work waits. While its loop is busy for 95 in 100 and work waits for 300 ms, connections are taken at the rate that it works off; the others are reset before a byte is read, so that their callers try elsewhere at once. Four a second are always taken. Kept connections aren't touched. No core count or rate is set. Weighed: refusing by 503 (reads the request first, and costs more than closing), leaving connections in the backlog (their callers wait a second), pausing readiness (two probes; the crowd moves on to the next entry). A limit by utilization alone closed connections in bursts that the entry would have served, and counting each request as read rather than ended hides what it costs under overload.

--- a/packages/mastvalve-gateway/__tests__/dispatched-copies.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/dispatched-copies.steps.ts
@@ -51,7 +51,9 @@
 	world.copyEndpoints = await Promise.all([breakOff, answer, answer].map(async script => startScriptedEndpoint(script)));
 	world.copyRun = new RunningGateway({dispatch: world.copyLeader.options});
 	world.registry = new Registry();
-	world.copyRun.gateway.observe(createGatewayMetrics(world.registry, {readInFlight: () => 0, readUnreadBytes: () => 0, readBodyBytes: () => 0}));
+	world.copyRun.gateway.observe(createGatewayMetrics(world.registry, {
+		readInFlight: () => 0, readUnreadBytes: () => 0, readBodyBytes: () => 0, readAdmission: () => ({utilization: 0, requestMs: undefined, perSecond: undefined}),
+	}));
 	await world.copyRun.start(world.copyEndpoints.map(({address}) => address));
 };
 
--- a/packages/mastvalve-gateway/src/index.ts
+++ b/packages/mastvalve-gateway/src/index.ts
@@ -28,6 +28,7 @@
 export * from './routing/first-byte-times.js';
 export * from './routing/model-demand.js';
 export * from './routing/service-retry-budget.js';
+export * from './server/connection-admission.js';
 export * from './server/gateway.js';
 export * from './server/gateway-node.js';
 export type * from './server/gateway-core.js';
--- a/packages/mastvalve-gateway/src/server/gateway-metrics.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-metrics.ts
@@ -5,6 +5,7 @@
 import {
 	Counter, Gauge, Histogram, type Registry,
 } from 'prom-client';
+import type {AdmissionReading} from './connection-admission.js';
 import type {GatewayObserver} from './gateway-observer.js';
 
 /** Buckets of the latency histograms, s: from a plain call to the longest route. */
@@ -14,10 +15,10 @@
 const msPerSecond = 1000;
 
 /** Current values of a gateway. */
-export type GatewayReadings = {readInFlight: () => number; readUnreadBytes: () => number; readBodyBytes: () => number};
+export type GatewayReadings = {readInFlight: () => number; readUnreadBytes: () => number; readBodyBytes: () => number; readAdmission: () => AdmissionReading};
 
 /** Registers the metrics and returns the observer that updates them. */
-export const createGatewayMetrics = (registry: Registry, {readInFlight, readUnreadBytes, readBodyBytes}: GatewayReadings): GatewayObserver => {
+export const createGatewayMetrics = (registry: Registry, {readInFlight, readUnreadBytes, readBodyBytes, readAdmission}: GatewayReadings): GatewayObserver => {
 	const requests = new Histogram({
 		name: 'mastvalve_request_seconds', help: 'Time from the first byte of a request to the end of its response', labelNames: ['kind', 'status'], buckets, registers: [registry],
 	});
@@ -36,6 +37,17 @@
 	const quarantined = new Counter({
 		name: 'mastvalve_quarantined_refusals_total', help: 'Requests refused since endpoints have crashed under their content or under a part of their prompts', labelNames: ['content'], registers: [registry],
 	});
+	const connections = new Counter({
+		name: 'mastvalve_connections_total', help: 'New connections of callers by whether they were taken, or closed unread since the processor is saturated', labelNames: ['outcome'], registers: [registry],
+	});
+	const utilization = new Gauge({
+		name: 'mastvalve_event_loop_utilization',
+		help: 'Share of time in which the event loop was busy when connections last arrived',
+		registers: [registry],
+		collect() {
+			utilization.set(readAdmission().utilization);
+		},
+	});
 	const permits = new Counter({
 		name: 'mastvalve_limited_endpoint_requests_total', help: 'Permit requests for endpoints with an announced limit, by outcome', labelNames: ['outcome'], registers: [registry],
 	});
@@ -91,6 +103,9 @@
 		recordRefusal(reason) {
 			refusals.inc({reason});
 		},
+		recordConnection(isTaken) {
+			connections.inc({outcome: isTaken ? 'taken' : 'closed'});
+		},
 		recordQuarantined(isPart) {
 			quarantined.inc({content: isPart ? 'prompt-part' : 'request'});
 		},
--- a/packages/mastvalve-gateway/src/server/gateway-node.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-node.ts
@@ -28,6 +28,7 @@
 import {ServiceRetryBudget, type RetryLimits} from '../routing/service-retry-budget.js';
 import {StreamOrigins} from '../streams/stream-origins.js';
 import {UpstreamAgent} from '../upstream/upstream-agent.js';
+import type {AdmissionReading} from './connection-admission.js';
 import type {LogDecision} from './gateway-core.js';
 import type {GatewayObserver} from './gateway-observer.js';
 import {Gateway} from './gateway.js';
@@ -160,6 +161,11 @@
 		return this.gateway.inFlight;
 	}
 
+	/** What this entry measures of itself, and the rate at which it takes connections. */
+	readAdmission(): AdmissionReading {
+		return this.gateway.readAdmission();
+	}
+
 	/** Bytes held for answers that their callers do not read at the moment. */
 	get unreadBytes(): number {
 		return this.gateway.unreadBytes;
--- a/packages/mastvalve-gateway/src/server/gateway-observer.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-observer.ts
@@ -8,6 +8,8 @@
 export type GatewayObserver = {
 	/** A request has ended; status 0 when its response was aborted or its caller disconnected first. */
 	recordRequest: (kind: string, status: number, durationMs: number) => void;
+	/** A new connection was taken, or closed before anything was read from it. */
+	recordConnection: (isTaken: boolean) => void;
 	/** A request was refused on admission. */
 	recordRefusal: (reason: string) => void;
 	/** A request was refused since its content, or a part of its prompt, is quarantined. */
@@ -36,6 +38,7 @@
 export const noopObserver: GatewayObserver = {
 	recordRequest: () => undefined,
 	recordRefusal: () => undefined,
+	recordConnection: () => undefined,
 	recordQuarantined: () => undefined,
 	recordAttempt: () => undefined,
 	recordAnswerEnd: () => undefined,
--- a/packages/mastvalve-gateway/src/server/gateway.ts
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -19,6 +19,8 @@
 import {fingerprintRequest} from '../requests/request-fingerprint.js';
 import {Reply} from '../requests/reply.js';
 import {serveRequest} from '../requests/serve-request.js';
+import {admitConnections} from './admit-connections.js';
+import {ConnectionAdmission, type AdmissionReading} from './connection-admission.js';
 import type {GatewayCore} from './gateway-core.js';
 import {noopObserver, type GatewayObserver} from './gateway-observer.js';
 import {onceClosed} from './once-closed.js';
@@ -52,12 +54,28 @@
 	private server: Server | undefined;
 
 	private readonly core: GatewayCore;
+	private readonly admission: ConnectionAdmission;
 
 	constructor({memoryLimits, ...dependencies}: GatewayDependencies) {
 		const {maxUnreadBytes, maxHeldBodyBytes} = {...defaultMemoryLimits, ...memoryLimits};
 		this.core = {
 			...dependencies, isDraining: () => this.isDraining, drainListeners: new Set(), observer: noopObserver, unreadAnswers: new UnreadAnswers(maxUnreadBytes), heldBodies: new HeldBodies(maxHeldBodyBytes),
 		};
+		this.admission = new ConnectionAdmission({
+			now: () => dependencies.clock.now(),
+			readBusyMs: () => performance.eventLoopUtilization().active,
+			probeDelay(report) {
+				const from = dependencies.clock.now();
+				setImmediate(() => {
+					report(dependencies.clock.now() - from);
+				});
+			},
+		});
+	}
+
+	/** What this entry measures of itself, and the rate at which it takes connections. */
+	readAdmission(): AdmissionReading {
+		return this.admission.read();
 	}
 
 	/** Bytes held for answers that their callers do not read at the moment. */
@@ -82,9 +100,11 @@
 			maxHeaderSize: defaultLimits.maxHeaderBytes, headersTimeout: defaultLimits.headerTimeoutMs, requestTimeout: 0, keepAliveTimeout: defaultLimits.idleTimeoutMs,
 		}, (req, res) => {
 			this.inFlight += 1;
+			this.admission.recordRequest();
 			const closed = new AbortController();
 			onceClosed(req, res, () => {
 				this.inFlight -= 1;
+				this.admission.recordEnd();
 				closed.abort();
 			});
 			this.handle(req, res, closed).catch((error: unknown) => {
@@ -93,6 +113,7 @@
 			});
 		});
 		this.server = server;
+		admitConnections(server, this.admission, this.core);
 		this.core.view.subscribe(() => {
 			server.keepAliveTimeout = this.limits.idleTimeoutMs;
 		});
