--- a/packages/mastvalve-gateway/src/server/connection-admission.ts
+++ b/packages/mastvalve-gateway/src/server/connection-admission.ts
@@ -49,7 +49,7 @@
 const increase = 1.1;
 const minCorrection = 0.3;
 const maxCorrection = 4;
-/** Connections that are always taken each second, so that no entry turns all callers away. */
+/** Connections that are always taken each second, so that no entry turns all callers away; a saturated loop accepts a second's connections at once. */
 const minPerSecond = 4;
 /** Time whose connections may be taken together, ms. */
 const burstMs = 150;
@@ -171,7 +171,7 @@
 	private fill(now: number): void {
 		const {state} = this;
 		const {perSecond} = this;
-		state.tokens = Math.min(Math.max(1, perSecond * burstMs / msPerSecond), state.tokens + ((now - state.filledAt) * perSecond / msPerSecond));
+		state.tokens = Math.min(Math.max(minPerSecond, perSecond * burstMs / msPerSecond), state.tokens + ((now - state.filledAt) * perSecond / msPerSecond));
 		state.filledAt = now;
 	}
 }
