dispatch-client and fleet-control are smaller: reports of runs and records of crashes have files of their own

Change: RunReports holds what the leader is to be told of runs; CrashService records crashes and answers; toLeaderAnswer stands once.

--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -14,6 +14,7 @@
 } from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 import type {ControlService} from './control-service.js';
+import {CrashService} from './crash-service.js';
 import type {DemandResponse, DemandReport} from './demand-report.js';
 import {DispatchService, type DispatchRequest} from './dispatch-service.js';
 import {EngineScheduler} from './engines/engine-scheduler.js';
@@ -48,6 +49,10 @@
 /** Time after which an incomplete group accepts the first configuration all the same, ms. */
 const incompleteGraceMs = 5000;
 
+/** Returns the answer to a call that only the leader answers; undefined stands for an instance that doesn't lead. */
+const toLeaderAnswer = <T>(answer: T | undefined): Result<T, MastvalveError> =>
+	(answer === undefined ? err(new ControlUnavailableError('This control instance does not lead.')) : ok(answer));
+
 export class FleetControl implements ControlService {
 	static async open(options: FleetControlOptions): Promise<FleetControl> {
 		const listener = {wake: () => undefined as void};
@@ -73,6 +78,7 @@
 	private readonly scheduler: EngineScheduler;
 	private readonly freshness: FreshnessTracker;
 	private readonly limits: LimitService;
+	private readonly crashes: CrashService;
 	private readonly limitPublisher: LimitPublisher;
 
 	private constructor(private readonly options: FleetControlOptions, readonly machine: FleetMachine, group: ControlGroup) {
@@ -104,6 +110,9 @@
 		this.streamOrigins = new StreamOriginService({
 			machine, readTerm: () => (group.isLeading ? group.leadingTerm : undefined), now: () => options.clock.now(), wall: () => options.clock.wall(),
 		});
+		this.crashes = new CrashService({
+			machine, isLeading: () => group.isLeading, propose: async command => this.propose(command), onEvent: options.onEvent,
+		});
 		this.limitPublisher = new LimitPublisher({
 			listChanged: () => this.limits.listChanged(),
 			propose: async command => {
@@ -140,25 +149,19 @@
 				this.scheduler.recordReport(report);
 				await this.markLeaving(report.leaving);
 				const answer: DemandResponse = {entries: this.scheduler.countActiveEntries()};
-				return this.group.isLeading ? ok(answer) : err(new ControlUnavailableError('This control instance does not lead.'));
+				return toLeaderAnswer(this.group.isLeading ? answer : undefined);
 			}],
 			['/limits', async body => {
 				const answers = await this.limits.answer(assumeType<LimitRequest>(body));
 				this.recordLimits().catch((error: unknown) => {
 					this.options.onError(`recording limits failed; retrying: ${describeError(error)}`);
 				});
-				return answers ? ok(answers) : err(new ControlUnavailableError('This control instance does not lead.'));
-			}],
-			['/dispatch', async body => {
-				const response = this.dispatch.answer(assumeType<DispatchRequest>(body));
-				return response ? ok(response) : err(new ControlUnavailableError('This control instance does not lead.'));
+				return toLeaderAnswer(answers);
 			}],
-			['/streams', async body => {
-				const response = this.streamOrigins.answer(assumeType<StreamOriginRequest>(body));
-				return response ? ok(response) : err(new ControlUnavailableError('This control instance does not lead.'));
-			}],
-			['/crashes', async body => this.recordCrashes(assumeType<CrashReport[]>(body))],
-			['/successes', async body => this.recordSuccesses(assumeType<SuccessReport[]>(body))],
+			['/dispatch', async body => toLeaderAnswer(this.dispatch.answer(assumeType<DispatchRequest>(body)))],
+			['/streams', async body => toLeaderAnswer(this.streamOrigins.answer(assumeType<StreamOriginRequest>(body)))],
+			['/crashes', async body => this.crashes.recordCrashes(assumeType<CrashReport[]>(body))],
+			['/successes', async body => this.crashes.recordSuccesses(assumeType<SuccessReport[]>(body))],
 			['/heard', async body => {
 				this.liveness.recordHeartbeats(assumeType<string[]>(body), this.options.clock.now());
 				return ok(true);
@@ -248,34 +251,6 @@
 		await Promise.all([this.limitPublisher.publish(), this.limits.recordGrants()]);
 	}
 
-	/** Records crashes of endpoints that an entry reports. They are acknowledged once committed: the counts must survive a change of leader. */
-	private async recordCrashes(reports: CrashReport[]): Promise<Result<true, MastvalveError>> {
-		const result = await this.propose({kind: FleetCommandKind.RecordCrashes, reports});
-		if (result.isOk()) {
-			const quarantined = assumeType<string[]>(result.value);
-			const crashed = reports.map(({endpointId, fingerprints}) => `${endpointId} with ${fingerprints.length} requests in flight`).join(', ');
-			this.options.onEvent('endpoint.crashed', `${crashed}; quarantined: ${quarantined.join(', ') || 'none'}`);
-		}
-
-		return result.map(() => true as const);
-	}
-
-	/** Records requests that were answered although their content is suspected. Only the first report of the same goes through the log. */
-	private async recordSuccesses(reports: SuccessReport[]): Promise<Result<true, MastvalveError>> {
-		const news = this.group.isLeading ? reports.filter(report => this.machine.isSuccessNews(report)) : reports;
-		if (news.length === 0) {
-			return ok(true);
-		}
-
-		const result = await this.propose({kind: FleetCommandKind.RecordSuccesses, reports: news});
-		if (result.isOk()) {
-			const released = assumeType<string[]>(result.value);
-			this.options.onEvent('suspects.cleared', `${news.map(({fingerprint, answeredNumber}) => `${fingerprint} of the crashes up to ${answeredNumber}`).join(', ')}; quarantine ended: ${released.join(', ') || 'none'}`);
-		}
-
-		return result.map(() => true as const);
-	}
-
 	/** Records that endpoints are leaving. Entries repeat reports that were not committed. */
 	private async markLeaving(reported: readonly string[]): Promise<void> {
 		const ids = reported.filter(id => {
--- a/packages/mastvalve-gateway/src/dispatch/dispatch-client.ts
+++ b/packages/mastvalve-gateway/src/dispatch/dispatch-client.ts
@@ -5,14 +5,15 @@
 
 import type {PeerClient} from 'mastvalve-cluster';
 import {
-	DispatchDecisionKind, RunEventKind, type DispatchClaim, type DispatchDecision,
+	DispatchDecisionKind, type DispatchClaim, type DispatchDecision,
 } from 'mastvalve-dispatch';
 import type {DispatchResponse} from 'mastvalve-fleet-control';
 import {CallTimer} from './call-timer.js';
 import {
-	formatBatch, type DispatchBatch, type PendingClaim, type TimedEvent,
+	formatBatch, type DispatchBatch, type PendingClaim,
 } from './dispatch-batch.js';
-import {DispatchRun} from './dispatch-run.js';
+import type {DispatchRun} from './dispatch-run.js';
+import {RunReports} from './run-reports.js';
 
 export type DispatchClientOptions = {
 	/** Name of this incarnation of the entry. */
@@ -47,15 +48,12 @@
 	/** Whether no leader answers. */
 	isDisconnected = false;
 	private claims: PendingClaim[] = [];
-	private events: TimedEvent[] = [];
 	private readonly waiting = new Map<string, PendingClaim>();
-	private readonly runs = new Map<string, DispatchRun>();
-	/** Runs that the leader doesn't know of. */
-	private readonly unreportedRuns = new Set<DispatchRun>();
 	private readonly sharedMachineServices = new Set<string>();
 	private isCalling = false;
 	private claimCount = 0;
 	private readonly timer: CallTimer;
+	private readonly reports: RunReports;
 
 	constructor(private readonly options: DispatchClientOptions) {
 		const {now, signal} = options;
@@ -64,6 +62,9 @@
 				void this.sendPending(true);
 			},
 		});
+		this.reports = new RunReports(now, () => {
+			this.timer.schedule(eventDelayMs);
+		});
 	}
 
 	/** Whether the endpoints of a service share their machines with other work, so that the leader chooses among them. */
@@ -111,45 +112,12 @@
 
 	/** Reports that an assigned engine is not used. */
 	release(id: string): void {
-		this.addEvent({id, kind: RunEventKind.Cancelled, at: this.options.now()});
+		this.reports.release(id);
 	}
 
 	/** Counts a request that is sent to an engine. */
 	beginRun(claim: DispatchClaim, endpoint: string, isAssigned: boolean): DispatchRun {
-		const run = new DispatchRun({
-			claim, endpoint, startedAt: this.options.now(), listener: this,
-		});
-		this.runs.set(claim.id, run);
-		if (!isAssigned || this.isDisconnected) {
-			this.unreportedRuns.add(run);
-			this.timer.schedule(eventDelayMs);
-		}
-
-		return run;
-	}
-
-	onEvent(run: DispatchRun, kind: RunEventKind, duration: number | undefined): void {
-		const at = this.options.now();
-		if (kind !== RunEventKind.FirstByte) {
-			this.runs.delete(run.claim.id);
-		}
-
-		if (this.unreportedRuns.has(run)) {
-			if (kind !== RunEventKind.FirstByte) {
-				this.unreportedRuns.delete(run);
-			}
-
-			return;
-		}
-
-		this.addEvent({
-			id: run.claim.id, kind, at, firstByteMs: kind === RunEventKind.FirstByte ? Math.round(at - run.startedAt) : undefined, duration,
-		});
-	}
-
-	private addEvent(event: TimedEvent): void {
-		this.events.push(event);
-		this.timer.schedule(eventDelayMs);
+		return this.reports.beginRun(claim, endpoint, isAssigned && !this.isDisconnected);
 	}
 
 	/** Ends the wait of a claim whose caller has left. */
@@ -185,24 +153,19 @@
 
 	/** Schedules the next call, with what has arisen during the last one. */
 	private scheduleNext(): void {
-		if (this.events.length > 0 || this.unreportedRuns.size > 0) {
+		if (this.reports.isPending) {
 			this.timer.schedule(eventDelayMs);
 		} else if (this.waiting.size > 0) {
 			this.timer.schedule(queuePollMs);
-		} else if (this.runs.size > 0) {
+		} else if (this.reports.hasRuns) {
 			this.timer.schedule(contactIntervalMs);
 		}
 	}
 
 	private async sendBatch(): Promise<void> {
-		const {claims, events} = this;
-		const running = [...this.unreportedRuns];
+		const {claims} = this;
 		this.claims = [];
-		this.events = [];
-		this.unreportedRuns.clear();
-		const response = await this.send({
-			claims, events, running, isWhole: false,
-		});
+		const response = await this.send({claims, ...this.reports.take(), isWhole: false});
 		if (response) {
 			this.settleAll(response.decisions);
 		} else {
@@ -222,9 +185,8 @@
 
 	/** Reports all runs in progress to the leader, and repeats the claims that wait. */
 	private async sendAllRuns(): Promise<DispatchResponse | undefined> {
-		this.unreportedRuns.clear();
 		return this.call({
-			claims: this.takeWaiting(), events: [], running: [...this.runs.values()], isWhole: true,
+			claims: this.takeWaiting(), events: [], running: this.reports.takeAll(), isWhole: true,
 		});
 	}
 
@@ -272,7 +234,7 @@
 	private disconnect(): void {
 		this.isDisconnected = true;
 		this.claims = [];
-		this.markAllUnreported();
+		this.reports.markAllUnreported();
 		const pending = [...this.waiting.values()];
 		this.waiting.clear();
 		pending.forEach(({resolve}) => {
@@ -282,14 +244,6 @@
 		void this.findLeader();
 	}
 
-	/** Marks all runs to be reported again: the leader may not know of them. */
-	private markAllUnreported(): void {
-		this.events = [];
-		this.runs.forEach(run => {
-			this.unreportedRuns.add(run);
-		});
-	}
-
 	private async findLeader(): Promise<void> {
 		const {signal, wait, onEvent} = this.options;
 		while (this.isDisconnected && !signal.aborted) {
@@ -300,7 +254,7 @@
 				onEvent('dispatch.regained', 'a leader chooses engines again');
 				this.scheduleNext();
 			} else {
-				this.markAllUnreported();
+				this.reports.markAllUnreported();
 				// eslint-disable-next-line no-await-in-loop
 				await wait(leaderProbeIntervalMs, signal);
 			}
