Streams go on at no endpoint that has crashed, and none that its successor began is taken for one of its release

Cause: control counted crashes against requests and parts of prompts only. That an incarnation had ended was kept by the one entry that had found it, so the leader confirmed it as a target, and other entries recorded it as the origin of streams, until the successor's first heartbeat.

Ruled out: a wrong proof from the records (both proofs were right by what was recorded), the start times (the successor was not known at all), single-release views (several releases were known).

Change: a reported crash marks the incarnation in the record and the feed, and nothing reverts it. The leader doesn't confirm such a target, entries choose none for the rest of a stream, and a stream that begins behind one has no known release. An entry that is refused a connection reports that too, also with nothing in flight; reports that say nothing new end at the leader.

Shown: two new scenarios of three entries, control and endpoints over sockets failed before (streams with events of two releases in both) and pass; 108 scenarios of crashes, quarantine and control pass.

A live endpoint that refuses connections loses the rests of streams while its service has several releases.

--- a/packages/mastvalve-fleet-control/src/crash-service.ts
+++ b/packages/mastvalve-fleet-control/src/crash-service.ts
@@ -10,7 +10,7 @@
 import {ok, type Result} from 'neverthrow';
 
 export type CrashServiceOptions = {
-	machine: Pick<FleetMachine, 'isSuccessNews'>;
+	machine: Pick<FleetMachine, 'isCrashNews' | 'isSuccessNews'>;
 	/** Whether this instance leads, so that its state is the newest. */
 	isLeading: () => boolean;
 	propose: (command: FleetCommand) => Promise<Result<unknown, MastvalveError>>;
@@ -25,10 +25,15 @@
 
 	/** Records crashes. They are acknowledged once committed: the counts must survive a change of leader. */
 	async recordCrashes(reports: CrashReport[]): Promise<Result<true, MastvalveError>> {
-		const {propose, onEvent} = this.options;
-		const result = await propose({kind: FleetCommandKind.RecordCrashes, reports});
+		const {machine, isLeading, propose, onEvent} = this.options;
+		const news = isLeading() ? reports.filter(report => machine.isCrashNews(report)) : reports;
+		if (news.length === 0) {
+			return ok(true);
+		}
+
+		const result = await propose({kind: FleetCommandKind.RecordCrashes, reports: news});
 		if (result.isOk()) {
-			const crashed = reports.map(({endpointId, fingerprints, suspects}) => `${endpointId} with ${(suspects ?? fingerprints).length} requests and parts of prompts in flight`);
+			const crashed = news.map(({endpointId, fingerprints, suspects}) => `${endpointId} with ${(suspects ?? fingerprints).length} requests and parts of prompts in flight`);
 			onEvent('endpoint.crashed', `${formatList(crashed)}; quarantined: ${formatList(assumeType<string[]>(result.value))}`);
 		}
 
--- a/packages/mastvalve-fleet-control/src/stream-origin-service.ts
+++ b/packages/mastvalve-fleet-control/src/stream-origin-service.ts
@@ -40,7 +40,7 @@
 	needsAll: boolean;
 	/** One for each question. */
 	answers: ProvedRelease[];
-	/** The targets that are the newest incarnations of their names. */
+	/** The targets whose processes still answer at their addresses. */
 	confirmed: string[];
 };
 
@@ -78,14 +78,14 @@
 		}
 
 		return {
-			term: account.term, needsAll: !account.entries.has(entry), answers: questions.map(question => this.prove(account, question, now)), confirmed: targets.filter(id => this.isNewest(id)),
+			term: account.term, needsAll: !account.entries.has(entry), answers: questions.map(question => this.prove(account, question, now)), confirmed: targets.filter(id => this.isCurrent(id)),
 		};
 	}
 
-	/** A former incarnation is gone once its successor has registered. */
-	private isNewest(id: string): boolean {
+	/** Whether no successor is known to answer at an endpoint's address, or may answer there since its process has ended. */
+	private isCurrent(id: string): boolean {
 		const endpoint = this.options.machine.find(id);
-		return endpoint !== undefined && endpoint.phase !== EndpointPhase.Gone;
+		return endpoint !== undefined && endpoint.phase !== EndpointPhase.Gone && endpoint.hasCrashed !== true;
 	}
 
 	private prove({table}: Account, {key, service}: OriginQuestion, now: number): ProvedRelease {
--- a/packages/mastvalve-fleet/src/state/apply-report.ts
+++ b/packages/mastvalve-fleet/src/state/apply-report.ts
@@ -39,6 +39,7 @@
 		loading: known?.loading,
 		isOrdering: (known ?? former)?.isOrdering ?? false,
 		limitPerSecond: known?.limitPerSecond,
+		hasCrashed: known?.hasCrashed,
 		orderedAt: known?.orderedAt ?? 0,
 		revision,
 	};
--- a/packages/mastvalve-fleet/src/state/endpoint-registry.ts
+++ b/packages/mastvalve-fleet/src/state/endpoint-registry.ts
@@ -102,6 +102,15 @@
 			.some(Boolean);
 	}
 
+	/** Marks endpoints at whose addresses nobody listens. A late heartbeat doesn't revert that, since only the next incarnation can answer there. */
+	markCrashed(ids: readonly string[], index: number): boolean {
+		return ids
+			.flatMap(id => this.store.find(id) ?? [])
+			.filter(({phase, hasCrashed}) => phase !== EndpointPhase.Gone && hasCrashed !== true)
+			.map(endpoint => this.replace({...endpoint, hasCrashed: true, revision: index}, index))
+			.some(Boolean);
+	}
+
 	/**
 	 * Forgets endpoints that are gone, and marks others as gone. Followers that have read the end hold nothing obsolete, so nothing is
 	 * sent to them again.
--- a/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
@@ -55,6 +55,8 @@
 	isOrdering: boolean;
 	/** Requests per second that it accepts from all entries together; missing without a limit, and in snapshots of earlier versions. */
 	limitPerSecond?: number;
+	/** Whether an entry has found that nobody listens at its address; a successor may answer there before it registers. Missing until then, and in snapshots of earlier versions. */
+	hasCrashed?: boolean;
 	/** Log index of the last record of orders; 0 if there was none. */
 	orderedAt: number;
 	/** Log index of the last change. */
@@ -63,3 +65,7 @@
 
 /** Whether an endpoint accepts new requests, according to the record. */
 export const takesRequests = ({phase}: Pick<FleetEndpoint, 'phase'>): boolean => phase === EndpointPhase.Ready || phase === EndpointPhase.Silent;
+
+/** Whether an endpoint may send the rest of a stream that a release began: the process at its address is of that release. */
+export const continuesStreams = ({hasCrashed, release}: Pick<FleetEndpoint, 'hasCrashed' | 'release'>, begunBy: string): boolean =>
+	hasCrashed !== true && release === begunBy;
--- a/packages/mastvalve-fleet/src/state/fleet-machine.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-machine.ts
@@ -73,6 +73,12 @@
 		return this.acceptsReport(report) && changesEndpoint(this.endpoints.find(report.id), report);
 	}
 
+	/** Whether a report of a crash would change the state; only then it goes through the log. */
+	isCrashNews({endpointId, fingerprints, suspects = []}: CrashReport): boolean {
+		const hasContents = fingerprints.length > 0 || suspects.length > 0;
+		return hasContents || this.endpoints.find(endpointId)?.hasCrashed !== true;
+	}
+
 	/** Whether a report of requests that were answered would change the state; only then it goes through the log. */
 	isSuccessNews(report: SuccessReport): boolean {
 		return this.crashes.isNews(report);
@@ -241,12 +247,13 @@
 		return version;
 	}
 
-	/** Records what was in flight at crashed endpoints. An endpoint that had announced that it leaves did not crash. */
+	/** Records crashed endpoints and what was in flight there. What ended with an endpoint that had announced that it leaves isn't suspected. */
 	private recordCrashes(reports: readonly CrashReport[], index: number): string[] {
+		const isMarked = this.endpoints.markCrashed(reports.map(({endpointId}) => endpointId), index);
 		const quarantined = reports
 			.filter(({endpointId}) => this.endpoints.find(endpointId)?.isLeaving === false)
 			.flatMap(report => this.crashes.record(report, index));
-		this.updateRevision(this.crashes.changedAt === index, index);
+		this.updateRevision(isMarked || this.crashes.changedAt === index, index);
 		return quarantined;
 	}
 
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/scripted-endpoint.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/scripted-endpoint.ts
@@ -11,7 +11,7 @@
 export type Script = (socket: Socket, requestText: string, requestNumber: number) => void;
 
 /** A running endpoint; `connections` counts all connections so far, and `open` the open ones. */
-export type ScriptedEndpoint = {address: string; requests: string[]; connections: () => number; open: () => number; resetConnections: () => void; /** Accepts no further connections; the open ones stay. */ stopListening: () => void; close: () => void};
+export type ScriptedEndpoint = {address: string; requests: string[]; connections: () => number; open: () => number; resetConnections: () => void; /** Accepts no further connections; the open ones stay. */ stopListening: () => void; /** Listens again at its address. */ listenAgain: () => Promise<void>; close: () => void};
 
 const headEnd = '\r\n\r\n';
 
@@ -45,12 +45,14 @@
 			}
 		});
 	});
-	await new Promise<void>((resolve, reject) => {
+	const listen = async (at: number): Promise<void> => new Promise((resolve, reject) => {
 		server.once('error', reject);
-		server.listen(port, '127.0.0.1', resolve);
+		server.listen(at, '127.0.0.1', resolve);
 	});
+	await listen(port);
+	const {port: ownPort} = assumeType<AddressInfo>(server.address());
 	return {
-		address: `127.0.0.1:${assumeType<AddressInfo>(server.address()).port}`,
+		address: `127.0.0.1:${ownPort}`,
 		requests,
 		connections: () => connections,
 		open: () => sockets.size,
@@ -62,6 +64,7 @@
 		stopListening() {
 			server.close();
 		},
+		listenAgain: async () => listen(ownPort),
 		close() {
 			server.close();
 			sockets.forEach(socket => {
--- a/packages/mastvalve-gateway/__tests__/streams-over-releases.feature
+++ b/packages/mastvalve-gateway/__tests__/streams-over-releases.feature
@@ -54,3 +54,17 @@
     And 2 reporting endpoints of release "v1" and 2 of release "v2" that break new streams after 2 events
     When 8 callers begin streams at entry 0, entry 1 hears no more of endpoints, those of release "v1" restart with "v2", and the callers return to entry 1
     Then none of these streams has events of two releases
+
+  # Guards against a rest of another release: its endpoint had crashed, as others knew, and the successor had not registered yet.
+  Scenario: A returning stream doesn't go to an endpoint that has crashed
+    Given 3 entries that follow control
+    And 2 reporting endpoints of release "v1" and 1 of release "v2" that break new streams after 2 events
+    When 24 callers begin streams at entry 0, endpoint 0 crashes and answers with "v2" before it registers, and the callers return to entry 1
+    Then none of these streams has events of two releases
+
+  # Guards against a stream that is taken for one of its endpoint's release, although a successor with another release began it.
+  Scenario: A stream that the successor of a crashed endpoint began isn't taken up
+    Given 3 entries that follow control
+    And 2 reporting endpoints of release "v1" and 1 of release "v2" that break new streams after 2 events
+    When endpoint 0 crashes and answers with "v2" before it registers, 24 callers begin streams at entry 0, and return to entry 1 after the events that they have
+    Then none of these streams has events of two releases
--- a/packages/mastvalve-gateway/__tests__/streams-over-releases.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/streams-over-releases.steps.ts
@@ -10,6 +10,7 @@
 } from '@cucumber/cucumber';
 import {formatIncarnation} from 'mastvalve-fleet';
 import {systemClock, waitFor} from 'mastvalve-utils';
+import {waitUntil} from '../../../features/support/conditions.js';
 import type {EntriesAndControl} from './__fixtures__/entries-and-control.js';
 import {RunningGateway, type Received} from './__fixtures__/running-gateway.js';
 import {idOf, startScriptedEndpoint, type ScriptedEndpoint} from './__fixtures__/scripted-endpoint.js';
@@ -19,11 +20,19 @@
 	releases: string[];
 	releaseResults: Array<Received & {tookMs: number}>;
 	following: EntriesAndControl;
-	releasesByEndpoint: Array<{release: string; /** Replaces the process of an endpoint by one of another release, which registers. */ restart: (index: number, release: string) => Promise<void>}>;
+	releasesByEndpoint: ReportingEndpoint[];
 	returned: Array<{begun: StreamReply; after: StreamReply}>;
 	reply: StreamReply & {tookMs: number};
 };
 
+type ReportingEndpoint = {
+	release: string;
+	/** Replaces the process by one of another release, which registers. */
+	restart: (index: number, release: string) => Promise<void>;
+	/** Replaces the process, once `onEnded` has resolved, by one of another release, which doesn't register. */
+	crash: (release: string, onEnded: () => Promise<void>) => Promise<void>;
+};
+
 /** Status and events of an answer, whether or not it is complete. */
 type StreamReply = {status: number; body: string};
 
@@ -132,6 +141,13 @@
 			// Clearly after the streams began, so that their beginnings aren't ambiguous.
 			await report(index, systemClock.wall() + laterMs);
 		},
+		async crash(next, onEnded) {
+			endpoint.stopListening();
+			endpoint.resetConnections();
+			await onEnded();
+			process.release = next;
+			await endpoint.listenAgain();
+		},
 	});
 };
 
@@ -186,6 +202,30 @@
 	await returnAll(this, begun, entry);
 });
 
+/** Restarts an endpoint with another release, which doesn't register, after entry 2 has found that nobody listened and all have heard of it. */
+const crashEndpoint = async ({following, releaseEndpoints, releasesByEndpoint}: ReleaseWorld, index: number, release: string): Promise<void> => {
+	const {address} = releaseEndpoints[index]!;
+	const hasFound = (): boolean => following.logged.some(({kind, fields}) => kind === 'attempt.failed' && String(fields.reason).includes(`ECONNREFUSED ${address}`));
+	await releasesByEndpoint[index]!.crash(release, async () => {
+		await waitUntil('entry 2 has found that nobody listens', async () => {
+			await following.call(2, '/safe/x', 'a question');
+			return hasFound();
+		});
+		await waitFor(reportMs);
+	});
+};
+
+When('{int} callers begin streams at entry 0, endpoint {int} crashes and answers with {string} before it registers, and the callers return to entry {int}', async function (this: ReleaseWorld, count: number, index: number, release: string, entry: number) {
+	const begun = await beginStreams(this, count);
+	await crashEndpoint(this, index, release);
+	await returnAll(this, begun, entry);
+});
+
+When('endpoint {int} crashes and answers with {string} before it registers, {int} callers begin streams at entry 0, and return to entry {int} after the events that they have', async function (this: ReleaseWorld, index: number, release: string, count: number, entry: number) {
+	await crashEndpoint(this, index, release);
+	await returnAll(this, await beginStreams(this, count), entry);
+});
+
 When('{int} callers begin streams at entry 0, entry {int} hears no more of endpoints, those of release {string} restart with {string}, and the callers return to entry {int}', async function (this: ReleaseWorld, count: number, deaf: number, release: string, next: string, entry: number) {
 	const begun = await beginStreams(this, count);
 	this.following.stopHearing(deaf);
--- a/packages/mastvalve-gateway/src/dispatch/claim-engine.ts
+++ b/packages/mastvalve-gateway/src/dispatch/claim-engine.ts
@@ -5,7 +5,9 @@
 import {
 	DispatchDecisionKind, type DecidedCopy, type DispatchClaim, type DispatchDecision,
 } from 'mastvalve-dispatch';
-import {EndpointPhase, takesRequests, type FleetEndpoint} from 'mastvalve-fleet';
+import {
+	continuesStreams, EndpointPhase, takesRequests, type FleetEndpoint,
+} from 'mastvalve-fleet';
 import {isUnavailable} from '../routing/choose-endpoint.js';
 import {formatModel} from '../routing/model-demand.js';
 import type {GatewayCore} from '../server/gateway-core.js';
@@ -22,15 +24,15 @@
 export const isDispatched = ({dispatch, view}: GatewayCore, {service, caller}: CallerRequest): boolean =>
 	caller.model !== undefined && dispatch.isActive(service) && view.configuration?.services.some(({name, engine}) => name === service && engine !== undefined) === true;
 
-/** Whether an endpoint is of the release that a stream is bound to. */
-const isOfRelease = (endpoint: FleetEndpoint, release: string | undefined): boolean => release === undefined || endpoint.release === release;
+/** Whether an endpoint may serve a request, or the rest of a stream that is bound to a release. */
+const mayServe = (endpoint: FleetEndpoint, release: string | undefined): boolean => release === undefined || continuesStreams(endpoint, release);
 
 /** Lists the endpoints that this entry rules out for a request. */
 const listExcluded = ({view, tracker, clock}: GatewayCore, {service, caller}: CallerRequest, {tried, release}: RequestProgress): string[] => {
 	const now = clock.now();
 	const name = formatModel(caller.model ?? '', caller.adapter);
 	return view.listEndpoints(service)
-		.filter(endpoint => !isOfRelease(endpoint, release) || tried.has(endpoint.id) || !tracker.canSend(endpoint.id) || isUnavailable(endpoint, tracker.getOrCreate(endpoint.id), name, now))
+		.filter(endpoint => !mayServe(endpoint, release) || tried.has(endpoint.id) || !tracker.canSend(endpoint.id) || isUnavailable(endpoint, tracker.getOrCreate(endpoint.id), name, now))
 		.map(({id}) => id);
 };
 
@@ -60,7 +62,7 @@
 /** Returns the assigned endpoint if this entry may still use it. One that the entry did not know when it claimed may be of another release. */
 const findAssigned = ({view, tracker, limiter}: GatewayCore, {service}: CallerRequest, {release}: RequestProgress, decision: DispatchDecision): FleetEndpoint | undefined => {
 	const endpoint = decision.kind === DispatchDecisionKind.Assigned ? view.findEndpoint(decision.endpoint) : undefined;
-	return endpoint?.service === service && isOfRelease(endpoint, release) && takesRequests(endpoint) && tracker.canSend(endpoint.id) && limiter.findLimit(endpoint) === undefined ? endpoint : undefined;
+	return endpoint?.service === service && mayServe(endpoint, release) && takesRequests(endpoint) && tracker.canSend(endpoint.id) && limiter.findLimit(endpoint) === undefined ? endpoint : undefined;
 };
 
 /** Returns the address of the engine that the assigned one copies from; undefined if there is none, or this entry doesn't know it as ready. */
--- a/packages/mastvalve-gateway/src/fleet/fleet-view.ts
+++ b/packages/mastvalve-gateway/src/fleet/fleet-view.ts
@@ -3,7 +3,7 @@
  */
 
 import {
-	EndpointPhase, takesRequests, type FleetEndpoint, type FleetCursor, type FleetUpdate, type QuarantineChange,
+	continuesStreams, EndpointPhase, takesRequests, type FleetEndpoint, type FleetCursor, type FleetUpdate, type QuarantineChange,
 } from 'mastvalve-fleet';
 import {ReleaseHistory} from './release-history.js';
 import {ConfigurationAssembler, type ActiveConfiguration} from './active-configuration.js';
@@ -70,10 +70,10 @@
 		}
 	}
 
-	/** Returns the endpoints of a service, or of one release of it, that accept new requests. */
+	/** Returns the endpoints of a service that accept new requests, or the rests of streams that a release began. */
 	listEndpoints(service: string, release?: string): FleetEndpoint[] {
 		const endpoints = this.availableByService.get(service) ?? [];
-		return release === undefined ? endpoints : endpoints.filter(endpoint => endpoint.release === release);
+		return release === undefined ? endpoints : endpoints.filter(endpoint => continuesStreams(endpoint, release));
 	}
 
 	/** Returns when a model is first expected to be loaded at an endpoint of a service, or of one release of it, monotonic ms; undefined if none loads it. */
--- a/packages/mastvalve-gateway/src/quarantine/crash-detector.ts
+++ b/packages/mastvalve-gateway/src/quarantine/crash-detector.ts
@@ -58,6 +58,8 @@
 
 export class CrashDetector {
 	private readonly broken = new BoundedMap<string, BrokenEndpoint>(maxUndecided);
+	/** Endpoints that refused a connection. */
+	private readonly refused = new BoundedMap<string, true>(maxUndecided);
 
 	constructor(private readonly options: CrashDetectorOptions) {}
 
@@ -73,6 +75,15 @@
 		}
 	}
 
+	/** Records that nobody listened when a request was to be sent, so that others learn of the crash. What broke off there earlier isn't suspected of it. */
+	recordRefusedConnection({id}: FleetEndpoint): void {
+		const isReported = this.refused.get(id) ?? this.broken.get(id)?.isCrashed ?? false;
+		if (!isReported) {
+			this.refused.set(id, true);
+			this.options.onCrash({endpointId: id, requests: [], inFlight: new Map()});
+		}
+	}
+
 	/** Whether no process listens at an address any more; false when that can't be told. */
 	async hasStoppedListening(address: string): Promise<boolean> {
 		return await this.options.probe(address) === ListenerState.NotListening;
--- a/packages/mastvalve-gateway/src/requests/bind-stream.ts
+++ b/packages/mastvalve-gateway/src/requests/bind-stream.ts
@@ -45,7 +45,8 @@
 		return;
 	}
 
-	const isKnown = !core.tracker.mayHaveSuccessor(id, core.view.heardAt);
+	const hasCrashed = core.view.findEndpoint(id)?.hasCrashed === true;
+	const isKnown = !hasCrashed && !core.tracker.mayHaveSuccessor(id, core.view.heardAt);
 	progress.release = isKnown ? release : unknownRelease;
 	if (isKnown && caller.resumeAfter === undefined) {
 		core.origins.record({
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -86,6 +86,7 @@
 	if (outcome.isConnectionRefused) {
 		core.tracker.recordNotListening(endpoint.id);
 		core.demand.recordNotListening(endpoint.id);
+		core.crashDetector.recordRefusedConnection(endpoint);
 	}
 
 	core.log('attempt.failed', {
