An entry without news of endpoints records no origins of streams while their service has several releases

What callers could see: a stream with events of two releases. An entry that has heard nothing of control for a second or more (cut off, or control is down) sends new streams to endpoints that have crashed meanwhile and are back with another release, and recorded the release of the former incarnation as their origin. Other entries and a later leader believed that record.

Change: the rule that a proof from the entry's own view already had (control heard within 1 s) holds for recording origins too, and is kept in one place. With one release only, nothing changes.

Shown: a scenario of three entries, one of which hears no more, failed before (streams of two releases) and passes; the 11 scenarios of the feature pass.

Cost: streams that begin at such an entry can't be taken up, nor resumed, while their service has several releases. An entry without a leader could not resume them anyway.

--- a/packages/mastvalve-gateway/__tests__/streams-over-releases.feature
+++ b/packages/mastvalve-gateway/__tests__/streams-over-releases.feature
@@ -68,3 +68,11 @@
     And 2 reporting endpoints of release "v1" and 1 of release "v2" that break new streams after 2 events
     When endpoint 0 crashes and answers with "v2" before it registers, 24 callers begin streams at entry 0, and return to entry 1 after the events that they have
     Then none of these streams has events of two releases
+
+  # Guards against an origin recorded by an entry that could not have heard of the crash: what it knows of endpoints was old.
+  Scenario: A stream that began at an entry without news of endpoints isn't taken up
+    Given 3 entries that follow control
+    And 2 reporting endpoints of release "v1" and 1 of release "v2" that break new streams after 2 events
+    When entry 0 hears no more of endpoints for 1200 ms
+    And endpoint 0 crashes and answers with "v2" before it registers, 24 callers begin streams at entry 0, and return to entry 1 after the events that they have
+    Then none of these streams has events of two releases
--- a/packages/mastvalve-gateway/__tests__/streams-over-releases.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/streams-over-releases.steps.ts
@@ -226,6 +226,11 @@
 	await returnAll(this, await beginStreams(this, count), entry);
 });
 
+When('entry {int} hears no more of endpoints for {int} ms', async function (this: ReleaseWorld, entry: number, ms: number) {
+	this.following.stopHearing(entry);
+	await waitFor(ms);
+});
+
 When('{int} callers begin streams at entry 0, entry {int} hears no more of endpoints, those of release {string} restart with {string}, and the callers return to entry {int}', async function (this: ReleaseWorld, count: number, deaf: number, release: string, next: string, entry: number) {
 	const begun = await beginStreams(this, count);
 	this.following.stopHearing(deaf);
--- a/packages/mastvalve-gateway/src/requests/bind-stream.ts
+++ b/packages/mastvalve-gateway/src/requests/bind-stream.ts
@@ -39,14 +39,14 @@
 };
 
 /** Binds a stream whose first event is passed on. */
-export const bindBegunStream = (core: GatewayCore, request: CallerRequest, progress: RequestProgress, {id, release}: FleetEndpoint): void => {
+export const bindBegunStream = (core: GatewayCore, request: CallerRequest, progress: RequestProgress, endpoint: FleetEndpoint): void => {
 	const {route, caller, admission, service, requestId, callerDeadlineAt} = request;
 	if (!route.isResumable || progress.release !== undefined) {
 		return;
 	}
 
-	const hasCrashed = core.view.findEndpoint(id)?.hasCrashed === true;
-	const isKnown = !hasCrashed && !core.tracker.mayHaveSuccessor(id, core.view.heardAt);
+	const {id, release} = endpoint;
+	const isKnown = core.origins.isRecordCurrent(endpoint) && !core.tracker.mayHaveSuccessor(id, core.view.heardAt);
 	progress.release = isKnown ? release : unknownRelease;
 	if (isKnown && caller.resumeAfter === undefined) {
 		core.origins.record({
--- a/packages/mastvalve-gateway/src/streams/stream-origins.ts
+++ b/packages/mastvalve-gateway/src/streams/stream-origins.ts
@@ -41,7 +41,7 @@
 const retryDelayMs = 150;
 /** The leader is unreachable after this long without a byte, ms; a caller waits meanwhile. */
 const silenceTimeoutMs = 150;
-/** Longest time since control was heard for which this entry's view still shows all releases, ms; twice its longest poll, with a margin. */
+/** Longest time since control was heard for which this entry's view still shows all releases and crashes, ms; twice its longest poll, with a margin. */
 const maxViewAgeMs = 1000;
 const sweepIntervalMs = 1000;
 
@@ -61,6 +61,11 @@
 		});
 	}
 
+	private get isViewFresh(): boolean {
+		const {view, clock} = this.options;
+		return view.isSynced && clock.now() - view.heardAt <= maxViewAgeMs;
+	}
+
 	/** Records that the first event of a stream is passed on. */
 	record(origin: StreamOrigin): void {
 		const now = this.options.clock.now();
@@ -93,8 +98,14 @@
 			return answer;
 		}
 
-		const isViewFresh = view.isSynced && clock.now() - view.heardAt <= maxViewAgeMs;
-		return isViewFresh ? own : {proof: ReleaseProof.None, reason: 'no leader answers'};
+		return this.isViewFresh ? own : {proof: ReleaseProof.None, reason: 'no leader answers'};
+	}
+
+	/** Whether the record of an endpoint tells the release of the process that answers for it: a crash of that endpoint would be known by now. */
+	isRecordCurrent({id, service}: Pick<FleetEndpoint, 'id' | 'service'>): boolean {
+		const {view} = this.options;
+		const hasCrashed = view.findEndpoint(id)?.hasCrashed === true;
+		return !hasCrashed && (this.isViewFresh || !view.hasSeveralReleases(service));
 	}
 
 	/**
