Connections whose requests don't come are closed after the time for headers, not after up to half a minute

What callers saw: nothing, as long as an entry has descriptors and memory. A crowd of connections that send nothing, or a part of a header, held both for up to 30 s: 1,000 of them a second reach an entry's limit of some 4,000 descriptors in 4 s.

Cause: the limit on headers (3 s) was set, but Node looks for late ones every 30 s by default. Ruled out: the limit itself (a connection without any byte counts too).

Shown: 400 connections, half of them silent, are open 4 s later before, and all closed after; a kept connection that has been answered goes on serving.

Besides, tried and not kept: an entry that limits new connections closes kept ones after their answers, so that their callers go elsewhere. So kept connections stay as they are.

--- a/packages/mastvalve-gateway/src/server/gateway.ts
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -31,6 +31,8 @@
 const defaultLimits: CallerLimits = {
 	maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 };
+/** Interval at which connections are checked for late headers, ms: by default they would hold memory and descriptors for half a minute. */
+const headerCheckMs = 500;
 /** Upper bound of a caller's own deadline, ms. Callers disconnect once theirs has passed. */
 const maxDeadlineMs = 120_000;
 /** Retry delay while this entry has no configuration, s: another entry can serve the request at once. */
@@ -97,7 +99,7 @@
 	async start(listen: string): Promise<Result<true, MastvalveError>> {
 		const [host, port] = listen.split(':');
 		const server = createServer({
-			maxHeaderSize: defaultLimits.maxHeaderBytes, headersTimeout: defaultLimits.headerTimeoutMs, requestTimeout: 0, keepAliveTimeout: defaultLimits.idleTimeoutMs,
+			maxHeaderSize: defaultLimits.maxHeaderBytes, headersTimeout: defaultLimits.headerTimeoutMs, requestTimeout: 0, keepAliveTimeout: defaultLimits.idleTimeoutMs, connectionsCheckingInterval: headerCheckMs,
 		}, (req, res) => {
 			this.inFlight += 1;
 			this.admission.recordRequest();
