--- a/packages/mastvalve-gateway/__tests__/silent-connections.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/silent-connections.steps.ts
@@ -5,7 +5,9 @@
 import {strict as assert} from 'node:assert';
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
-import {After, Then, When, type World} from '@cucumber/cucumber';
+import {
+	After, Then, When, type World,
+} from '@cucumber/cucumber';
 import {waitFor} from 'mastvalve-utils';
 import {waitUntil} from '../../../features/support/conditions.js';
 import type {EntriesAndControl} from './__fixtures__/entries-and-control.js';
