--- a/packages/mastvalve-sidecar/src/server/start-sidecar.ts
+++ b/packages/mastvalve-sidecar/src/server/start-sidecar.ts
@@ -9,9 +9,7 @@
 	createApp, registerGauge, startServer, UpstreamClient, type ProgramContext, type RunningServer,
 } from 'mastvalve-http';
 import type {Settings, SidecarInstance} from 'mastvalve-settings';
-import {
-	EndpointState, type Endpoint, type EndpointReport, type MastvalveError,
-} from 'mastvalve-types';
+import {EndpointState, type Endpoint, type MastvalveError} from 'mastvalve-types';
 import {
 	callUntilAborted, describeError, repeatUntilAborted, waitFor,
 } from 'mastvalve-utils';
@@ -20,6 +18,7 @@
 import {EngineKeeper} from '../engine/engine-keeper.js';
 import {ClaimGuard} from './claim-guard.js';
 import {EndpointGate} from './endpoint-gate.js';
+import {EndpointReporter} from './endpoint-reporter.js';
 import {createForwardHandler} from './forward-handler.js';
 
 /** Options of a sidecar program. */
@@ -42,7 +41,6 @@
 /** Lifetime of an idle connection to the endpoint, ms. */
 const idleConnectionMs = 30_000;
 const joinPauseMs = 200;
-const heartbeatMs = 2000;
 const leaveAnnounceMs = 200;
 /** Longest wait for control to record that the endpoint leaves, ms; the bound for a configuration to be in force. */
 const maxLeaveMs = 4000;
@@ -59,15 +57,12 @@
 	private readonly upstream: UpstreamClient;
 	private readonly keeper: EngineKeeper;
 	private readonly gate: EndpointGate;
+	private readonly reporter: EndpointReporter;
 	private readonly processId = randomUUID();
 	private claims: ClaimGuard | undefined;
 	private endpoint: Endpoint | undefined;
 	private isDraining = false;
 	private isSynced = false;
-	private lastReport = '';
-	private reportSequence = 0;
-	private isReporting = false;
-	private lastReportAt = 0;
 	private lastRoundAt = 0;
 	private readonly isPlain: boolean;
 	private address = '';
@@ -94,9 +89,17 @@
 			},
 			onChange: () => {
 				this.gate.advance();
-				void this.report();
+				void this.reporter.report();
 			},
 		});
+		this.reporter = new EndpointReporter({
+			clock: context.clock,
+			upstream: this.upstream,
+			ledger: this.keeper.ledger,
+			queue: this.gate.queue,
+			readEndpoint: () => (this.isSynced ? this.endpoint : undefined),
+			isLeaving: () => this.isDraining,
+		});
 	}
 
 	async start(): Promise<Result<RunningSidecar, MastvalveError>> {
@@ -143,7 +146,7 @@
 			}),
 			this.joinUpstream().then(async () => Promise.all([
 				this.isPlain ? undefined : repeatUntilAborted(signal, keeperPauseMs, async () => this.keepEngine(), onError),
-				repeatUntilAborted(signal, reportPauseMs, async () => this.report(), onError),
+				repeatUntilAborted(signal, reportPauseMs, async () => this.reporter.report(), onError),
 			])),
 		]);
 	}
@@ -207,47 +210,6 @@
 		return known !== undefined && known.incarnation === this.endpoint?.incarnation && known.state !== EndpointState.Live;
 	}
 
-	private createReport(endpoint: Endpoint): EndpointReport {
-		return {
-			endpointId: endpoint.id,
-			incarnation: endpoint.incarnation,
-			sequence: this.nextReportSequence(),
-			state: this.isDraining ? EndpointState.Leaving : EndpointState.Live,
-			loaded: this.keeper.ledger.loaded,
-			loading: this.keeper.ledger.unproved,
-			running: this.gate.queue.runningCount,
-			queued: this.gate.queue.queuedCount,
-		};
-	}
-
-	/** Tells upstream what changed, and now and then that nothing did. */
-	private async report(): Promise<void> {
-		// One at a time, so that they arrive in order; what changes meanwhile goes with the next.
-		if (!this.endpoint || !this.isSynced || this.isReporting) {
-			return;
-		}
-
-		const now = this.options.context.clock.now();
-		const report = this.createReport(this.endpoint);
-		const text = JSON.stringify([report.state, report.loaded]);
-		if (text === this.lastReport && now - this.lastReportAt < heartbeatMs) {
-			return;
-		}
-
-		this.isReporting = true;
-		const sent = await this.upstream.report([report]);
-		this.isReporting = false;
-		if (sent.isOk()) {
-			this.lastReport = text;
-			this.lastReportAt = now;
-		}
-	}
-
-	private nextReportSequence(): number {
-		this.reportSequence += 1;
-		return this.reportSequence;
-	}
-
 	private readReadiness(): string | undefined {
 		if (!this.isSynced) {
 			return 'has not joined yet';
@@ -264,7 +226,7 @@
 		const {context} = this.options;
 		this.isDraining = true;
 		context.timeline.record('program.draining', 'sidecar takes no new work and finishes what it has');
-		await Promise.race([this.report(), waitFor(leaveAnnounceMs)]);
+		await Promise.race([this.reporter.report(), waitFor(leaveAnnounceMs)]);
 		// Whoever hasn't heard of it yet is refused as not run, rather than cut off by a closed connection.
 		await this.waitUntilLeavingIsKnown();
 		await this.gate.waitUntilIdle();
