Callers that return to another entry right after the first event go on at their first try

Cause: entries report origins in batches behind the first event; the question overtook the report. Ruled out: lost reports (the second try went on each time).

Change: an entry whose question finds no proof asks once more after the time that a batch and a call take (75 ms). What nobody knows is still refused within 200 ms.

Shown: a new scenario of three entries and 12 callers failed before (503 at the first return) and passes; a forged stream is refused within 200 ms as before; 400 random histories in virtual time, whose fixture now lets time pass while an entry asks, have no wrong proof, and the twin that knows endpoints by names is found.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/virtual-origins.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/virtual-origins.ts
@@ -103,9 +103,24 @@
 		return stream;
 	}
 
+	/** Lets time pass until an entry has its answer. */
 	async prove(entryIndex: number, key: string): Promise<ProvedRelease> {
 		const {origins, isDead} = this.entries[entryIndex]!;
-		return isDead ? {proof: ReleaseProof.None, reason: 'the entry is dead'} : origins.prove(key, 's');
+		if (isDead) {
+			return {proof: ReleaseProof.None, reason: 'the entry is dead'};
+		}
+
+		let proved: ProvedRelease | undefined;
+		void origins.prove(key, 's').then(answer => {
+			proved = answer;
+		});
+		await settle();
+		while (!proved) {
+			// eslint-disable-next-line no-await-in-loop
+			await this.advance(stepMs);
+		}
+
+		return proved;
 	}
 
 	/** Elects a new leader, or leaves the group without one. */
--- a/packages/mastvalve-gateway/__tests__/streams-over-releases.feature
+++ b/packages/mastvalve-gateway/__tests__/streams-over-releases.feature
@@ -76,3 +76,10 @@
     When entry 0 hears no more of endpoints for 1200 ms
     And endpoint 0 crashes and answers with "v2" before it registers, 24 callers begin streams at entry 0, and return to entry 1 after the events that they have
     Then none of these streams has events of two releases
+
+  # Guards against a refusal of streams whose beginning is still on its way to the leader.
+  Scenario: Callers that return to another entry right after the first event go on at their first try
+    Given 3 entries that follow control
+    And 2 reporting endpoints of release "v1" and 2 of release "v2" that break new streams after 2 events
+    When 12 callers, one after the other, leave entry 0 with the first events of their streams and return to entry 1 at once
+    Then each of these callers has all events of one release
--- a/packages/mastvalve-gateway/__tests__/streams-over-releases.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/streams-over-releases.steps.ts
@@ -189,6 +189,41 @@
 	return begun;
 };
 
+/** Begins a stream, and leaves with the first bytes of its body. */
+const beginAndLeave = async ({following}: ReleaseWorld, entry: number, id: string): Promise<StreamReply> =>
+	new Promise(resolve => {
+		const [host, port] = following.addressOf(entry).split(':');
+		const req = request({
+			host, port, path: '/stream/x', agent: false, method: 'POST', headers: {host: 'h', 'x-id': id},
+		}, res => {
+			res.once('data', (chunk: Uint8Array) => {
+				resolve({status: res.statusCode ?? 0, body: Buffer.from(chunk).toString()});
+				req.destroy();
+			});
+			res.on('error', () => undefined);
+		});
+		req.on('error', () => undefined);
+		req.end();
+	});
+
+When('{int} callers, one after the other, leave entry {int} with the first events of their streams and return to entry {int} at once', async function (this: ReleaseWorld, count: number, first: number, second: number) {
+	this.returned = [];
+	await Array.from({length: count}).reduce<Promise<void>>(async (before, _, index) => {
+		await before;
+		const begun = await beginAndLeave(this, first, `stream-${index}`);
+		const last = idsOf(begun.body).split(' ').at(-1)!;
+		this.returned.push({begun, after: await callStream(this, second, {'x-id': `return-${index}`, 'x-resume': last, 'x-started-by': `stream-${index}`})});
+	}, Promise.resolve());
+});
+
+Then('each of these callers has all events of one release', function (this: ReleaseWorld) {
+	this.returned.forEach(({begun, after}) => {
+		assert.equal(after.status, 200, after.body);
+		assert.equal(idsOf(begun.body + after.body), eventIds.join(' '));
+		assert.equal(new Set(releasesOf(begun.body + after.body)).size, 1);
+	});
+});
+
 const returnAll = async (world: ReleaseWorld, begun: readonly StreamReply[], entry: number): Promise<void> => {
 	world.returned = await Promise.all(begun.map(async (reply, index) => ({begun: reply, after: await callStream(world, entry, {'x-id': `return-${index}`, 'x-resume': '2', 'x-started-by': `stream-${index}`})})));
 };
--- a/packages/mastvalve-gateway/src/streams/stream-origins.ts
+++ b/packages/mastvalve-gateway/src/streams/stream-origins.ts
@@ -37,6 +37,8 @@
 const maxOrigins = 20_000;
 /** Origins are reported together after this time, ms. */
 const batchMs = 25;
+/** Time within which the origin of a stream reaches the leader, ms: a batch, the next one while a call is in progress, and the call. */
+const reportingMs = 3 * batchMs;
 /** Delay after a failed report, ms. */
 const retryDelayMs = 150;
 /** The leader is unreachable after this long without a byte, ms; a caller waits meanwhile. */
@@ -92,8 +94,7 @@
 			return own;
 		}
 
-		const response = await this.call({questions: [{key, service}]});
-		const answer = response?.answers[0];
+		const answer = await this.askLeader(key, service);
 		if (answer) {
 			return answer;
 		}
@@ -125,6 +126,19 @@
 		return response.confirmed.includes(id) ? TargetState.Current : TargetState.Replaced;
 	}
 
+	/** Asks the leader at which release a stream began, again if its entry may only be about to report it; undefined if no leader answers. */
+	private async askLeader(key: string, service: string): Promise<ProvedRelease | undefined> {
+		const first = await this.call({questions: [{key, service}]});
+		const answer = first?.answers[0];
+		if (answer?.proof !== ReleaseProof.None) {
+			return answer;
+		}
+
+		await this.options.wait(reportingMs);
+		const second = await this.call({questions: [{key, service}]});
+		return second?.answers[0] ?? answer;
+	}
+
 	/** Reports in batches until the leader knows all origins of services with several releases. */
 	private report(): void {
 		const hasMixedService = [...this.services].some(service => this.options.view.hasSeveralReleases(service));
