--- a/review/stand-ins/consumer.mjs
+++ b/review/stand-ins/consumer.mjs
@@ -7,9 +7,10 @@
 
 export const createAttemptId = () => randomBytes(8).toString('hex');
 
-/** Sends a request; resolves to what the consumer has seen: `isWhole` tells an answer that ended as announced, status 0 that there was none. */
+/** Sends a request; resolves to what the consumer has seen: `isWhole` tells an answer that ended as announced, status 0 that there was none.
+ * The consumer's channel breaks when `mustBreak` holds for the body so far. */
 export const send = async ({
-	address, host, path, method = 'POST', headers = {}, body = '', attemptId = createAttemptId(), deadlineMs, onData = () => undefined,
+	address, host, path, method = 'POST', headers = {}, body = '', attemptId = createAttemptId(), deadlineMs, mustBreak = () => false,
 }) => new Promise(resolve => {
 	const [ip, port] = address.split(':');
 	const req = request({
@@ -27,7 +28,9 @@
 		let text = '';
 		res.on('data', chunk => {
 			text += chunk.toString('latin1');
-			onData(text);
+			if (mustBreak(text)) {
+				req.destroy();
+			}
 		});
 		res.once('error', () => undefined);
 		res.once('close', () => {
