--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -18,7 +18,7 @@
 /** Work at a time; a replica of the service turns away what comes beyond it. */
 const slots = 6;
 /** Mean time between two requests, ms: the replicas are full now and then. */
-const meanGapMs = 8;
+const meanGapMs = 10;
 /** One of the two replicas sends surplus answers, for this long and to this share of all that it answers. */
 const garbleMs = 5000;
 const garbleShare = 0.03;
