--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -142,8 +142,8 @@
 		const countRuns = attemptId => replicas.flatMap(({runs}) => runs).filter(run => run === attemptId).length;
 		const served = answers.filter(({status}) => status === 200).length;
 		log.add(`${answers.length} requests, ${served} answered with 200; ${garbling.id} gave ${garbling.answers} answers and ${garbling.surpluses} surplus ones`);
-		if (served === 0) {
-			throw new Error('nothing was served');
+		if (served === 0 || (hasTrouble && garbling.surpluses === 0)) {
+			throw new Error(served === 0 ? 'nothing was served' : 'no replica was full, so no surplus answer was sent');
 		}
 
 		return answers.flatMap(({attemptId, status}) => {
--- a/review/stand-ins/run-case.mjs
+++ b/review/stand-ins/run-case.mjs
@@ -13,9 +13,9 @@
 }) => {
 	const log = new Log(`${folder}/record.txt`);
 	log.add(hasTrouble ? 'with the disruption' : 'without the disruption');
-	const deployment = await Deployment.create({controls, entries, log});
+	let deployment;
 	const finish = async code => {
-		await deployment.stop();
+		await deployment?.stop();
 		// eslint-disable-next-line unicorn/no-process-exit
 		process.exit(code);
 	};
@@ -25,11 +25,16 @@
 			finish(2);
 		});
 	});
+	process.once('uncaughtException', error => {
+		log.add(`the case couldn't run: ${error.stack}`);
+		finish(2);
+	});
 	setTimeout(() => {
 		log.add('the case has taken too long');
 		finish(2);
 	}, limitMs);
 	try {
+		deployment = await Deployment.create({controls, entries, log});
 		const breaches = await play(deployment, log);
 		breaches.forEach(breach => {
 			log.add(`BROKEN ${breach}`);
