Log lines tell whether an answer names its request

The lines attempt.refused and request.answered lacked which request the endpoint's answer named, so a refusal of this very request and a surplus copy of another one's refusal looked alike. Both lines now have the field identity (matching, other, unnamed), and the refusal has the echoed id as well. No decision changes.

--- a/packages/mastvalve-gateway/src/requests/handle-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/handle-answer.ts
@@ -14,6 +14,7 @@
 import type {AnswerEnd} from '../streams/answer-end.js';
 import {findStreamContent, StreamContent} from '../streams/stream-content.js';
 import type {ExchangeKind, ExchangeOutcome} from '../upstream/exchange.js';
+import {identifyAnswer, type AnswerIdentity} from './answer-identity.js';
 import {bindBegunStream} from './bind-stream.js';
 import {BeginningWatch} from './beginning-watch.js';
 import {isRepeatable, type CallerRequest} from './caller-request.js';
@@ -37,14 +38,15 @@
 });
 
 /** A complete answer: its endpoint and when its head arrived, monotonic ms. */
-type CompleteAnswer = {endpoint: string; status: number; headAt: number; end: AnswerEnd};
+type CompleteAnswer = {endpoint: string; status: number; identity: AnswerIdentity; headAt: number; end: AnswerEnd};
 
 /** Logs a complete answer: its endpoint and times, how it ended, and the revision that the endpoint was selected by. */
 const logAnswer = (core: GatewayCore, request: CallerRequest, progress: RequestProgress, {
-	endpoint, status, headAt, end,
+	endpoint, status, identity, headAt, end,
 }: CompleteAnswer): void => {
 	core.log('request.answered', {
 		request: request.requestId,
+		identity,
 		route: request.route.name,
 		model: request.caller.model,
 		adapter: request.caller.adapter,
@@ -121,7 +123,7 @@
 	run?.end(head.isMisdirected ? RunEventKind.Cancelled : RunEventKind.Failed);
 	recordMisdirection(core, request, endpoint, head);
 	core.log('attempt.refused', {
-		request: request.requestId, endpoint: endpoint.id, status, load: head.load, retryAfterMs: head.retryAfter.kind === RetryAfterKind.Delay ? head.retryAfter.delayMs : undefined, isLeaving: head.isLeaving,
+		request: request.requestId, identity: identifyAnswer(request.requestId, head), echoed: head.requestId, endpoint: endpoint.id, status, load: head.load, retryAfterMs: head.retryAfter.kind === RetryAfterKind.Delay ? head.retryAfter.delayMs : undefined, isLeaving: head.isLeaving,
 	});
 	return failUnlessRetryable(core, request, reply, progress, `the endpoint refused it with ${status}`);
 };
@@ -173,7 +175,7 @@
 
 /** Relays an answer to the caller; true when the request has ended. */
 const relayAnswer = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, {
-	endpoint, outcome: {res, cancel, isBroken}, run, status, knownCrashes,
+	endpoint, outcome: {res, cancel, isBroken}, run, status, head, knownCrashes,
 }: DecodedAnswer): Promise<boolean> => {
 	const content = findStreamContent(res, {method: request.method, isStreamRoute: request.route.kind === RouteKind.Stream});
 	if (!reply.hasBegun) {
@@ -209,7 +211,7 @@
 	}
 
 	logAnswer(core, request, progress, {
-		endpoint: endpoint.id, status, headAt, end,
+		endpoint: endpoint.id, status, identity: identifyAnswer(request.requestId, head), headAt, end,
 	});
 	reply.end();
 	return true;
