A refusal counts only if it names the request that it was received for

Cause: an endpoint may send an answer twice, and the second copy arrives in the place of the answer to the next request on the connection. handleAnswer acted on the statement "not run" before it compared the id that the answer echoes with that of the request; only answers to be passed on reached that comparison.

Change: nothing is taken from an answer until it has named the request that it was received for. Another id, or none, is an answer of unknown origin: the connection is closed, the request may have run, so it is sent elsewhere only if it may be repeated, and otherwise gets a 502, which promises nothing.

--- a/packages/mastvalve-gateway/__tests__/gateway.feature
+++ b/packages/mastvalve-gateway/__tests__/gateway.feature
@@ -27,6 +27,41 @@
     Then the caller gets status 502 with the code "outcome-unknown"
     And the endpoint received 1 request
 
+  # Guards against a request that runs twice: the late copy of another request's refusal was taken for its own.
+  Scenario: The refusal of another request doesn't send a request that must not be repeated to a second endpoint
+    Given an endpoint that answers "the refusal of another request, and runs it"
+    And an endpoint that answers "whole"
+    When a caller sends an "unsafe" request
+    Then the caller gets status 502 with the code "outcome-unknown"
+    And the endpoint received 1 request
+    And the second endpoint receives no request
+
+  # Guards against a caller that is told "not run" about a request that runs, for the same reason.
+  Scenario: The late copy of a refusal on a kept connection doesn't refuse the next request
+    Given an endpoint that answers "its first request with a refusal, and on the same connection the next one with a copy of it before the answer"
+    When a caller sends 3 "unsafe" requests sequentially
+    Then the callers get the statuses "503 502 200"
+    And the endpoint received 3 requests over 2 connections
+
+  Scenario: A request that may be repeated is sent to another endpoint after the refusal of another request
+    Given an endpoint that answers "the refusal of another request, and runs it"
+    And an endpoint that answers "whole"
+    When a caller sends a "safe" request
+    Then the caller gets status 200 with the complete body "whole"
+
+  # Guards against an endpoint that is recorded as replaced by the late copy of an answer from before it registered.
+  Scenario: An answer that says that another request is misdirected doesn't take the endpoint out of use
+    Given an endpoint that answers "that another request is misdirected, and runs it"
+    When a caller sends 3 "unsafe" requests sequentially
+    Then the callers get the statuses "502 502 502"
+    And the endpoint received 3 requests over 3 connections
+
+  # Guards against a refusal of unknown origin that is believed: endpoints echo the id of each request.
+  Scenario: A refusal that names no request doesn't refuse a request that must not be repeated
+    Given an endpoint that answers "a refusal that names no request"
+    When a caller sends an "unsafe" request
+    Then the caller gets status 502 with the code "outcome-unknown"
+
   Scenario: A request that is refused as not run is sent to another endpoint
     Given an endpoint that answers "not run"
     And an endpoint that answers "whole"
--- a/packages/mastvalve-gateway/__tests__/gateway.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/gateway.steps.ts
@@ -33,6 +33,9 @@
 /** Sends answers that scripted endpoints hold back until a test releases them. */
 const heldAnswers: Array<() => void> = [];
 
+/** Answers that are sent once more, in the place of the next answer on their connection. */
+const surplusAnswers = new WeakMap<Socket, string>();
+
 const event = (id: number): string => `id: ${id}\ndata: e${id}\n\n`;
 
 const scripts: Record<string, Script> = {
@@ -58,6 +61,26 @@
 	'with another request\'s id'(socket) {
 		socket.write(formatAnswer('other', 'other'));
 	},
+	'the refusal of another request, and runs it'(socket, text) {
+		socket.write(formatAnswer('other', '', '503 Service Unavailable', 'x-not-run: 1\r\n') + formatAnswer(idOf(text), 'late'));
+	},
+	'that another request is misdirected, and runs it'(socket, text) {
+		socket.write(formatAnswer('other', '', '421 Misdirected Request', 'x-not-run: 1\r\nx-misdirected: 1\r\nx-endpoint: successor\r\n') + formatAnswer(idOf(text), 'late'));
+	},
+	'a refusal that names no request'(socket) {
+		socket.write('HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n');
+	},
+	'its first request with a refusal, and on the same connection the next one with a copy of it before the answer'(socket, text, requestNumber) {
+		const refusal = formatAnswer(idOf(text), '', '503 Service Unavailable', 'x-not-run: 1\r\n');
+		if (requestNumber === 1) {
+			socket.write(refusal, () => {
+				surplusAnswers.set(socket, refusal);
+			});
+			return;
+		}
+
+		socket.write((surplusAnswers.get(socket) ?? '') + formatAnswer(idOf(text), 'whole'));
+	},
 	'not run'(socket, text) {
 		socket.write(formatAnswer(idOf(text), '', '503 Service Unavailable', 'x-not-run: 1\r\n'));
 	},
@@ -401,6 +424,15 @@
 	assert.equal(this.scripted[0]?.requests.length, count);
 });
 
+Then('the callers get the statuses {string}', function (this: GatewayWorld, statuses: string) {
+	assert.equal(this.received.map(({status}) => status).join(' '), statuses);
+});
+
+Then('the endpoint received {int} requests over {int} connections', function (this: GatewayWorld, requests: number, connections: number) {
+	assert.equal(this.scripted[0]?.requests.length, requests);
+	assert.equal(this.scripted[0].connections(), connections);
+});
+
 When('{int} callers each connect and send a request', async function (this: GatewayWorld, count: number) {
 	await start(this);
 	this.received = await Promise.all(Array.from({length: count}, async () => this.gatewayRun.callAnew('/safe/x')));
--- a/packages/mastvalve-gateway/src/requests/handle-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/handle-answer.ts
@@ -14,7 +14,7 @@
 import type {AnswerEnd} from '../streams/answer-end.js';
 import {findStreamContent, StreamContent} from '../streams/stream-content.js';
 import type {ExchangeKind, ExchangeOutcome} from '../upstream/exchange.js';
-import {identifyAnswer, type AnswerIdentity} from './answer-identity.js';
+import {AnswerIdentity, identifyAnswer} from './answer-identity.js';
 import {bindBegunStream} from './bind-stream.js';
 import {BeginningWatch} from './beginning-watch.js';
 import {isRepeatable, type CallerRequest} from './caller-request.js';
@@ -38,15 +38,14 @@
 });
 
 /** A complete answer: its endpoint and when its head arrived, monotonic ms. */
-type CompleteAnswer = {endpoint: string; status: number; identity: AnswerIdentity; headAt: number; end: AnswerEnd};
+type CompleteAnswer = {endpoint: string; status: number; headAt: number; end: AnswerEnd};
 
 /** Logs a complete answer: its endpoint and times, how it ended, and the revision that the endpoint was selected by. */
 const logAnswer = (core: GatewayCore, request: CallerRequest, progress: RequestProgress, {
-	endpoint, status, identity, headAt, end,
+	endpoint, status, headAt, end,
 }: CompleteAnswer): void => {
 	core.log('request.answered', {
 		request: request.requestId,
-		identity,
 		route: request.route.name,
 		model: request.caller.model,
 		adapter: request.caller.adapter,
@@ -123,27 +122,32 @@
 	run?.end(head.isMisdirected ? RunEventKind.Cancelled : RunEventKind.Failed);
 	recordMisdirection(core, request, endpoint, head);
 	core.log('attempt.refused', {
-		request: request.requestId, identity: identifyAnswer(request.requestId, head), echoed: head.requestId, endpoint: endpoint.id, status, load: head.load, retryAfterMs: head.retryAfter.kind === RetryAfterKind.Delay ? head.retryAfter.delayMs : undefined, isLeaving: head.isLeaving,
+		request: request.requestId, endpoint: endpoint.id, status, load: head.load, retryAfterMs: head.retryAfter.kind === RetryAfterKind.Delay ? head.retryAfter.delayMs : undefined, isLeaving: head.isLeaving,
 	});
 	return failUnlessRetryable(core, request, reply, progress, `the endpoint refused it with ${status}`);
 };
 
-/** Returns why an answer can't be passed on; undefined if it can. */
-const findDefect = ({requestId, route}: CallerRequest, {status, head}: DecodedAnswer): string | undefined => {
-	if (head.requestId !== undefined && head.requestId !== requestId) {
-		return `the answer belongs to ${head.requestId}`;
+/** Returns why an answer isn't known to belong to the request; undefined if it does. */
+const findMismatch = ({requestId}: CallerRequest, head: AnswerHeaders): string | undefined => {
+	const identity = identifyAnswer(requestId, head);
+	if (identity === AnswerIdentity.Matching) {
+		return undefined;
 	}
 
-	return refusalStatuses.has(status) && !isRepeatable(route) ? 'refusal without the statement that the request was not run' : undefined;
+	return identity === AnswerIdentity.Other ? `the answer belongs to ${head.requestId}` : 'the answer names no request';
 };
 
+/** Returns why an answer to the request can't be passed on; undefined if it can. */
+const findDefect = ({route}: CallerRequest, {status}: DecodedAnswer): string | undefined =>
+	(refusalStatuses.has(status) && !isRepeatable(route) ? 'refusal without the statement that the request was not run' : undefined);
+
 /** Handles an answer that can't be passed on; true when the request has ended. */
-const handleDefect = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, {endpoint, outcome, status, reason}: DecodedAnswer & {reason: string}): boolean => {
+const handleDefect = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, {endpoint, outcome, status, head, reason}: DecodedAnswer & {reason: string}): boolean => {
 	outcome.cancel();
 	progress.mayHaveRun = true;
 	core.tracker.recordFailure(endpoint.id);
 	core.log('attempt.failed', {
-		request: request.requestId, fingerprint: request.fingerprint, parts: request.partFingerprints, endpoint: endpoint.id, status, reason,
+		request: request.requestId, fingerprint: request.fingerprint, parts: request.partFingerprints, endpoint: endpoint.id, status, reason, statesNotRun: head.isNotRun,
 	});
 	return failUnlessRetryable(core, request, reply, progress, `an answer with status ${status} that can't be passed on`);
 };
@@ -175,7 +179,7 @@
 
 /** Relays an answer to the caller; true when the request has ended. */
 const relayAnswer = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, {
-	endpoint, outcome: {res, cancel, isBroken}, run, status, head, knownCrashes,
+	endpoint, outcome: {res, cancel, isBroken}, run, status, knownCrashes,
 }: DecodedAnswer): Promise<boolean> => {
 	const content = findStreamContent(res, {method: request.method, isStreamRoute: request.route.kind === RouteKind.Stream});
 	if (!reply.hasBegun) {
@@ -211,7 +215,7 @@
 	}
 
 	logAnswer(core, request, progress, {
-		endpoint: endpoint.id, status, identity: identifyAnswer(request.requestId, head), headAt, end,
+		endpoint: endpoint.id, status, headAt, end,
 	});
 	reply.end();
 	return true;
@@ -223,6 +227,12 @@
 	const status = res.statusCode ?? 0;
 	const head = core.dialect.parseAnswerHeaders(status, res.headers, res.rawHeaders);
 	const answer: DecodedAnswer = {...received, status, head};
+	// An answer to another request says nothing of this one, which may be running: neither its status nor that it was not run is believed.
+	const mismatch = findMismatch(request, head);
+	if (mismatch !== undefined) {
+		return handleDefect(core, request, reply, progress, {...answer, reason: mismatch});
+	}
+
 	recordAnswerHead(core, request, {
 		endpoint, grantedAt, use, status,
 	}, head);
@@ -231,9 +241,9 @@
 		return handleRefusal(core, request, reply, progress, answer);
 	}
 
-	const reason = findDefect(request, answer);
-	if (reason !== undefined) {
-		return handleDefect(core, request, reply, progress, {...answer, reason});
+	const defect = findDefect(request, answer);
+	if (defect !== undefined) {
+		return handleDefect(core, request, reply, progress, {...answer, reason: defect});
 	}
 
 	progress.mayHaveRun = true;
--- a/packages/mastvalve-gateway/src/requests/record-answer-head.ts
+++ b/packages/mastvalve-gateway/src/requests/record-answer-head.ts
@@ -63,11 +63,10 @@
 /** The endpoint that sent an answer, and the status. */
 export type AnswerSource = ClaimedEndpoint & {use: EndpointRequest; status: number};
 
-/** Records the head. The limit, backoff and leaving state are ignored if it belongs to another request or another endpoint. */
+/** Records the head of an answer to the request. The limit, backoff and leaving state are ignored if it comes from another endpoint. */
 export const recordAnswerHead = (core: GatewayCore, request: CallerRequest, {endpoint, grantedAt, use, status}: AnswerSource, head: AnswerHeaders): void => {
 	core.tracker.recordLoad(endpoint.id, head.load);
-	const isForOtherRequest = head.requestId !== undefined && head.requestId !== request.requestId;
-	if (!isForOtherRequest && !isDifferentEndpoint(endpoint, head)) {
+	if (!isDifferentEndpoint(endpoint, head)) {
 		logLimitChange(core, request, endpoint.id, head);
 		core.limiter.recordReportedLimit(endpoint, head.limit, grantedAt);
 		recordBackoff(core, request, endpoint, status, head);
