Times and loads are learned only from the request's own answer

A load was also kept when another endpoint had taken over the address.

Change: recordAnswerHead records all of it, after the id has matched; the load and the duration only if the sender is the addressed endpoint. serve-request passes the time until the head.

Before: both new scenarios of gateway.feature failed. After: 43 passed, 0 failed.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -19,11 +19,17 @@
 import {err, ok, type Result} from 'neverthrow';
 import {findFreePorts} from '../../../../features/support/free-ports.js';
 import {
-	AccessChecker, CapacityWaiters, CrashDetector, DispatchClient, EndpointTracker, FieldOwner, FleetView, EndpointLimiter, Gateway, FirstByteTimes, LimitClient, ModelDemand, probeListener, RequestQuarantine, ServiceRetryBudget, StreamOrigins, UpstreamAgent, type Dialect, type DispatchClientOptions,
+	AccessChecker, CapacityWaiters, CrashDetector, DispatchClient, EndpointTracker, FieldOwner, FleetView, EndpointLimiter, Gateway, FirstByteTimes, LimitClient, ModelDemand, probeListener, RequestQuarantine, ServiceRetryBudget, StreamOrigins, UpstreamAgent, type Dialect, type DispatchClientOptions, type ReportedLoad,
 } from '../../src/index.js';
 
 const textOf = (value: string | string[] | undefined): string | undefined => (Array.isArray(value) ? value[0] : value);
 
+/** Reads the running and the waiting requests and the slots of an endpoint. */
+const parseLoad = (text: string | undefined): ReportedLoad | undefined => {
+	const [running, waiting, slots] = (text ?? '').split(',').map(Number);
+	return running === undefined || waiting === undefined || slots === undefined ? undefined : {running, waiting, slots};
+};
+
 export const testDialect: Dialect = {
 	parseCallerHeaders: headers => ({
 		requestId: textOf(headers['x-id']),
@@ -47,7 +53,7 @@
 		...(bodyLength === undefined ? [] : ['content-length', String(bodyLength)]),
 	],
 	parseAnswerHeaders: (_status, headers, rawHeaders) => ({
-		requestId: textOf(headers['x-id']), endpointName: textOf(headers['x-endpoint']), isNotRun: headers['x-not-run'] !== undefined, isMisdirected: headers['x-misdirected'] !== undefined, load: undefined, limit: parseLimitHeader(textOf(headers['x-limit'])), retryAfter: parseRetryAfter(rawHeaders.filter((_, index) => rawHeaders[index - 1]?.toLowerCase() === 'retry-after')), isLeaving: headers['x-leaving'] === '1',
+		requestId: textOf(headers['x-id']), endpointName: textOf(headers['x-endpoint']), isNotRun: headers['x-not-run'] !== undefined, isMisdirected: headers['x-misdirected'] !== undefined, load: parseLoad(textOf(headers['x-load'])), limit: parseLimitHeader(textOf(headers['x-limit'])), retryAfter: parseRetryAfter(rawHeaders.filter((_, index) => rawHeaders[index - 1]?.toLowerCase() === 'retry-after')), isLeaving: headers['x-leaving'] === '1',
 	}),
 };
 
@@ -112,6 +118,7 @@
 	longestMs = 0;
 	readonly gateway: Gateway;
 	readonly firstByteTimes = new FirstByteTimes();
+	readonly tracker: EndpointTracker;
 	readonly demand = new ModelDemand('entry', () => systemClock.now(), () => undefined, this.firstByteTimes);
 	private readonly agent = new Agent({keepAlive: true});
 	private readonly upstream = new UpstreamAgent();
@@ -127,6 +134,7 @@
 		const tracker = new EndpointTracker(now, () => {
 			waiters.wakeAll();
 		});
+		this.tracker = tracker;
 		const recordFailure = tracker.recordFailure.bind(tracker);
 		tracker.recordFailure = id => {
 			this.failures.push(id);
--- a/packages/mastvalve-gateway/__tests__/gateway.feature
+++ b/packages/mastvalve-gateway/__tests__/gateway.feature
@@ -56,6 +56,18 @@
     Then the callers get the statuses "502 502 502"
     And the endpoint received 3 requests over 3 connections
 
+  # Guards against speeds and loads that are learned from the late copy of another answer.
+  Scenario: An answer that belongs to another request says nothing of how fast its endpoint is
+    Given an endpoint that answers "with another request's id and a load"
+    When a caller sends a request for a model of the endpoint
+    Then the entry knows neither a time of first bytes of that model nor a load of that endpoint
+
+  # Guards against a load that is recorded for the former endpoint at an address.
+  Scenario: The load of an endpoint that has taken over an address is not recorded as that of the former one
+    Given an endpoint that answers "in the name of another endpoint that has a load"
+    When a caller sends a request for a model of the endpoint
+    Then the entry knows neither a time of first bytes of that model nor a load of that endpoint
+
   # Guards against a refusal of unknown origin that is believed: endpoints echo the id of each request.
   Scenario: A refusal that names no request doesn't refuse a request that must not be repeated
     Given an endpoint that answers "a refusal that names no request"
--- a/packages/mastvalve-gateway/__tests__/gateway.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/gateway.steps.ts
@@ -67,6 +67,12 @@
 	'that another request is misdirected, and runs it'(socket, text) {
 		socket.write(formatAnswer('other', '', '421 Misdirected Request', 'x-not-run: 1\r\nx-misdirected: 1\r\nx-endpoint: successor\r\n') + formatAnswer(idOf(text), 'late'));
 	},
+	'with another request\'s id and a load'(socket) {
+		socket.write(formatAnswer('other', 'other', '200 OK', 'x-load: 4,7,4\r\n'));
+	},
+	'in the name of another endpoint that has a load'(socket, text) {
+		socket.write(formatAnswer(idOf(text), '', '421 Misdirected Request', 'x-not-run: 1\r\nx-misdirected: 1\r\nx-endpoint: successor\r\nx-load: 4,7,4\r\n'));
+	},
 	'a refusal that names no request'(socket) {
 		socket.write('HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n');
 	},
@@ -424,6 +430,16 @@
 	assert.equal(this.scripted[0]?.requests.length, count);
 });
 
+When('a caller sends a request for a model of the endpoint', async function (this: GatewayWorld) {
+	await start(this);
+	this.received.push(await this.gatewayRun.call('/unsafe/x', {body: 'body', headers: {'x-model': 'm'}}));
+});
+
+Then('the entry knows neither a time of first bytes of that model nor a load of that endpoint', function (this: GatewayWorld) {
+	assert.equal(this.gatewayRun.firstByteTimes.getPrefillMsPerToken('m'), new FirstByteTimes().getPrefillMsPerToken('m'));
+	assert.equal(this.gatewayRun.tracker.getOrCreate('e0').load, undefined);
+});
+
 Then('the callers get the statuses {string}', function (this: GatewayWorld, statuses: string) {
 	assert.equal(this.received.map(({status}) => status).join(' '), statuses);
 });
--- a/packages/mastvalve-gateway/src/requests/handle-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/handle-answer.ts
@@ -60,18 +60,6 @@
 	});
 };
 
-/** Records how fast an endpoint says that it works. */
-const recordDuration = (core: GatewayCore, {service}: CallerRequest, run: DispatchRun | undefined, {load}: AnswerHeaders): void => {
-	if (load?.relativeDuration === undefined) {
-		return;
-	}
-
-	core.dispatch.recordShared(service);
-	if (run) {
-		run.duration = load.relativeDuration;
-	}
-};
-
 /** An answer that broke off after its head. */
 type BrokenAnswer = {endpoint: FleetEndpoint; status: number; reader: AnswerReader; run: DispatchRun | undefined; end: AnswerEnd; beginning: BeginningWatch};
 
@@ -105,6 +93,8 @@
 /** The head of an answer, and the endpoint that sent it. */
 export type ReceivedAnswer = ClaimedEndpoint & {
 	outcome: Extract<ExchangeOutcome, {kind: ExchangeKind.Answered}>;
+	/** Time from sending the request to the head, ms. */
+	headMs: number;
 	use: EndpointRequest;
 	run: DispatchRun | undefined;
 	/** Crashes of endpoints that were known when the request was sent. */
@@ -223,7 +213,7 @@
 
 /** Handles an answer and relays its body if it is for the caller; true when the request has ended. */
 export const handleAnswer = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, received: ReceivedAnswer): Promise<boolean> => {
-	const {endpoint, grantedAt, outcome: {res, cancel}, use, run} = received;
+	const {outcome: {res, cancel}} = received;
 	const status = res.statusCode ?? 0;
 	const head = core.dialect.parseAnswerHeaders(status, res.headers, res.rawHeaders);
 	const answer: DecodedAnswer = {...received, status, head};
@@ -233,10 +223,7 @@
 		return handleDefect(core, request, reply, progress, {...answer, reason: mismatch});
 	}
 
-	recordAnswerHead(core, request, {
-		endpoint, grantedAt, use, status,
-	}, head);
-	recordDuration(core, request, run, head);
+	recordAnswerHead(core, request, answer);
 	if (head.isNotRun) {
 		return handleRefusal(core, request, reply, progress, answer);
 	}
--- a/packages/mastvalve-gateway/src/requests/record-answer-head.ts
+++ b/packages/mastvalve-gateway/src/requests/record-answer-head.ts
@@ -5,12 +5,14 @@
 import {parseIncarnation, type FleetEndpoint} from 'mastvalve-fleet';
 import {LimitHeaderKind, RetryAfterKind} from 'mastvalve-limits';
 import type {AnswerHeaders} from '../dialect.js';
+import type {DispatchRun} from '../dispatch/dispatch-run.js';
 import {formatModel} from '../routing/model-demand.js';
 import type {EndpointRequest} from '../routing/endpoint-tracker.js';
 import type {GatewayCore} from '../server/gateway-core.js';
 import type {CallerRequest} from './caller-request.js';
 import type {ClaimedEndpoint} from './claim-endpoint.js';
 
+const okStatus = 200;
 const unavailableStatus = 503;
 
 /** Logs a reported limit that differs from the one in the endpoint's previous answer. */
@@ -60,13 +62,38 @@
 	}
 };
 
-/** The endpoint that sent an answer, and the status. */
-export type AnswerSource = ClaimedEndpoint & {use: EndpointRequest; status: number};
+/** Records the load, and how fast the endpoint says that it works. */
+const recordLoad = (core: GatewayCore, {service}: CallerRequest, {endpoint, run, head: {load}}: RecordedAnswer): void => {
+	core.tracker.recordLoad(endpoint.id, load);
+	if (load?.relativeDuration === undefined) {
+		return;
+	}
+
+	core.dispatch.recordShared(service);
+	if (run) {
+		run.duration = load.relativeDuration;
+	}
+};
+
+/** Records the time until an engine began to answer. */
+const recordHeadTime = (core: GatewayCore, {caller}: CallerRequest, {endpoint, status, headMs}: RecordedAnswer): void => {
+	if (caller.model === undefined || status !== okStatus) {
+		return;
+	}
+
+	core.firstByteTimes.record(caller.model, caller.promptTokens, headMs);
+	core.tracker.recordStartDelay(endpoint.id, headMs - (core.firstByteTimes.getPrefillMsPerToken(caller.model) * caller.promptTokens));
+};
+
+/** An answer to the request: its decoded head, the endpoint that it was received from, and the time from sending the request to the head, ms. */
+export type RecordedAnswer = ClaimedEndpoint & {use: EndpointRequest; run: DispatchRun | undefined; status: number; headMs: number; head: AnswerHeaders};
 
-/** Records the head of an answer to the request. The limit, backoff and leaving state are ignored if it comes from another endpoint. */
-export const recordAnswerHead = (core: GatewayCore, request: CallerRequest, {endpoint, grantedAt, use, status}: AnswerSource, head: AnswerHeaders): void => {
-	core.tracker.recordLoad(endpoint.id, head.load);
+/** Records the head of an answer to the request. What it says of its sender is ignored if that is another endpoint than the addressed one. */
+export const recordAnswerHead = (core: GatewayCore, request: CallerRequest, answer: RecordedAnswer): void => {
+	const {endpoint, grantedAt, use, status, head} = answer;
+	recordHeadTime(core, request, answer);
 	if (!isDifferentEndpoint(endpoint, head)) {
+		recordLoad(core, request, answer);
 		logLimitChange(core, request, endpoint.id, head);
 		core.limiter.recordReportedLimit(endpoint, head.limit, grantedAt);
 		recordBackoff(core, request, endpoint, status, head);
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -3,7 +3,6 @@
  */
 
 import {RunEventKind} from 'mastvalve-dispatch';
-import type {FleetEndpoint} from 'mastvalve-fleet';
 import type {GatewayCore} from '../server/gateway-core.js';
 import {ExchangeKind} from '../upstream/exchange.js';
 import {bindReturningStream} from './bind-stream.js';
@@ -16,8 +15,6 @@
 import {handleAnswer} from './handle-answer.js';
 import {hasTimeForSwap} from './wait-for-endpoint.js';
 
-const okStatus = 200;
-
 /** Serves a request; resolves when the reply has ended, to whether the request may have run. */
 export const serveRequest = async (core: GatewayCore, request: CallerRequest, reply: Reply): Promise<boolean> => {
 	const {caller} = request;
@@ -59,10 +56,9 @@
 	const outcome = await sendAttempt(core, request, attempt, progress);
 	core.observer.recordAttempt(outcome.kind);
 	if (outcome.kind === ExchangeKind.Answered) {
-		recordHeadTime(core, request, endpoint, outcome.res.statusCode ?? 0, core.clock.now() - sentAt);
 		progress.sentCount += 1;
 		const isOver = await handleAnswer(core, request, reply, progress, {
-			endpoint, grantedAt, outcome, use, run, knownCrashes,
+			endpoint, grantedAt, outcome, headMs: core.clock.now() - sentAt, use, run, knownCrashes,
 		});
 		use.end();
 		run?.end(RunEventKind.Cancelled);
@@ -94,13 +90,3 @@
 	});
 	return failUnlessRetryable(core, request, reply, progress, outcome.reason);
 };
-
-/** Records the time until an engine began to answer. */
-const recordHeadTime = (core: GatewayCore, {caller}: CallerRequest, {id}: FleetEndpoint, status: number, headMs: number): void => {
-	if (caller.model === undefined || status !== okStatus) {
-		return;
-	}
-
-	core.firstByteTimes.record(caller.model, caller.promptTokens, headMs);
-	core.tracker.recordStartDelay(id, headMs - (core.firstByteTimes.getPrefillMsPerToken(caller.model) * caller.promptTokens));
-};
