Sidecars open a connection for each request to their endpoint

The sidecar kept connections to its endpoint, whose answers need not echo an id, so a surplus answer was taken for the answer to the next request. What callers would have seen: a refusal "not run" of a request that runs, or another caller's body.

Before: of four requests to an engine that answers twice, the second was refused although it ran and the fourth got the body of the third ("engine-refused engine-refused 3 3"); the new scenario of broken-answers.feature failed. After: "engine-refused 2 3 4". features and the packages sidecar, entry, fakes and mastvalve: 31 passed, 0 failed. What the connections cost was not measured.

--- a/packages/mastvalve-sidecar/__tests__/broken-answers.feature
+++ b/packages/mastvalve-sidecar/__tests__/broken-answers.feature
@@ -15,3 +15,9 @@
       | nothing, then resets at once              | broken off |
       | a length, then closes before it           | broken off |
       | chunks, then closes before the last chunk | broken off |
+
+  # Guards against a refusal or a body that reaches the caller of the next request: an endpoint had answered twice on a kept connection.
+  Scenario: The surplus answer of an engine is not taken for the answer to the next request
+    Given an endpoint that sends each answer once more in the place of the next one on its connection
+    When a sidecar hands 4 numbered requests to that engine, one after the other
+    Then the requests get "engine-refused 2 3 4"
--- a/packages/mastvalve-sidecar/__tests__/broken-answers.steps.ts
+++ b/packages/mastvalve-sidecar/__tests__/broken-answers.steps.ts
@@ -3,7 +3,7 @@
  */
 
 import {strict as assert} from 'node:assert';
-import {Agent} from 'node:http';
+import type {Agent} from 'node:http';
 import {
 	createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
@@ -12,7 +12,7 @@
 } from '@cucumber/cucumber';
 import {assumeType, collectText, waitFor} from 'mastvalve-utils';
 import {resetConnection} from '../../../features/support/reset-connection.js';
-import {dispatchRequest} from '../src/server/dispatch.js';
+import {createDispatchAgent, dispatchRequest} from '../src/server/dispatch.js';
 
 type BrokenWorld = World & {brokenServer: Server; brokenAgent: Agent; bodies: string[]};
 
@@ -69,7 +69,7 @@
 
 When('a sidecar hands {int} requests to it, one after the other', async function (this: BrokenWorld, count: number) {
 	const {port} = assumeType<AddressInfo>(this.brokenServer.address());
-	this.brokenAgent = new Agent({keepAlive: true});
+	this.brokenAgent = createDispatchAgent(1);
 	this.bodies = await Array.from({length: count}).reduce<Promise<string[]>>(async before => {
 		const bodies = await before;
 		const answer = await dispatchRequest({
@@ -84,3 +84,37 @@
 Then('each body is {string}', function (this: BrokenWorld, result: string) {
 	assert.deepEqual([...new Set(this.bodies)], [result === 'whole' ? body : result]);
 });
+
+Given('an endpoint that sends each answer once more in the place of the next one on its connection', async function (this: BrokenWorld) {
+	this.brokenServer = createServer(socket => {
+		let surplus = '';
+		socket.on('error', () => undefined);
+		socket.on('data', data => {
+			const number = /x-number: (?<number>\d+)/v.exec(data.toString())?.groups?.number ?? '';
+			const answer = number === '1' ? 'HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n' : `${head('content-length: 1\r\n')}${number}`;
+			socket.write(surplus + answer);
+			surplus = answer;
+		});
+	});
+	await new Promise<void>(resolve => {
+		this.brokenServer.listen(0, '127.0.0.1', resolve);
+	});
+});
+
+When('a sidecar hands {int} numbered requests to that engine, one after the other', async function (this: BrokenWorld, count: number) {
+	const {port} = assumeType<AddressInfo>(this.brokenServer.address());
+	this.brokenAgent = createDispatchAgent(1);
+	this.bodies = await Array.from({length: count}, (_, index) => String(index + 1)).reduce<Promise<string[]>>(async (before, number) => {
+		const bodies = await before;
+		const answer = await dispatchRequest({
+			url: `http://127.0.0.1:${port}/loans`, method: 'POST', headers: {'x-number': number}, body: new Uint8Array(), signal: AbortSignal.timeout(timeLimitMs), isEngine: true,
+		}, this.brokenAgent);
+		const text = answer.isOk() ? await collectText(answer.value.body) : answer.error.code;
+		await waitFor(pauseMs);
+		return [...bodies, text];
+	}, Promise.resolve([]));
+});
+
+Then('the requests get {string}', function (this: BrokenWorld, bodies: string) {
+	assert.equal(this.bodies.join(' '), bodies);
+});
--- a/packages/mastvalve-sidecar/src/server/dispatch.ts
+++ b/packages/mastvalve-sidecar/src/server/dispatch.ts
@@ -5,7 +5,7 @@
  */
 
 import {
-	request, type Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage,
+	Agent, request, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage,
 } from 'node:http';
 import {Readable} from 'node:stream';
 import {ConnectTimeoutError, Header, wasNeverSent} from 'mastvalve-http';
@@ -82,6 +82,9 @@
 	}
 }
 
+/** Creates the agent for one endpoint. Each request has a connection of its own: endpoints need not echo its id, so a surplus answer on a kept connection would be taken for the answer to the next one. */
+export const createDispatchAgent = (maxConnections: number): Agent => new Agent({keepAlive: false, maxSockets: maxConnections});
+
 /** Hands a request over. */
 export const dispatchRequest = async ({url, method, headers, body, signal, isEngine}: DispatchRequest, agent: Agent): Promise<Result<DispatchAnswer, MastvalveError>> =>
 	new Promise(resolve => {
--- a/packages/mastvalve-sidecar/src/server/start-sidecar.ts
+++ b/packages/mastvalve-sidecar/src/server/start-sidecar.ts
@@ -3,7 +3,6 @@
  */
 
 import {randomUUID} from 'node:crypto';
-import {Agent} from 'node:http';
 import {ConfigurationStore} from 'mastvalve-configuration';
 import {
 	createApp, registerGauge, startServer, UpstreamClient, type ProgramContext, type RunningServer,
@@ -17,6 +16,7 @@
 import {EngineClient} from '../engine/engine-client.js';
 import {EngineKeeper} from '../engine/engine-keeper.js';
 import {ClaimGuard} from './claim-guard.js';
+import {createDispatchAgent} from './dispatch.js';
 import {EndpointGate} from './endpoint-gate.js';
 import {EndpointReporter} from './endpoint-reporter.js';
 import {createForwardHandler} from './forward-handler.js';
@@ -38,8 +38,6 @@
 const settledPauseMs = 2000;
 const gatePauseMs = 20;
 const reportPauseMs = 250;
-/** Lifetime of an idle connection to the endpoint, ms. */
-const idleConnectionMs = 30_000;
 const joinPauseMs = 200;
 const leaveAnnounceMs = 200;
 /** Longest wait for control to record that the endpoint leaves, ms; the bound for a configuration to be in force. */
@@ -108,7 +106,7 @@
 		app.all('/forward/*', createForwardHandler({
 			context,
 			gate: this.gate,
-			agent: new Agent({keepAlive: true, maxSockets: instance.maxRunning, timeout: idleConnectionMs}),
+			agent: createDispatchAgent(instance.maxRunning),
 			endpointUrl: instance.endpointUrl,
 			endpointId: instance.name,
 			isEngine: !this.isPlain,
