Sidecars open a connection for each call to their engine's management side

Change: the connection isn't kept (pipelining 0 of the client); still one at a time, so that orders keep their sequence.

--- a/packages/mastvalve-sidecar/src/engine/engine-client.ts
+++ b/packages/mastvalve-sidecar/src/engine/engine-client.ts
@@ -11,8 +11,11 @@
 
 /** The management side of one engine. */
 export class EngineClient {
-	/** One connection: orders reach the engine in the order in which they were sent. */
-	private readonly agent = new Agent({connections: 1, pipelining: 1, connect: {timeout: 1000}});
+	/**
+	 * One connection at a time, so that orders reach the engine in the order in which they were sent, and one for each call (`pipelining` 0), so
+	 * that a surplus answer isn't taken for the answer to the next call.
+	 */
+	private readonly agent = new Agent({connections: 1, pipelining: 0, connect: {timeout: 1000}});
 
 	constructor(private readonly url: string) {}
 
