Heartbeats that go on refute the record that an endpoint has crashed

Cause: one refused connection at one entry marked the incarnation as crashed in control's record, for all entries and for good, although its heartbeats went on. A partition refuses connections too.

Change: the leader takes the record back once a heartbeat of that incarnation arrives more than 5 s after the last report that it refuses connections: later than any that was sent before it. Entries repeat such reports, once a second at most, and no longer take every broken connection to a once crashed incarnation for its crash. New command refute-crashes.

The time to a verdict was not measured.

--- a/packages/mastvalve-fleet-control/src/crash-service.ts
+++ b/packages/mastvalve-fleet-control/src/crash-service.ts
@@ -13,6 +13,8 @@
 	machine: Pick<FleetMachine, 'isCrashNews' | 'isSuccessNews'>;
 	/** Whether this instance leads, so that its state is the newest. */
 	isLeading: () => boolean;
+	/** Called with the endpoints that reports to the leader are about, whether or not they change the state. */
+	onReported: (ids: readonly string[]) => void;
 	propose: (command: FleetCommand) => Promise<Result<unknown, MastvalveError>>;
 	onEvent: (kind: string, detail: string) => void;
 };
@@ -25,7 +27,11 @@
 
 	/** Records crashes. They are acknowledged once committed: the counts must survive a change of leader. */
 	async recordCrashes(reports: CrashReport[]): Promise<Result<true, MastvalveError>> {
-		const {machine, isLeading, propose, onEvent} = this.options;
+		const {machine, isLeading, onReported, propose, onEvent} = this.options;
+		if (isLeading()) {
+			onReported(reports.map(({endpointId}) => endpointId));
+		}
+
 		const news = isLeading() ? reports.filter(report => machine.isCrashNews(report)) : reports;
 		if (news.length === 0) {
 			return ok(true);
--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -15,6 +15,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {ControlService} from './control-service.js';
 import {CrashService} from './crash-service.js';
+import {CrashVerdicts} from './crash-verdicts.js';
 import type {DemandResponse, DemandReport} from './demand-report.js';
 import {DispatchService, type DispatchRequest} from './dispatch-service.js';
 import {EngineScheduler} from './engines/engine-scheduler.js';
@@ -71,6 +72,7 @@
 	readonly dispatch: DispatchService;
 	readonly streamOrigins: StreamOriginService;
 	private readonly liveness = new Liveness();
+	private readonly crashVerdicts = new CrashVerdicts();
 	private readonly maintenance: FleetMaintenance;
 	private readonly followers: FollowService;
 	private readonly shutdown = new AbortController();
@@ -111,7 +113,13 @@
 			machine, readTerm: () => (group.isLeading ? group.leadingTerm : undefined), now: () => options.clock.now(), wall: () => options.clock.wall(),
 		});
 		this.crashes = new CrashService({
-			machine, isLeading: () => group.isLeading, propose: async command => this.propose(command), onEvent: options.onEvent,
+			machine,
+			isLeading: () => group.isLeading,
+			onReported: ids => {
+				this.crashVerdicts.recordReports(ids, options.clock.now());
+			},
+			propose: async command => this.propose(command),
+			onEvent: options.onEvent,
 		});
 		this.limitPublisher = new LimitPublisher({
 			listChanged: () => this.limits.listChanged(),
@@ -130,6 +138,7 @@
 			group,
 			machine,
 			liveness: this.liveness,
+			crashVerdicts: this.crashVerdicts,
 			clock: options.clock,
 			heartbeatMs: options.heartbeatMs,
 			propose: async command => this.propose(command),
@@ -163,7 +172,7 @@
 			['/crashes', async body => this.crashes.recordCrashes(assumeType<CrashReport[]>(body))],
 			['/successes', async body => this.crashes.recordSuccesses(assumeType<SuccessReport[]>(body))],
 			['/heard', async body => {
-				this.liveness.recordHeartbeats(assumeType<string[]>(body), this.options.clock.now());
+				this.recordHeartbeats(assumeType<string[]>(body));
 				return ok(true);
 			}],
 		];
@@ -230,7 +239,7 @@
 			return err(new UnknownEndpointError(report.id));
 		}
 
-		this.liveness.recordHeartbeats([report.id], this.options.clock.now());
+		this.recordHeartbeats([report.id]);
 		if (this.group.isCurrent && !this.machine.changesState(report)) {
 			return ok(true);
 		}
@@ -246,6 +255,12 @@
 		return result.map(() => true as const);
 	}
 
+	private recordHeartbeats(ids: readonly string[]): void {
+		const now = this.options.clock.now();
+		this.liveness.recordHeartbeats(ids, now);
+		this.crashVerdicts.recordHeartbeats(ids, now);
+	}
+
 	/** Records the limits of endpoints and the grants to workspaces that are due. */
 	private async recordLimits(): Promise<void> {
 		await Promise.all([this.limitPublisher.publish(), this.limits.recordGrants()]);
--- a/packages/mastvalve-fleet-control/src/fleet-maintenance.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-maintenance.ts
@@ -1,6 +1,6 @@
 /**
- * Periodic tasks of a control instance: the leader marks silent endpoints, forgets old ones, begins and ends quarantines
- * and records limits; other instances forward the heartbeats that they receive to the leader.
+ * Periodic tasks of a control instance: the leader marks silent endpoints, forgets old ones, reverts crashes that heartbeats
+ * refute, begins and ends quarantines and records limits; other instances forward the heartbeats that they receive to the leader.
  */
 
 import type {ControlGroup} from 'mastvalve-cluster';
@@ -10,6 +10,7 @@
 import type {MastvalveError} from 'mastvalve-types';
 import type {Clock} from 'mastvalve-utils';
 import type {Result} from 'neverthrow';
+import type {CrashVerdicts} from './crash-verdicts.js';
 import type {Liveness, LivenessTimes} from './liveness.js';
 import {ElapsedTimes} from './elapsed-times.js';
 
@@ -18,6 +19,7 @@
 	machine: FleetMachine;
 	/** Times of heartbeats received by this instance or forwarded to it. */
 	liveness: Liveness;
+	crashVerdicts: CrashVerdicts;
 	clock: Clock;
 	/** Time between two heartbeats of an endpoint, ms. */
 	heartbeatMs: number;
@@ -44,7 +46,7 @@
 
 	/** Runs each task once. */
 	async runRound(): Promise<void> {
-		const {group, liveness, publishLimits} = this.options;
+		const {group, liveness, crashVerdicts, publishLimits} = this.options;
 		if (!group.isLeading) {
 			this.wasLeading = false;
 			await this.forwardHeartbeats();
@@ -54,12 +56,14 @@
 		if (!this.wasLeading) {
 			this.wasLeading = true;
 			liveness.reset();
+			crashVerdicts.reset();
 			this.quarantineTimes.reset();
 			this.dueTimes.reset();
 			this.probationTimes.reset();
 		}
 
 		await publishLimits();
+		await this.refuteCrashes();
 		await this.markSilent();
 		await this.quarantineDue();
 		await this.beginProbations();
@@ -67,6 +71,15 @@
 		await this.forgetExpired();
 	}
 
+	private async refuteCrashes(): Promise<void> {
+		const {machine, crashVerdicts, clock, propose, onEvent} = this.options;
+		const ids = crashVerdicts.listRefuted(machine.listCrashed(), clock.now());
+		if (ids.length > 0) {
+			await propose({kind: FleetCommandKind.RefuteCrashes, ids});
+			onEvent('endpoint.crash-refuted', `heartbeats go on after the last refused connection: ${ids.join(', ')}`);
+		}
+	}
+
 	private async markSilent(): Promise<void> {
 		const {machine, liveness, clock, propose, onEvent} = this.options;
 		const ids = liveness.listSilent(machine.list(), clock.now(), this.times);
--- a/packages/mastvalve-fleet-control/src/index.ts
+++ b/packages/mastvalve-fleet-control/src/index.ts
@@ -3,6 +3,7 @@
  */
 
 export * from './control-node.js';
+export * from './crash-verdicts.js';
 export type * from './control-service.js';
 export * from './fleet-control.js';
 export * from './forwarded-control.js';
--- a/packages/mastvalve-fleet/src/state/endpoint-registry.ts
+++ b/packages/mastvalve-fleet/src/state/endpoint-registry.ts
@@ -102,7 +102,7 @@
 			.some(Boolean);
 	}
 
-	/** Marks endpoints at whose addresses nobody listens. A late heartbeat doesn't revert that, since only the next incarnation can answer there. */
+	/** Marks endpoints at whose addresses nobody listens. A heartbeat doesn't revert that, since it may have been sent before. */
 	markCrashed(ids: readonly string[], index: number): boolean {
 		return ids
 			.flatMap(id => this.store.find(id) ?? [])
@@ -111,6 +111,15 @@
 			.some(Boolean);
 	}
 
+	/** Reverts the marks of endpoints that have turned out to be alive. */
+	refuteCrashes(ids: readonly string[], index: number): boolean {
+		return ids
+			.flatMap(id => this.store.find(id) ?? [])
+			.filter(({phase, hasCrashed}) => phase !== EndpointPhase.Gone && hasCrashed === true)
+			.map(({hasCrashed: _, ...endpoint}) => this.replace({...endpoint, revision: index}, index))
+			.some(Boolean);
+	}
+
 	/**
 	 * Forgets endpoints that are gone, and marks others as gone. Followers that have read the end hold nothing obsolete, so nothing is
 	 * sent to them again.
--- a/packages/mastvalve-fleet/src/state/fleet-command.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-command.ts
@@ -16,6 +16,7 @@
 	RecordHoldings = 'record-holdings',
 	ClaimOrders = 'claim-orders',
 	RecordCrashes = 'record-crashes',
+	RefuteCrashes = 'refute-crashes',
 	RecordSuccesses = 'record-successes',
 	QuarantineDue = 'quarantine-due',
 	BeginProbation = 'begin-probation',
@@ -55,6 +56,8 @@
 		| {kind: FleetCommandKind.RecordHoldings; holdings: Holdings}
 		| {kind: FleetCommandKind.ClaimOrders; holder: string}
 		| {kind: FleetCommandKind.RecordCrashes; reports: CrashReport[]}
+		/** Endpoints that have sent heartbeats since they were recorded as crashed. */
+		| {kind: FleetCommandKind.RefuteCrashes; ids: string[]}
 		| {kind: FleetCommandKind.RecordSuccesses; reports: SuccessReport[]}
 		| {kind: FleetCommandKind.QuarantineDue; fingerprints: string[]}
 		| {kind: FleetCommandKind.BeginProbation; fingerprints: string[]}
--- a/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-endpoint.ts
@@ -55,7 +55,7 @@
 	isOrdering: boolean;
 	/** Requests per second that it accepts from all entries together; missing without a limit, and in snapshots of earlier versions. */
 	limitPerSecond?: number;
-	/** Whether an entry has found that nobody listens at its address; a successor may answer there before it registers. Missing until then, and in snapshots of earlier versions. */
+	/** Whether an entry has found that nobody listens at its address; a successor may answer there before it registers. Missing until then, after heartbeats that refute it, and in snapshots of earlier versions. */
 	hasCrashed?: boolean;
 	/** Log index of the last record of orders; 0 if there was none. */
 	orderedAt: number;
--- a/packages/mastvalve-fleet/src/state/fleet-machine.ts
+++ b/packages/mastvalve-fleet/src/state/fleet-machine.ts
@@ -14,7 +14,7 @@
 import type {FeedPosition} from './change-feed.js';
 import {EndpointRegistry} from './endpoint-registry.js';
 import {FleetCommandKind, type FleetCommand, type RecordedGrants} from './fleet-command.js';
-import type {EndpointReport, FleetEndpoint} from './fleet-endpoint.js';
+import {EndpointPhase, type EndpointReport, type FleetEndpoint} from './fleet-endpoint.js';
 import type {FleetCursor, FleetUpdate} from './fleet-update.js';
 
 /** The state as plain data. */
@@ -79,6 +79,11 @@
 		return hasContents || this.endpoints.find(endpointId)?.hasCrashed !== true;
 	}
 
+	/** Returns the ids of endpoints that are recorded as crashed and have no known successor. */
+	listCrashed(): string[] {
+		return this.endpoints.list().filter(({hasCrashed, phase}) => hasCrashed === true && phase !== EndpointPhase.Gone).map(({id}) => id);
+	}
+
 	/** Whether a report of requests that were answered would change the state; only then it goes through the log. */
 	isSuccessNews(report: SuccessReport): boolean {
 		return this.crashes.isNews(report);
@@ -207,6 +212,10 @@
 				return this.recordCrashes(command.reports, index);
 			}
 
+			case FleetCommandKind.RefuteCrashes: {
+				return this.updateRevision(this.endpoints.refuteCrashes(command.ids, index), index);
+			}
+
 			case FleetCommandKind.RecordSuccesses: {
 				return this.recordSuccesses(command.reports, index);
 			}
--- a/packages/mastvalve-gateway/__tests__/streams-over-releases.feature
+++ b/packages/mastvalve-gateway/__tests__/streams-over-releases.feature
@@ -62,6 +62,14 @@
     When 24 callers begin streams at entry 0, endpoint 0 crashes and answers with "v2" before it registers, and the callers return to entry 1
     Then none of these streams has events of two releases
 
+  # Guards against endpoints that go on with no stream until they restart: one refused connection had marked them as crashed, for all entries.
+  Scenario: Streams go on at an endpoint that refused connections for a while and whose heartbeats go on
+    Given 3 entries that follow control
+    And 1 reporting endpoint of release "v1" and 1 of release "v2" that break new streams after 2 events
+    When endpoint 0 refuses connections until all entries have heard of it, and sends heartbeats for 6500 ms
+    And 12 callers begin streams at entry 0, and return to entry 1 after the events that they have
+    Then each of these streams goes on with events of its release
+
   # Guards against a stream that is taken for one of its endpoint's release, although a successor with another release began it.
   Scenario: A stream that the successor of a crashed endpoint began isn't taken up
     Given 3 entries that follow control
--- a/packages/mastvalve-gateway/__tests__/streams-over-releases.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/streams-over-releases.steps.ts
@@ -27,6 +27,8 @@
 
 type ReportingEndpoint = {
 	release: string;
+	/** Sends a heartbeat of the first process. */
+	report: (index: number, sequence: number) => Promise<void>;
 	/** Replaces the process by one of another release, which registers. */
 	restart: (index: number, release: string) => Promise<void>;
 	/** Replaces the process, once `onEnded` has resolved, by one of another release, which doesn't register. */
@@ -126,9 +128,9 @@
 		}
 	});
 	releaseEndpoints.push(endpoint);
-	const report = async (index: number, startedAt: number): Promise<void> => {
+	const report = async (index: number, startedAt: number, sequence = 1): Promise<void> => {
 		const reported = await following.single.control.report({
-			id: formatIncarnation({name: `engine-${index}`, startedAt}), sequence: 1, service: 's', address: endpoint.address, failureDomain: 'a', release: process.release, slots: 64, isLeaving: false, remainingMs: undefined, holds: [], inMemory: [], onDisk: [],
+			id: formatIncarnation({name: `engine-${index}`, startedAt}), sequence, service: 's', address: endpoint.address, failureDomain: 'a', release: process.release, slots: 64, isLeaving: false, remainingMs: undefined, holds: [], inMemory: [], onDisk: [],
 		});
 		reported._unsafeUnwrap();
 	};
@@ -136,6 +138,7 @@
 	await report(releaseEndpoints.length - 1, firstStartAt);
 	releasesByEndpoint.push({
 		release,
+		report: async (index, sequence) => report(index, firstStartAt, sequence),
 		async restart(index, next) {
 			process.release = next;
 			// Clearly after the streams began, so that their beginnings aren't ambiguous.
@@ -151,7 +154,7 @@
 	});
 };
 
-Given('{int} reporting endpoints of release {string} and {int} of release {string} that break new streams after {int} events', async function (this: ReleaseWorld, count: number, release: string, otherCount: number, other: string, last: number) {
+Given('{int} reporting endpoint(s) of release {string} and {int} of release {string} that break new streams after {int} events', async function (this: ReleaseWorld, count: number, release: string, otherCount: number, other: string, last: number) {
 	const releases = [...Array.from({length: count}, () => release), ...Array.from({length: otherCount}, () => other)];
 	await releases.reduce<Promise<void>>(async (before, each) => {
 		await before;
@@ -251,6 +254,17 @@
 	});
 };
 
+const heartbeatMs = 500;
+
+When('endpoint {int} refuses connections until all entries have heard of it, and sends heartbeats for {int} ms', {timeout: 20_000}, async function (this: ReleaseWorld, index: number, ms: number) {
+	await crashEndpoint(this, index, this.releasesByEndpoint[index]!.release);
+	await Array.from({length: Math.ceil(ms / heartbeatMs)}).reduce<Promise<void>>(async (before, _, count) => {
+		await before;
+		await this.releasesByEndpoint[index]!.report(index, count + 2);
+		await waitFor(heartbeatMs);
+	}, Promise.resolve());
+});
+
 When('{int} callers begin streams at entry 0, endpoint {int} crashes and answers with {string} before it registers, and the callers return to entry {int}', async function (this: ReleaseWorld, count: number, index: number, release: string, entry: number) {
 	const begun = await beginStreams(this, count);
 	await crashEndpoint(this, index, release);
--- a/packages/mastvalve-gateway/src/quarantine/crash-detector.ts
+++ b/packages/mastvalve-gateway/src/quarantine/crash-detector.ts
@@ -41,10 +41,21 @@
 const collectionWindowMs = 15;
 /** Time after which an endpoint that control still lists did not crash when its connections broke, ms: a crashed one misses a heartbeat or two, or its next incarnation starts after some seconds. */
 const undecidedTtlMs = 15_000;
+/** Time after a crash within which connections to that incarnation break because of it, ms; by then its successor may listen. */
+const crashBreakMs = 5000;
+/** Shortest time between two reports that the same endpoint refuses connections, ms. */
+const refusalReportIntervalMs = 1000;
 /** Maximum number of endpoints with recently broken connections. */
 const maxUndecided = 256;
 
-type BrokenEndpoint = {endpoint: FleetEndpoint; contents: BrokenRequest[]; isCrashed: boolean; isCollecting: boolean; brokenAt: number};
+type BrokenEndpoint = {
+	endpoint: FleetEndpoint;
+	contents: BrokenRequest[];
+	/** When its crash was reported, ms; undefined if it wasn't. */
+	crashedAt: number | undefined;
+	isCollecting: boolean;
+	brokenAt: number;
+};
 
 /** Counts requests by their fingerprints and by those of the parts of their prompts. */
 const countContents = (contents: readonly BrokenRequest[]): Map<string, InFlightCount> =>
@@ -58,8 +69,8 @@
 
 export class CrashDetector {
 	private readonly broken = new BoundedMap<string, BrokenEndpoint>(maxUndecided);
-	/** Endpoints that refused a connection. */
-	private readonly refused = new BoundedMap<string, true>(maxUndecided);
+	/** When endpoints that refused a connection were last reported, ms. */
+	private readonly refused = new BoundedMap<string, number>(maxUndecided);
 
 	constructor(private readonly options: CrashDetectorOptions) {}
 
@@ -75,11 +86,15 @@
 		}
 	}
 
-	/** Records that nobody listened when a request was to be sent, so that others learn of the crash. What broke off there earlier isn't suspected of it. */
+	/**
+	 * Records that nobody listened when a request was to be sent, so that others learn of the crash. What broke off there earlier isn't suspected of
+	 * it. Reported again after a while: control reverts the record when heartbeats go on after the last report.
+	 */
 	recordRefusedConnection({id}: FleetEndpoint): void {
-		const isReported = this.refused.get(id) ?? this.broken.get(id)?.isCrashed ?? false;
-		if (!isReported) {
-			this.refused.set(id, true);
+		const now = this.options.now();
+		const reportedAt = Math.max(this.refused.get(id) ?? Number.NEGATIVE_INFINITY, this.broken.get(id)?.crashedAt ?? Number.NEGATIVE_INFINITY);
+		if (now - reportedAt >= refusalReportIntervalMs) {
+			this.refused.set(id, now);
 			this.options.onCrash({endpointId: id, requests: [], inFlight: new Map()});
 		}
 	}
@@ -93,9 +108,9 @@
 	reviewUndecided(): void {
 		const {now, isAlive} = this.options;
 		this.broken.list().forEach(([id, broken]) => {
-			if (!broken.isCrashed && now() - broken.brokenAt > undecidedTtlMs) {
+			if (now() - broken.brokenAt > undecidedTtlMs) {
 				this.broken.delete(id);
-			} else if (!broken.isCrashed && !isAlive(id)) {
+			} else if (broken.crashedAt === undefined && !isAlive(id)) {
 				this.reportCrash(broken);
 			}
 		});
@@ -104,7 +119,7 @@
 	private getOrCreate(endpoint: FleetEndpoint): BrokenEndpoint {
 		const known = this.broken.get(endpoint.id);
 		const broken = known ?? {
-			endpoint, contents: [], isCrashed: false, isCollecting: false, brokenAt: 0,
+			endpoint, contents: [], crashedAt: undefined, isCollecting: false, brokenAt: 0,
 		};
 		broken.brokenAt = this.options.now();
 		this.broken.set(endpoint.id, broken);
@@ -112,7 +127,8 @@
 	}
 
 	private async decide(broken: BrokenEndpoint): Promise<void> {
-		const state = broken.isCrashed ? ListenerState.NotListening : await this.options.probe(broken.endpoint.address);
+		const hasJustCrashed = broken.crashedAt !== undefined && this.options.now() - broken.crashedAt < crashBreakMs;
+		const state = hasJustCrashed ? ListenerState.NotListening : await this.options.probe(broken.endpoint.address);
 		broken.isCollecting = false;
 		if (state === ListenerState.NotListening) {
 			this.reportCrash(broken);
@@ -120,7 +136,7 @@
 	}
 
 	private reportCrash(broken: BrokenEndpoint): void {
-		broken.isCrashed = true;
+		broken.crashedAt = this.options.now();
 		this.options.onCrash({
 			endpointId: broken.endpoint.id, requests: [...new Set(broken.contents.map(({fingerprint}) => fingerprint))], inFlight: countContents(broken.contents),
 		});
