A stream that ends with the end of an endpoint that leaves doesn't look complete

Cause: verifyEnd asked whether the endpoint's process still listens only if it was expected to stay, since one that leaves may end right after its last whole answer. One that is taken away ends whatever it runs.

Ruled out: an end inside an event and a reset are recognised as before (broken-streams.feature).

Two examples that demanded "complete" for a stream whose endpoint had said that it leaves contradicted the rule that an answer that ends early must not look complete; they demand "broken off" now, and three more examples hold the other side (listens on: complete) and other bodies.

--- a/packages/mastvalve-gateway/__tests__/broken-streams.feature
+++ b/packages/mastvalve-gateway/__tests__/broken-streams.feature
@@ -42,9 +42,23 @@
     Examples:
       | endpoint                                      | result     |
       | listens on                                    | complete   |
+      | listens on, as it said it would not           | complete   |
       | listens no more                               | broken off |
-      | listens no more, as it said it would          | complete   |
-      | listens no more, and control lists it no more | complete   |
+      | listens no more, as it said it would          | broken off |
+      | listens no more, and control lists it no more | broken off |
+
+  # Guards against the same with other bodies; endpoints that are expected to stay aren't asked about these.
+  Scenario Outline: A body that nothing frames is <result> when its endpoint <endpoint>
+    Given an endpoint that sends 2 lines with nothing framing them, closes the connection and "<endpoint>"
+    When a caller requests its stream on the route "unsafe"
+    Then the caller's stream is "<result>"
+
+    Examples:
+      | endpoint                                      | result     |
+      | listens on                                    | complete   |
+      | listens on, as it said it would not           | complete   |
+      | listens no more, as it said it would          | broken off |
+      | listens no more, and control lists it no more | broken off |
 
   Scenario: A stream without a single event that nothing frames is broken off
     Given an endpoint that sends 0 events with nothing framing them, closes the connection and "listens on"
--- a/packages/mastvalve-gateway/__tests__/broken-streams.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/broken-streams.steps.ts
@@ -253,10 +253,17 @@
 	assert.deepEqual(this.streamResults.flatMap(({isWhole}, index) => (isWhole ? [] : [titleOf(this, index)])), []);
 });
 
-Given('an endpoint that sends {int} events with nothing framing them, closes the connection and {string}', async function (this: StreamWorld, count: number, fate: string) {
-	const body = 'data: a\n\n'.repeat(count);
+/** Units of bodies that nothing frames, with their content types. */
+const unframedUnits: Record<string, {text: string; contentType: string}> = {
+	events: {text: 'data: a\n\n', contentType: 'text/event-stream'},
+	lines: {text: 'a line\n', contentType: 'text/plain'},
+};
+
+Given('an endpoint that sends {int} {word} with nothing framing them, closes the connection and {string}', async function (this: StreamWorld, count: number, unit: string, fate: string) {
+	const {text: unitText, contentType} = unframedUnits[unit]!;
+	const body = unitText.repeat(count);
 	const endpoint = await startScriptedEndpoint((socket, text) => {
-		if (fate !== 'listens on') {
+		if (!fate.startsWith('listens on')) {
 			endpoint.stopListening();
 		}
 
@@ -264,8 +271,8 @@
 			this.streamRun.setEndpoints([]);
 		}
 
-		const leaving = fate.endsWith('as it said it would') ? 'x-leaving: 1\r\n' : '';
-		socket.end(`HTTP/1.1 200 OK\r\nx-id: ${idOf(text)}\r\ncontent-type: text/event-stream\r\n${leaving}\r\n${body}`);
+		const leaving = /as it said it would(?: not)?$/v.test(fate) ? 'x-leaving: 1\r\n' : '';
+		socket.end(`HTTP/1.1 200 OK\r\nx-id: ${idOf(text)}\r\ncontent-type: ${contentType}\r\n${leaving}\r\n${body}`);
 	});
 	this.streamEndpoints.push(endpoint);
 });
