A repeated signal while a program drains changes nothing

Cause: the platform's program handled SIGTERM once and left the default action to the next one; our own programs ended at once on a second signal by design, unless it came within 300 ms.

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -68,6 +68,13 @@
     When an entry, a sidecar and the leader are stopped as planned while chats stream
     Then all those chats are whole and every stopped program ended with code 0
 
+  # Guards against requests that are cut off by a repeated signal: it ended the program at once.
+  Scenario: A stop that is signalled several times cuts nothing
+    Given the small deployment runs with its intent confirmed
+    When an entry, a sidecar and the leader are stopped by three signals each while chats stream
+    Then all those chats are whole and every stopped program ended with code 0
+
+
   Scenario: An endpoint that the platform's list shows as leaving gets nothing new
     Given the small deployment runs with its intent confirmed
     When the platform's list shows "engine-1" as leaving
--- a/features/steps/stop.steps.ts
+++ b/features/steps/stop.steps.ts
@@ -4,7 +4,7 @@
 
 import {strict as assert} from 'node:assert';
 import {Then, When} from '@cucumber/cucumber';
-import {assumeType} from 'mastvalve-utils';
+import {assumeType, waitFor} from 'mastvalve-utils';
 import {
 	expectChat, expectWholeChats, streamChat, type Chat,
 } from '../support/callers.js';
@@ -12,8 +12,11 @@
 import {readMetric} from '../support/control-instances.js';
 import type {ScenarioWorld} from '../support/world.js';
 
-When('an entry, a sidecar and the leader are stopped as planned while chats stream', async function (this: ScenarioWorld) {
-	const {running} = this;
+/** Time between two signals of one stop, ms. */
+const signalGapMs = 350;
+
+/** Stops programs while chats stream; each gets the signal several times. */
+const stopWhileChatsStream = async ({running, notes}: ScenarioWorld, signals: number): Promise<void> => {
 	const {instance: leader} = await running.readStatus();
 	const stopped = ['entry-1', 'engine-1', leader];
 	const begun = new Set<number>();
@@ -26,11 +29,23 @@
 		},
 	}));
 	await waitUntil('all chats have begun', async () => begun.size === chats.length);
-	stopped.forEach(name => {
-		running.child(name).signal('SIGTERM');
-	});
-	this.notes.set('chats', await Promise.all(chats));
-	this.notes.set('ends', await Promise.all(stopped.map(async name => running.child(name).waitForEnd())));
+	await Array.from({length: signals}).reduce<Promise<void>>(async (before, _, index) => {
+		await before;
+		await waitFor(index === 0 ? 0 : signalGapMs);
+		stopped.forEach(name => {
+			running.child(name).signal('SIGTERM');
+		});
+	}, Promise.resolve());
+	notes.set('chats', await Promise.all(chats));
+	notes.set('ends', await Promise.all(stopped.map(async name => running.child(name).waitForEnd())));
+};
+
+When('an entry, a sidecar and the leader are stopped as planned while chats stream', async function (this: ScenarioWorld) {
+	await stopWhileChatsStream(this, 1);
+});
+
+When('an entry, a sidecar and the leader are stopped by three signals each while chats stream', async function (this: ScenarioWorld) {
+	await stopWhileChatsStream(this, 3);
 });
 
 Then('all those chats are whole and every stopped program ended with code 0', function (this: ScenarioWorld) {
