--- a/packages/mastvalve-gateway/src/index.ts
+++ b/packages/mastvalve-gateway/src/index.ts
@@ -18,6 +18,7 @@
 export * from './quarantine/control-reporter.js';
 export * from './quarantine/crash-detector.js';
 export * from './quarantine/probe-listener.js';
+export type * from './quarantine/request-content.js';
 export * from './quarantine/request-quarantine.js';
 export * from './requests/caller-request.js';
 export * from './requests/capacity-waiters.js';
--- a/packages/mastvalve-gateway/src/quarantine/crash-detector.ts
+++ b/packages/mastvalve-gateway/src/quarantine/crash-detector.ts
@@ -8,7 +8,7 @@
 import type {FleetEndpoint} from 'mastvalve-fleet';
 import {BoundedMap} from 'mastvalve-utils';
 import {ListenerState} from './probe-listener.js';
-import type {QuarantinedContent} from './request-quarantine.js';
+import type {InFlightCount, QuarantinedContent} from './request-content.js';
 
 export type CrashDetectorOptions = {
 	/** Monotonic clock, ms. */
@@ -28,9 +28,6 @@
 	inFlight: Map<string, InFlightCount>;
 };
 
-/** Number of requests, and of those whose answer had begun and had no complete event yet. */
-export type InFlightCount = {requests: number; beginnings: number};
-
 /** A request whose connection broke. */
 export type BrokenRequest = QuarantinedContent & {
 	/** Whether its answer had begun and had no complete event yet. */
--- a/packages/mastvalve-gateway/src/quarantine/request-quarantine.ts
+++ b/packages/mastvalve-gateway/src/quarantine/request-quarantine.ts
@@ -11,7 +11,7 @@
 	crashLimit, CrashHistory, isPartFingerprint, quarantineMs, reachesCrashLimit, type CrashReport, type QuarantineChange, type SuccessReport,
 } from 'mastvalve-fleet';
 import {BoundedMap} from 'mastvalve-utils';
-import type {InFlightCount} from './crash-detector.js';
+import type {InFlightCount, QuarantinedContent} from './request-content.js';
 import {AnsweredContents, type AnsweredContent, type CrashMark} from './answered-content.js';
 import {SilentCrashes} from './silent-crashes.js';
 
@@ -28,12 +28,6 @@
 	listSuspicions: () => QuarantineChange[];
 };
 
-/** What a request may be quarantined for. */
-export type QuarantinedContent = {
-	fingerprint: string;
-	partFingerprints: readonly string[];
-};
-
 /** Why a request is refused, and how much longer, ms. */
 export type Quarantined = {fingerprint: string; remainingMs: number};
 
