An instance joins its log after its disk has rejected the record of it

What happens: a control instance whose disk is full when it records the log that it joins or creates stays without it for good while its process lives, since the rejected write ended its control loop.

Cause: recordCluster rejects, nothing catches that before `void node.run()`.

Change: the write is retried with the next answers, as all other log writes are; the header changes after it; the file is closed.

--- a/packages/mastvalve-cluster/__tests__/control-group.feature
+++ b/packages/mastvalve-cluster/__tests__/control-group.feature
@@ -32,6 +32,12 @@
     Then it names the first of them as founder
     And after a restart it names no founder
 
+  # Guards against an instance that lives on without a log: a disk that was full when it recorded its log ended its control loop for good.
+  Scenario: An instance whose disk rejects the record of its log joins it once the disk takes it
+    Given a control instance whose disk rejects the record of its log 3 times
+    Then it belongs to no log while the disk rejects the record
+    And it leads and commits changes after that
+
   Scenario: A read at the leader waits for a change whose write is in flight
     Given a control group of one instance
     Then a read succeeds while each of 50 changes is written
--- a/packages/mastvalve-cluster/__tests__/control-group.steps.ts
+++ b/packages/mastvalve-cluster/__tests__/control-group.steps.ts
@@ -30,7 +30,7 @@
 /** A member with an injected disk fault; `repair` removes the fault. */
 type FaultyDisk = {member: Member; repair: () => void};
 
-type GroupWorld = World & {faultyDisk: FaultyDisk; members: Member[]; folders: string[]; seeds: string[]; proposed: string[]; directories: DirectoryInstance[]; peerAddress: string};
+type GroupWorld = World & {faultyDisk: FaultyDisk; /** Logs that a member belonged to after each rejected record. */ rejectedLogs: Array<string | undefined>; members: Member[]; folders: string[]; seeds: string[]; proposed: string[]; directories: DirectoryInstance[]; peerAddress: string};
 
 const startDirectory = async (world: GroupWorld, address: string, isFirstStart: boolean): Promise<DirectoryInstance> => {
 	const client = new PeerClient();
@@ -52,7 +52,8 @@
 	client.close();
 };
 
-const startMember = async (world: GroupWorld, address: string, isFirstStart: boolean, voters = 5): Promise<Member> => {
+/** Starts a member; `prepare` is called before it runs. */
+const startMember = async (world: GroupWorld, address: string, isFirstStart: boolean, {voters = 5, prepare}: {voters?: number; prepare?: (group: ControlGroup) => void} = {}): Promise<Member> => {
 	const folder = await mkdtemp(join(tmpdir(), 'mastvalve-group-'));
 	world.folders.push(folder);
 	const applied: unknown[] = [];
@@ -80,6 +81,7 @@
 	});
 	const listening = await startPeerServer(address, new Map(group.handlers()), () => undefined);
 	const server = listening._unsafeUnwrap();
+	prepare?.(group);
 	void group.run();
 	return {
 		address, folder, group, applied, server, client,
@@ -118,10 +120,46 @@
 	this.proposed = [];
 	const [port] = await findFreePorts(1);
 	this.seeds = [`127.0.0.1:${port}`];
-	this.members = [await startMember(this, `127.0.0.1:${port}`, true, 1)];
+	this.members = [await startMember(this, `127.0.0.1:${port}`, true, {voters: 1})];
 	await waitUntil('it leads', async () => this.members[0]!.group.isLeading);
 });
 
+Given('a control instance whose disk rejects the record of its log {int} times', {timeout: 20_000}, async function (this: GroupWorld, times: number) {
+	this.folders = [];
+	this.proposed = [];
+	this.rejectedLogs = [];
+	const [port] = await findFreePorts(1);
+	this.seeds = [`127.0.0.1:${port}`];
+	this.members = [await startMember(this, `127.0.0.1:${port}`, true, {
+		voters: 1, prepare: group => {
+			const {journal} = assumeType<{journal: Journal}>(group);
+			const {files} = assumeType<{files: {rename: (from: string, to: string) => Promise<void>}}>(journal);
+			const rename = files.rename.bind(files);
+			files.rename = async (from, to) => {
+				if (this.rejectedLogs.length < times) {
+					setImmediate(() => {
+						this.rejectedLogs.push(journal.header.clusterId);
+					});
+					throw new Error('ENOSPC: no space left on device');
+				}
+
+				await rename(from, to);
+			};
+		},
+	})];
+	await waitUntil('the disk has rejected the record', async () => this.rejectedLogs.length === times);
+});
+
+Then('it belongs to no log while the disk rejects the record', function (this: GroupWorld) {
+	assert.deepEqual(this.rejectedLogs, this.rejectedLogs.map(() => undefined));
+});
+
+Then('it leads and commits changes after that', {timeout: 10_000}, async function (this: GroupWorld) {
+	const [member] = this.members;
+	await waitUntil('it leads', async () => member!.group.isLeading);
+	await propose(this, member!, 'after the disk recovered');
+});
+
 Then('a read succeeds while each of {int} changes is written', async function (this: GroupWorld, count: number) {
 	const {group} = this.members[0]!;
 	await Array.from({length: count}).reduce<Promise<void>>(async (before, _, index) => {
--- a/packages/mastvalve-cluster/src/membership/control-group.ts
+++ b/packages/mastvalve-cluster/src/membership/control-group.ts
@@ -18,7 +18,7 @@
 import type {ControlGroupOptions} from './control-group-options.js';
 import {groupTimes} from './group-times.js';
 import {Announcements, type Announcement} from './announcements.js';
-import {decideFormation} from './formation.js';
+import {decideFormation, type Formation} from './formation.js';
 import type {Identity} from './identity.js';
 import {LeaderProxy} from './leader-proxy.js';
 import {MembershipManager} from './membership-manager.js';
@@ -227,14 +227,24 @@
 			// eslint-disable-next-line no-await-in-loop
 			const answers = await this.identifyPeers();
 			const formation = decideFormation(this.identify(), this.options.readSeeds(), answers);
-			if (formation) {
-				// eslint-disable-next-line no-await-in-loop
-				await this.journal.recordCluster(formation.clusterId, formation.initialVoters);
-				this.options.onEvent('log.formed', `cluster ${formation.clusterId} as ${this.ownId}, initial voters ${formation.initialVoters.join(', ')}`);
-			} else {
-				// eslint-disable-next-line no-await-in-loop
-				await Promise.all([this.discovery.announce({id: this.ownId, mayBegin: this.mayBegin}), waitFor(formationRetryMs, signal)]);
-			}
+			// eslint-disable-next-line no-await-in-loop
+			await (formation ? this.recordFormation(formation) : this.announceAndWait());
+		}
+	}
+
+	private async announceAndWait(): Promise<void> {
+		await Promise.all([this.discovery.announce({id: this.ownId, mayBegin: this.mayBegin}), waitFor(formationRetryMs, this.shutdown.signal)]);
+	}
+
+	/** Records the log that this instance belongs to. A disk that rejects the record is tried again with the next answers. */
+	private async recordFormation({clusterId, initialVoters}: Formation): Promise<void> {
+		const {onEvent, onError} = this.options;
+		try {
+			await this.journal.recordCluster(clusterId, initialVoters);
+			onEvent('log.formed', `cluster ${clusterId} as ${this.ownId}, initial voters ${initialVoters.join(', ')}`);
+		} catch (error) {
+			onError(`storage rejected the record of cluster ${clusterId}; retrying: ${describeError(error)}`);
+			await waitFor(formationRetryMs, this.shutdown.signal);
 		}
 	}
 
--- a/packages/mastvalve-replication/src/journal.ts
+++ b/packages/mastvalve-replication/src/journal.ts
@@ -155,18 +155,22 @@
 		this.mayHaveTornTail = false;
 	}
 
-	/** Records which replicated log this replica belongs to. Until then, the journal holds only the replica's identity. */
+	/**
+	 * Records which replicated log this replica belongs to. Until then, the journal holds only the replica's identity. After an error it may be
+	 * called again.
+	 */
 	async recordCluster(clusterId: string, initialVoters: string[]): Promise<void> {
-		this.header = {...this.header, clusterId, initialVoters};
-		await this.compact({append: []});
+		const header = {...this.header, clusterId, initialVoters};
+		await this.compact({append: []}, header);
+		this.header = header;
 	}
 
 	async close(): Promise<void> {
 		await this.file.close();
 	}
 
-	private async compact(write: DurableWrite): Promise<void> {
-		const {file, sizeBytes} = await writeJournalFile(this.files, this.fileNumber + 1, this.header, write);
+	private async compact(write: DurableWrite, header = this.header): Promise<void> {
+		const {file, sizeBytes} = await writeJournalFile(this.files, this.fileNumber + 1, header, write);
 		const previous = {file: this.file, name: formatFileName(this.fileNumber)};
 		this.file = file;
 		this.sizeBytes = sizeBytes;
@@ -188,11 +192,17 @@
 	const file = await files.openForAppend(temporary);
 	const headerRecord = encodeRecord(header);
 	const writeRecord = encodeRecord(write);
-	await file.append(headerRecord);
-	await file.append(writeRecord);
-	await file.sync();
-	await files.rename(temporary, formatFileName(fileNumber));
-	await files.syncDirectory();
+	try {
+		await file.append(headerRecord);
+		await file.append(writeRecord);
+		await file.sync();
+		await files.rename(temporary, formatFileName(fileNumber));
+		await files.syncDirectory();
+	} catch (error) {
+		await file.close();
+		throw error;
+	}
+
 	return {file, sizeBytes: headerRecord.length + writeRecord.length};
 };
 
