Deadlines that follow other signals are kept until they pass

What was seen: npm start didn't end on Ctrl-C (three of four still ran after 20 s in a trial of four at once for 110 s).

Cause: AbortSignal.any doesn't keep the signals that it follows, and Node.js 20 cancels the timer of a collected timeout signal. A follower's question waited at the entry for a lost deadline, and the entry's stop for that request. Ruled out: mastvalve dev idle for five minutes without chats ended within 6 s in 4 of 4.

Change: createDeadlineSignal, in all four places that joined a timeout to other signals; two of them are deadlines of requests.

--- a/packages/mastvalve-entry/src/requests/attempt.ts
+++ b/packages/mastvalve-entry/src/requests/attempt.ts
@@ -6,7 +6,7 @@
 import {randomUUID} from 'node:crypto';
 import type {Readable} from 'node:stream';
 import {
-	formatReading, parseReading, type HybridClock, describeError, assumeType,
+	createDeadlineSignal, formatReading, parseReading, type HybridClock, describeError, assumeType,
 } from 'mastvalve-utils';
 import {Header, problemContentType, wasNeverSent} from 'mastvalve-http';
 import {
@@ -61,7 +61,7 @@
 			headers: createHeaders(entryRequest, options),
 			body: entryRequest.body,
 			dispatcher: options.agent,
-			signal: AbortSignal.any([entryRequest.signal, ending.signal, AbortSignal.timeout(timeLeft)]),
+			signal: createDeadlineSignal(timeLeft, [entryRequest.signal, ending.signal]),
 		});
 		const headers = toHeaderRecord(res.headers);
 		options.hybridClock.observe(parseReading(headers[Header.Clock]));
--- a/packages/mastvalve-entry/src/server/start-entry.ts
+++ b/packages/mastvalve-entry/src/server/start-entry.ts
@@ -13,7 +13,9 @@
 import {
 	BadRequestError, ControlUnavailableError, RefusedError, type EndpointReport, type MastvalveError,
 } from 'mastvalve-types';
-import {describeError, repeatUntilAborted, waitFor} from 'mastvalve-utils';
+import {
+	createDeadlineSignal, describeError, repeatUntilAborted, waitFor,
+} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 import {Counter} from 'prom-client';
 import {Agent} from 'undici';
@@ -183,7 +185,7 @@
 	private createUpstreamHandlers(): UpstreamHandlers {
 		return {
 			follow: async ({revision, waitMs}) => {
-				const update = await this.store.waitForUpdateAfter(revision, AbortSignal.any([this.ending.signal, AbortSignal.timeout(Math.min(waitMs, maxFollowWaitMs))]));
+				const update = await this.store.waitForUpdateAfter(revision, createDeadlineSignal(Math.min(waitMs, maxFollowWaitMs), [this.ending.signal]));
 				const clusterId = this.store.current?.clusterId;
 				return clusterId === undefined || this.ending.signal.aborted
 					? err(new ControlUnavailableError('This entry has no configuration yet, or is stopping.'))
--- a/packages/mastvalve-http/src/rpc/upstream-client.ts
+++ b/packages/mastvalve-http/src/rpc/upstream-client.ts
@@ -7,7 +7,9 @@
 import {
 	ControlUnavailableError, type Endpoint, type EndpointReport, type MastvalveError,
 } from 'mastvalve-types';
-import {describeError, repeatUntilAborted, type HybridClock} from 'mastvalve-utils';
+import {
+	createDeadlineSignal, describeError, repeatUntilAborted, type HybridClock,
+} from 'mastvalve-utils';
 import {err, type Result} from 'neverthrow';
 import {createRpcClient} from './trpc.js';
 import type {DemandReport, JoinRequest, UpstreamRouter} from './upstream-router.js';
@@ -67,8 +69,7 @@
 	private async followOnce(store: ConfigurationStore, signal: AbortSignal): Promise<string | undefined> {
 		const client = this.clients[this.preferred % this.clients.length];
 		try {
-			const timeout = AbortSignal.timeout(followWaitMs + followGraceMs);
-			const wire = await client?.follow.query({revision: store.revision, waitMs: followWaitMs}, {signal: AbortSignal.any([signal, timeout])});
+			const wire = await client?.follow.query({revision: store.revision, waitMs: followWaitMs}, {signal: createDeadlineSignal(followWaitMs + followGraceMs, [signal])});
 			const result = wire && fromWire(wire).andThen(update => store.adopt(update));
 			return result?.isErr() ? result.error.message : undefined;
 		} catch (error) {
--- a/packages/mastvalve-sidecar/src/server/forward-handler.ts
+++ b/packages/mastvalve-sidecar/src/server/forward-handler.ts
@@ -10,6 +10,7 @@
 import {
 	BadRequestError, MastvalveError, Outcome, RefusedError, type Endpoint,
 } from 'mastvalve-types';
+import {createDeadlineSignal} from 'mastvalve-utils';
 import {copyHeaders, dispatchRequest, type DispatchAnswer} from './dispatch.js';
 import type {EndpointGate} from './endpoint-gate.js';
 import {readForwardRequest, type ForwardRequest} from './forward-request.js';
@@ -97,7 +98,7 @@
 		method: c.req.method,
 		headers: copyHeaders(c.req.raw.headers),
 		body,
-		signal: AbortSignal.any([c.req.raw.signal, ending.signal, AbortSignal.timeout(Math.max(1, forward.deadlineMs))]),
+		signal: createDeadlineSignal(Math.max(1, forward.deadlineMs), [c.req.raw.signal, ending.signal]),
 		isEngine: options.isEngine,
 	}, options.agent);
 	if (answer.isErr()) {
--- a/packages/mastvalve-utils/src/index.ts
+++ b/packages/mastvalve-utils/src/index.ts
@@ -8,6 +8,7 @@
 export * from './clock.js';
 export * from './collect-text.js';
 export * from './collections.js';
+export * from './deadline-signal.js';
 export * from './drop-idle-connections.js';
 export * from './errors.js';
 export * from './format-table.js';
