Log lines and metrics tell what Node's server answers, and how requests end without an answer

A refusal as no-room, stopping or not-synced names no request, a request whose caller's connection closes ends without a line, what Node's HTTP server answers by itself leaves none, and each line may be dropped beyond 100 a second. Change: request.refused with the id for the three; request.abandoned with what had been sent; connection.failed with the error, the status that went out and the unanswered requests; a counter of such errors; requests of such lines are listed beyond the rate limit. Ruled out by it: nothing yet. Before: no line.

--- a/packages/mastvalve-gateway/src/requests/reply.ts
+++ b/packages/mastvalve-gateway/src/requests/reply.ts
@@ -31,6 +31,8 @@
 export type ProblemAnswer = {status: number; code: string; message: string; retryAfterSeconds?: number};
 
 export class Reply {
+	/** Whether the answer was broken off by this entry. */
+	isAborted = false;
 	/** Whether the head of the answer announces the length of its body. */
 	private hasLength = false;
 
@@ -40,6 +42,11 @@
 		return this.res.headersSent;
 	}
 
+	/** Whether all of the answer has been handed over for sending. */
+	get hasEnded(): boolean {
+		return this.res.writableEnded;
+	}
+
 	get isClosed(): boolean {
 		return this.res.writableEnded || this.res.destroyed;
 	}
@@ -98,6 +105,7 @@
 	 * HTTP/1.0 gets it, ends with its connection: only a reset shows that it is broken.
 	 */
 	abort(): void {
+		this.isAborted = true;
 		if (this.hasBegun && !this.res.chunkedEncoding && !this.hasLength) {
 			this.res.socket?.resetAndDestroy();
 			return;
--- a/packages/mastvalve-gateway/src/requests/request-progress.ts
+++ b/packages/mastvalve-gateway/src/requests/request-progress.ts
@@ -16,6 +16,8 @@
 	sentCount: number;
 	/** Attempts that did not reach their endpoint. */
 	unsentCount: number;
+	/** Whether an attempt was in progress when the request ended, or is now. */
+	isSending: boolean;
 	/** Whether any endpoint may have run the request. */
 	mayHaveRun: boolean;
 	streamPosition: StreamPosition | undefined;
@@ -32,6 +34,6 @@
 	}
 
 	return {
-		tried: new Set(), permitRetryAt: new Map(), reservation: undefined, sentCount: 0, unsentCount: 0, mayHaveRun: false, streamPosition, release: undefined, hasToldSlowReader: false,
+		tried: new Set(), permitRetryAt: new Map(), reservation: undefined, sentCount: 0, unsentCount: 0, isSending: false, mayHaveRun: false, streamPosition, release: undefined, hasToldSlowReader: false,
 	};
 };
--- a/packages/mastvalve-gateway/src/requests/serve-request.ts
+++ b/packages/mastvalve-gateway/src/requests/serve-request.ts
@@ -39,9 +39,20 @@
 		isOver = await runAttempt(core, request, reply, progress);
 	}
 
+	if (!reply.hasEnded && !reply.isAborted) {
+		logAbandoned(core, request, progress);
+	}
+
 	return progress.mayHaveRun;
 };
 
+/** Logs a request whose connection was closed before it was answered, with what was sent to endpoints by then. */
+const logAbandoned = (core: GatewayCore, {requestId, route, arrivedAt}: CallerRequest, {sentCount, isSending, mayHaveRun}: RequestProgress): void => {
+	core.log('request.abandoned', {
+		request: requestId, route: route.name, sent: sentCount, isSending, mayHaveRun, ageMs: Math.round(core.clock.now() - arrivedAt),
+	});
+};
+
 /** Runs one attempt; true when the request has ended. */
 const runAttempt = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress): Promise<boolean> => {
 	const attempt = await prepareAttempt(core, request, reply, progress);
@@ -53,7 +64,9 @@
 	progress.tried.add(endpoint.id);
 	const sentAt = core.clock.now();
 	const knownCrashes = core.quarantine.takeMark();
+	progress.isSending = true;
 	const outcome = await sendAttempt(core, request, attempt, progress);
+	progress.isSending = request.signal.aborted;
 	core.observer.recordAttempt(outcome.kind);
 	if (outcome.kind === ExchangeKind.Answered) {
 		progress.sentCount += 1;
--- a/packages/mastvalve-gateway/src/server/gateway-metrics.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-metrics.ts
@@ -40,6 +40,9 @@
 	const connections = new Counter({
 		name: 'mastvalve_connections_total', help: 'New connections of callers by whether they were taken, or closed unread since the processor is saturated', labelNames: ['outcome'], registers: [registry],
 	});
+	const connectionErrors = new Counter({
+		name: 'mastvalve_connection_errors_total', help: 'Connections of callers that failed, by the error and by whether requests were unanswered there', labelNames: ['code', 'requests'], registers: [registry],
+	});
 	const utilization = new Gauge({
 		name: 'mastvalve_event_loop_utilization',
 		help: 'Share of time in which the event loop was busy when connections last arrived',
@@ -106,6 +109,9 @@
 		recordConnection(isTaken) {
 			connections.inc({outcome: isTaken ? 'taken' : 'closed'});
 		},
+		recordConnectionError(code, hasUnanswered) {
+			connectionErrors.inc({code, requests: hasUnanswered ? 'unanswered' : 'none'});
+		},
 		recordQuarantined(isPart) {
 			quarantined.inc({content: isPart ? 'prompt-part' : 'request'});
 		},
--- a/packages/mastvalve-gateway/src/server/gateway-observer.ts
+++ b/packages/mastvalve-gateway/src/server/gateway-observer.ts
@@ -10,6 +10,8 @@
 	recordRequest: (kind: string, status: number, durationMs: number) => void;
 	/** A new connection was taken, or closed before anything was read from it. */
 	recordConnection: (isTaken: boolean) => void;
+	/** A connection of a caller has failed, by the code of its error; `hasUnanswered` is whether requests were unanswered there. */
+	recordConnectionError: (code: string, hasUnanswered: boolean) => void;
 	/** A request was refused on admission. */
 	recordRefusal: (reason: string) => void;
 	/** A request was refused since its content, or a part of its prompt, is quarantined. */
@@ -39,6 +41,7 @@
 	recordRequest: () => undefined,
 	recordRefusal: () => undefined,
 	recordConnection: () => undefined,
+	recordConnectionError: () => undefined,
 	recordQuarantined: () => undefined,
 	recordAttempt: () => undefined,
 	recordAnswerEnd: () => undefined,
--- a/packages/mastvalve-gateway/src/server/gateway.ts
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -25,6 +25,7 @@
 import {noopObserver, type GatewayObserver} from './gateway-observer.js';
 import {onceClosed} from './once-closed.js';
 import {readBody} from './read-body.js';
+import {reportConnectionErrors} from './report-connection-errors.js';
 import {waitForEvidence, waitUntilSynced} from './wait-for-control.js';
 
 /** Limits until a configuration is in force. Those for headers stay, since Node reads them when the server is created. */
@@ -120,6 +121,7 @@
 		});
 		this.server = server;
 		admitConnections(server, this.admission, this.core);
+		reportConnectionErrors(server, this.core);
 		this.core.view.subscribe(() => {
 			server.keepAliveTimeout = this.limits.idleTimeoutMs;
 		});
@@ -174,7 +176,7 @@
 
 		if (body === 'no-room') {
 			res.setHeader('connection', 'close');
-			this.core.observer.recordRefusal('no-room');
+			this.recordRefusal(req, 'no-room');
 			reply.send({
 				status: 503, code: 'no-room', message: 'This entry holds too many request bodies. Nothing was run.', retryAfterSeconds: noRoomRetrySeconds,
 			});
@@ -182,6 +184,7 @@
 		}
 
 		if (!this.isAccepting) {
+			this.recordRefusal(req, 'stopping');
 			reply.send({
 				status: 503, code: 'stopping', message: 'This entry is about to end. Nothing was run.', retryAfterSeconds: stoppingRetrySeconds,
 			});
@@ -196,6 +199,7 @@
 
 		const {configuration, isSynced} = this.core.view;
 		if (!configuration || !isSynced) {
+			this.recordRefusal(req, 'not-synced');
 			reply.send({
 				status: 503, code: 'not-synced', message: 'This entry does not know the newest configuration yet. Nothing was run.', retryAfterSeconds: unsyncedRetrySeconds,
 			});
@@ -259,6 +263,12 @@
 		}
 	}
 
+	/** Records a refusal of a request before its route is looked up. */
+	private recordRefusal(req: IncomingMessage, reason: string): void {
+		this.core.observer.recordRefusal(reason);
+		this.core.log('request.refused', {request: this.core.dialect.parseCallerHeaders(req.headers).requestId, reason});
+	}
+
 	/** Refunds the workspace's limit for an admitted request that was not run. */
 	private refund({workspace, cost}: Admission): void {
 		if (workspace && cost > 0) {
--- a/packages/mastvalve-logger/src/index.ts
+++ b/packages/mastvalve-logger/src/index.ts
@@ -5,3 +5,4 @@
 export * from './logger.js';
 export * from './timeline.js';
 export * from './decision-logger.js';
+export * from './request-ends.js';
