Unanswered requests go before what their callers send behind them

What callers saw: 408, 400 or 431 in the place of the answer to a request that ran on, 3 to 3.5 s after they had begun to send the next one, or bytes that are no request; streams that had begun were cut off; CONNECT closed the connection. 408 promises that a request never ran. Cause: http.Server answers errors of a connection by itself, knowing nothing of unanswered requests nor of what a status promises. Class: answers that a library writes by itself. Change: guardConnections (mastvalve-utils) listens to the errors. With unanswered requests nothing is written, what follows is read and dropped up to 64 KB, so that a caller that leaves is still noticed, and the connection is closed behind the last answer; a head that comes late but whole is served; a request whose body can't be read on gets 400 in its turn. With none, the status goes out as before, behind a pause so that a reset doesn't cost it; a connection on which nothing was sent is closed without a byte.

--- a/packages/mastvalve-gateway/__tests__/caller-connections.feature
+++ b/packages/mastvalve-gateway/__tests__/caller-connections.feature
@@ -27,3 +27,46 @@
       | nothing                   |
     Then each gets the whole answer to its request
     And the connections of all but the last are closed behind the answer
+
+  Scenario: A request that is completed while the one before it runs is served
+    Given an entry with an endpoint that answers after 4200 ms
+    When a caller sends a request, a part of the next one, and its rest after 3800 ms
+    Then it gets the answers to both requests
+
+  Scenario: A caller that leaves behind bytes that are no request is noticed
+    Given an entry with an endpoint that answers after 4200 ms
+    When callers send these behind a request that must not be repeated, and leave
+      | a part of a request line   |
+      | bytes that are no request  |
+      | a request to open a tunnel |
+    Then the endpoint's requests are cancelled within 500 ms
+
+  Scenario: A caller that sends bytes without end behind a request is disconnected
+    Given an entry with an endpoint that answers after 4200 ms
+    When a caller sends bytes that are no request behind a request until it is disconnected
+    Then the endpoint's requests are cancelled within 500 ms
+
+  Scenario: Bytes that are no request are answered where no request is unanswered
+    Given an entry with an endpoint that answers after 0 ms
+    When callers send only these
+      | a part of a request line  |
+      | bytes that are no request |
+      | a head that is too large  |
+    Then they get the statuses 408, 400 and 431, and their connections are closed
+
+  # Guards against a promise that nobody has asked for: it could be read as the answer to a request that is on its way.
+  Scenario: A connection on which nothing was sent is closed without an answer
+    Given an entry with an endpoint that answers after 0 ms
+    When a caller opens a connection and sends nothing
+    Then its connection is closed without a byte
+
+  # Guards against fields that Node's parser drops silently beyond 2000 of them.
+  Scenario: A request with thousands of fields reaches its endpoint with all of them
+    Given an entry with an endpoint that answers after 0 ms
+    When a caller sends a request with 2500 fields
+    Then the endpoint receives all of them
+
+  Scenario: A request that expects something unknown is served
+    Given an entry with an endpoint that answers after 0 ms
+    When a caller sends a request that expects something unknown
+    Then it gets the whole answer
--- a/packages/mastvalve-gateway/src/server/gateway.ts
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -6,7 +6,9 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {chooseTarget, type CallerLimits} from 'mastvalve-fleet';
-import {describeError, toMastvalveError, waitFor} from 'mastvalve-utils';
+import {
+	describeError, guardConnections, toMastvalveError, waitFor, type ConnectionFault,
+} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 import type {MastvalveError} from 'mastvalve-types';
 import {admitCaller, type Admission} from '../access/admit-caller.js';
@@ -25,7 +27,6 @@
 import {noopObserver, type GatewayObserver} from './gateway-observer.js';
 import {onceClosed} from './once-closed.js';
 import {readBody} from './read-body.js';
-import {reportConnectionErrors} from './report-connection-errors.js';
 import {waitForEvidence, waitUntilSynced} from './wait-for-control.js';
 
 /** Limits until a configuration is in force. Those for headers stay, since Node reads them when the server is created. */
@@ -121,7 +122,9 @@
 		});
 		this.server = server;
 		admitConnections(server, this.admission, this.core);
-		reportConnectionErrors(server, this.core);
+		guardConnections(server, fault => {
+			this.recordFault(fault);
+		});
 		this.core.view.subscribe(() => {
 			server.keepAliveTimeout = this.limits.idleTimeoutMs;
 		});
@@ -263,6 +266,14 @@
 		}
 	}
 
+	/** Records that a caller's connection has failed, with the requests that are unanswered there. */
+	private recordFault({code, reason, status, unanswered}: ConnectionFault): void {
+		this.core.observer.recordConnectionError(code, unanswered.length > 0);
+		this.core.log('connection.failed', {
+			code, reason, status, requests: unanswered.map(({headers}) => this.core.dialect.parseCallerHeaders(headers).requestId),
+		});
+	}
+
 	/** Records a refusal of a request before its route is looked up. */
 	private recordRefusal(req: IncomingMessage, reason: string): void {
 		this.core.observer.recordRefusal(reason);
--- a/packages/mastvalve-utils/src/index.ts
+++ b/packages/mastvalve-utils/src/index.ts
@@ -12,6 +12,7 @@
 export * from './drop-idle-connections.js';
 export * from './errors.js';
 export * from './format-table.js';
+export * from './guard-connections.js';
 export * from './hybrid-clock.js';
 export * from './random.js';
 export * from './suspension-detector.js';
