Bodies of callers have a time limit, cost what they hold, and their refusals arrive

What callers saw: a body that never ends held its request for ever (requestTimeout is 0, and nothing else limited it). Of 20 callers with bodies of 8 MB, 2 read a reset instead of 413. A body in parts of one byte took a buffer for each of them, while the entry counted a byte. Cause: the answer to an unread body closed its connection with unread bytes, which resets it, and the reset may overtake the answer; the parts of a body were kept as they came. Change: a body is refused with 408 when no byte of it comes for the configuration's idle time, or when its caller's own time is over (it was not routed, so the promise holds); the rest of a refused body is read and dropped for 1 s and up to the largest size; a body is collected in blocks of 4 to 64 KB. Ruled out: the largest size and the room for bodies, which held before as after. Conclusion: what callers send is bounded in time, bytes and cost; trickled heads were bounded before.

--- a/packages/mastvalve-gateway/__tests__/caller-connections.feature
+++ b/packages/mastvalve-gateway/__tests__/caller-connections.feature
@@ -70,3 +70,21 @@
     Given an entry with an endpoint that answers after 0 ms
     When a caller sends a request that expects something unknown
     Then it gets the whole answer
+
+  # Guards against requests that are held for ever since the rest of their bodies doesn't come.
+  Scenario: A request whose body isn't whole in its caller's time is refused
+    Given an entry with an endpoint that answers after 0 ms
+    When a caller with 400 ms left sends a part of its body
+    Then each of them gets the status 408
+    And the endpoint has received no request
+
+  # Guards against a reset that overtakes the refusal: the connection was closed while its caller still sent.
+  Scenario: Callers of bodies that are too large read that they are
+    Given an entry with an endpoint that answers after 0 ms
+    When 30 callers send bodies of 8 MB in chunks
+    Then each of them gets the status 413
+
+  # Guards against bodies whose parts cost more memory than their bytes.
+  Scenario: A body in parts of one byte is kept in one buffer
+    When a buffer for a body takes 300000 parts of one byte
+    Then it keeps at most 64 KB more, and returns all of them
--- a/packages/mastvalve-gateway/__tests__/caller-connections.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/caller-connections.steps.ts
@@ -10,6 +10,7 @@
 } from '@cucumber/cucumber';
 import {systemClock, waitFor} from 'mastvalve-utils';
 import {waitUntil} from '../../../features/support/conditions.js';
+import {BodyBuffer} from '../src/server/body-buffer.js';
 import {RunningGateway} from './__fixtures__/running-gateway.js';
 import {
 	formatAnswer, idOf, startScriptedEndpoint, type ScriptedEndpoint, type Script,
@@ -17,11 +18,12 @@
 
 /** A caller's connection with all that it has received. */
 type Caller = {name: string; socket: Socket; received: string};
-type CallersWorld = World & {gateway: RunningGateway; endpoint: ScriptedEndpoint; callers: Caller[]; /** Requests that were cancelled at the endpoint. */ cancelled: number};
+type CallersWorld = World & {gateway: RunningGateway; endpoint: ScriptedEndpoint; callers: Caller[]; /** Requests that were cancelled at the endpoint. */ cancelled: number; buffer: BodyBuffer; /** Parts that the buffer has taken. */ parts: number};
 
 const eventIntervalMs = 300;
 const lastBody = 'the last byte.';
 const tooLargeBytes = 20_000;
+const chunkBytes = 50_000;
 
 const request = (id: string, more = ''): string => `POST /draft/x HTTP/1.1\r\nhost: h\r\nx-id: ${id}\r\nx-left: 9000\r\n${more}content-length: 2\r\n\r\nhi`;
 
@@ -142,6 +144,27 @@
 	}));
 });
 
+When('a caller with {int} ms left sends a part of its body', async function (this: CallersWorld, leftMs: number) {
+	const caller = await open(this, 'nothing');
+	caller.socket.write(request('r-slow').replace('x-left: 9000', `x-left: ${leftMs}`).replace('content-length: 2', 'content-length: 200'));
+});
+
+When('{int} callers send bodies of {int} MB in chunks', async function (this: CallersWorld, count: number, megabytes: number) {
+	const chunk = `${chunkBytes.toString(16)}\r\n${'x'.repeat(chunkBytes)}\r\n`;
+	await Promise.all(Array.from({length: count}, async () => {
+		const caller = await open(this, 'nothing');
+		caller.socket.write(request('r-large').replace('content-length: 2\r\n\r\nhi', `transfer-encoding: chunked\r\n\r\n${chunk.repeat(megabytes * 1_000_000 / chunkBytes)}0\r\n\r\n`));
+	}));
+});
+
+When('a buffer for a body takes {int} parts of one byte', function (this: CallersWorld, count: number) {
+	this.buffer = new BodyBuffer();
+	Array.from({length: count}, (_, index) => index % 256).forEach(value => {
+		this.buffer.append(Uint8Array.of(value));
+	});
+	this.parts = count;
+});
+
 When('a caller opens a connection and sends nothing', async function (this: CallersWorld) {
 	await open(this, 'nothing');
 });
@@ -203,6 +226,20 @@
 	assert.deepEqual(this.callers.map(({received}) => received), ['']);
 });
 
+Then('each of them gets the status {int}', async function (this: CallersWorld, status: number) {
+	await waitUntil('all have an answer', async () => this.callers.every(caller => listStatuses(caller).length > 0 || caller.socket.closed));
+	assert.deepEqual([...new Set(this.callers.map(caller => JSON.stringify(listStatuses(caller))))], [`[${status}]`]);
+});
+
+Then('the endpoint has received no request', function (this: CallersWorld) {
+	assert.deepEqual(this.endpoint.requests, []);
+});
+
+Then('it keeps at most {int} KB more, and returns all of them', function (this: CallersWorld, kilobytes: number) {
+	assert.ok(this.buffer.capacity <= this.parts + (kilobytes * 1024), `${this.buffer.capacity} bytes`);
+	assert.deepEqual([...this.buffer.take()], Array.from({length: this.parts}, (_, index) => index % 256));
+});
+
 Then('the endpoint receives all of them', function (this: CallersWorld) {
 	assert.equal(this.endpoint.requests[0]?.match(/\r\na:/gv)?.length, 2500);
 });
--- a/packages/mastvalve-gateway/src/server/gateway.ts
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -19,14 +19,15 @@
 import type {CallerRequest} from '../requests/caller-request.js';
 import {fingerprintSharedParts} from '../requests/fingerprint-parts.js';
 import {fingerprintRequest} from '../requests/request-fingerprint.js';
-import {Reply} from '../requests/reply.js';
+import {Reply, type ProblemAnswer} from '../requests/reply.js';
 import {serveRequest} from '../requests/serve-request.js';
 import {admitConnections} from './admit-connections.js';
 import {ConnectionAdmission, type AdmissionReading} from './connection-admission.js';
+import {dropRest} from './drop-rest.js';
 import type {GatewayCore} from './gateway-core.js';
 import {noopObserver, type GatewayObserver} from './gateway-observer.js';
 import {onceClosed} from './once-closed.js';
-import {readBody} from './read-body.js';
+import {readBody, UnreadBody} from './read-body.js';
 import {waitForEvidence, waitUntilSynced} from './wait-for-control.js';
 
 /** Limits until a configuration is in force. Those for headers stay, since Node reads them when the server is created. */
@@ -166,23 +167,10 @@
 			res.setHeader('connection', 'close');
 		}
 
-		const body = await readBody(req, this.limits.maxBodyBytes, {heldBodies: this.core.heldBodies, signal: closed.signal});
-		if (body === 'broken') {
-			return;
-		}
-
-		if (body === 'too-large') {
-			res.setHeader('connection', 'close');
-			reply.send({status: 413, code: 'body-too-large', message: `The body is larger than ${this.limits.maxBodyBytes} bytes. Nothing was run.`});
-			return;
-		}
-
-		if (body === 'no-room') {
-			res.setHeader('connection', 'close');
-			this.recordRefusal(req, 'no-room');
-			reply.send({
-				status: 503, code: 'no-room', message: 'This entry holds too many request bodies. Nothing was run.', retryAfterSeconds: noRoomRetrySeconds,
-			});
+		const {remainingMs = maxDeadlineMs} = this.core.dialect.parseCallerHeaders(req.headers);
+		const body = await readBody(req, {maxBytes: this.limits.maxBodyBytes, idleMs: this.limits.idleTimeoutMs, totalMs: Math.min(remainingMs, maxDeadlineMs)}, {heldBodies: this.core.heldBodies, signal: closed.signal});
+		if (typeof body === 'string') {
+			this.rejectBody(req, res, body);
 			return;
 		}
 
@@ -212,6 +200,24 @@
 		await this.route(req, reply, closed, {arrivedAt, body, configuration});
 	}
 
+	/** Answers a request whose body was not read. */
+	private rejectBody(req: IncomingMessage, res: ServerResponse, reason: UnreadBody): void {
+		if (reason === UnreadBody.Broken) {
+			return;
+		}
+
+		const answers: Record<Exclude<UnreadBody, UnreadBody.Broken>, ProblemAnswer> = {
+			[UnreadBody.TooLarge]: {status: 413, code: 'body-too-large', message: `The body is larger than ${this.limits.maxBodyBytes} bytes. Nothing was run.`},
+			[UnreadBody.NoRoom]: {
+				status: 503, code: 'no-room', message: 'This entry holds too many request bodies. Nothing was run.', retryAfterSeconds: noRoomRetrySeconds,
+			},
+			[UnreadBody.TooSlow]: {status: 408, code: 'body-too-slow', message: 'The body was not whole in time. Nothing was run.'},
+		};
+		this.recordRefusal(req, reason);
+		new Reply(res).send(answers[reason]);
+		dropRest(req, this.limits.maxBodyBytes);
+	}
+
 	private async route(req: IncomingMessage, reply: Reply, closed: AbortController, read: {arrivedAt: number; body: Uint8Array; configuration: ActiveConfiguration}): Promise<void> {
 		const {core} = this;
 		const path = req.url ?? '/';
--- a/packages/mastvalve-gateway/src/server/read-body.ts
+++ b/packages/mastvalve-gateway/src/server/read-body.ts
@@ -1,53 +1,86 @@
 /**
- * Reads a request body into memory, up to a size limit.
+ * Reads a request body into memory, up to a size and a time limit.
  */
 
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import type {HeldBodies} from '../memory/held-bodies.js';
+import {BodyBuffer} from './body-buffer.js';
 
-/**
- * Returns the body; `too-large` when it exceeds `maxBytes`, `no-room` when the entry holds too much for others, `broken` when the caller
- * disconnected before its end. The room that it takes is released when the request is closed.
- */
-export const readBody = async (req: IncomingMessage, maxBytes: number, {heldBodies, signal}: {heldBodies: HeldBodies; signal: AbortSignal}): Promise<Uint8Array | 'too-large' | 'no-room' | 'broken'> =>
+/** Why a body was not read. */
+export enum UnreadBody {
+	/** It exceeds the largest size. */
+	TooLarge = 'too-large',
+	/** The entry holds too much for others. */
+	NoRoom = 'no-room',
+	/** No byte of it came for too long, or it was not whole when its caller's time was over. */
+	TooSlow = 'too-slow',
+	/** The caller disconnected before its end. */
+	Broken = 'broken',
+}
+
+export type BodyLimits = {
+	maxBytes: number;
+	/** Longest time without a byte, ms. */
+	idleMs: number;
+	/** Longest time for the whole body, ms. */
+	totalMs: number;
+};
+
+/** Returns the body, or why it was not read. The room that it takes is released when the request is closed. */
+export const readBody = async (req: IncomingMessage, {maxBytes, idleMs, totalMs}: BodyLimits, {heldBodies, signal}: {heldBodies: HeldBodies; signal: AbortSignal}): Promise<Uint8Array | UnreadBody> =>
 	new Promise(resolve => {
-		const chunks: Uint8Array[] = [];
+		const body = new BodyBuffer();
 		let size = 0;
 		let takenBytes = 0;
-		signal.addEventListener('abort', () => {
-			heldBodies.release(takenBytes);
-			takenBytes = 0;
-		}, {once: true});
-		if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
-			resolve('too-large');
-			return;
-		}
+		const settle = (outcome: Uint8Array | UnreadBody): void => {
+			clearTimeout(totalTimer);
+			clearTimeout(idleTimer);
+			resolve(outcome);
+		};
+
+		const refuse = (reason: UnreadBody): void => {
+			req.off('data', add);
+			body.clear();
+			settle(reason);
+		};
 
-		req.on('data', (chunk: Uint8Array) => {
+		const add = (chunk: Uint8Array): void => {
+			idleTimer.refresh();
 			size += chunk.length;
 			if (size > maxBytes) {
-				resolve('too-large');
-				req.pause();
+				refuse(UnreadBody.TooLarge);
 				return;
 			}
 
 			if (signal.aborted || !heldBodies.take(chunk.length)) {
-				resolve('no-room');
-				chunks.length = 0;
-				req.pause();
+				refuse(UnreadBody.NoRoom);
 				return;
 			}
 
 			takenBytes += chunk.length;
-			chunks.push(chunk);
-		});
+			body.append(chunk);
+		};
+
+		const refuseSlow = (): void => {
+			refuse(UnreadBody.TooSlow);
+		};
+
+		const totalTimer = setTimeout(refuseSlow, totalMs);
+		const idleTimer = setTimeout(refuseSlow, idleMs);
+		signal.addEventListener('abort', () => {
+			heldBodies.release(takenBytes);
+			takenBytes = 0;
+		}, {once: true});
+		if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
+			settle(UnreadBody.TooLarge);
+			return;
+		}
+
+		req.on('data', add);
 		req.once('end', () => {
-			resolve(Buffer.concat(chunks));
-			// The listeners of the request stay as long as it runs.
-			chunks.length = 0;
+			settle(body.take());
 		});
 		req.once('close', () => {
-			resolve('broken');
+			settle(UnreadBody.Broken);
 		});
 	});
