Whole answers stay whole, whatever follows them on their connections

Cause: Node's parser puts the whole answer into the response (`complete`, then 'end'), goes on with the surplus bytes, and reports its error as one of the request, which is over. watchForReset took that for a reset, and the relay believed it for every framing, also where a length, the chunks or the status had told the end. Class: the state of a connection taken for the end of a message. Ruled out: a lost body (all bytes and 'end' arrive; only `isBroken` said otherwise), a destroyed response (Node destroys only incomplete ones), an error before 'end' on the response (none). Change: an announced end is an end; only a body that ends with its connection is asked about that connection. Answers without a body (204, 304, HEAD) have their own framing, `bodiless`. A transfer coding other than chunked ends with its connection: taken for chunks, it would now lose the check for resets. watchSurplus tells bytes behind a whole answer, also those that Node drops silently while the answer is unread; the connection is closed, the line `answer.surplus` names the endpoint, and its failure is counted. Not covered: surplus bytes in the last packet that are the beginning of a valid status line can't be told; those after them close the idle connection, or fail the request that was sent there in between.

--- a/packages/mastvalve-gateway/src/requests/handle-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/handle-answer.ts
@@ -11,7 +11,7 @@
 import type {CrashMark} from '../quarantine/answered-content.js';
 import type {EndpointRequest} from '../routing/endpoint-tracker.js';
 import type {GatewayCore} from '../server/gateway-core.js';
-import type {AnswerEnd} from '../streams/answer-end.js';
+import {findFraming, type AnswerEnd} from '../streams/answer-end.js';
 import {findStreamContent, StreamContent} from '../streams/stream-content.js';
 import type {ExchangeKind, ExchangeOutcome} from '../upstream/exchange.js';
 import {AnswerIdentity, identifyAnswer} from './answer-identity.js';
@@ -169,7 +169,7 @@
 
 /** Relays an answer to the caller; true when the request has ended. */
 const relayAnswer = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, {
-	endpoint, outcome: {res, cancel, isBroken}, run, status, knownCrashes,
+	endpoint, outcome: {res, cancel, isBroken, hasSurplus}, run, status, knownCrashes,
 }: DecodedAnswer): Promise<boolean> => {
 	const content = findStreamContent(res, {method: request.method, isStreamRoute: request.route.kind === RouteKind.Stream});
 	if (!reply.hasBegun) {
@@ -182,7 +182,7 @@
 		core.quarantine.recordBegun(request, knownCrashes);
 	});
 	const end = await verifyEnd(core, endpoint, await relayBody(res, reply, {
-		content, position: progress.streamPosition, isBroken, reader, onEvents(events) {
+		content, framing: findFraming(res, request.method), position: progress.streamPosition, isBroken, reader, onEvents(events) {
 			if (!beginning.hasEvents) {
 				bindBegunStream(core, request, progress, endpoint);
 			}
@@ -207,6 +207,11 @@
 	logAnswer(core, request, progress, {
 		endpoint: endpoint.id, status, headAt, end,
 	});
+	if (hasSurplus()) {
+		core.tracker.recordFailure(endpoint.id);
+		core.log('answer.surplus', {request: request.requestId, endpoint: endpoint.id, reason: 'bytes followed the whole answer; the connection was closed'});
+	}
+
 	reply.end();
 	return true;
 };
--- a/packages/mastvalve-gateway/src/requests/relay-body.ts
+++ b/packages/mastvalve-gateway/src/requests/relay-body.ts
@@ -8,7 +8,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {AnswerReader} from '../memory/answer-reader.js';
 import {
-	BodyFraming, findBodyEnd, findFraming, type AnswerEnd,
+	BodyFraming, findBodyEnd, isBodyWhole, type AnswerEnd,
 } from '../streams/answer-end.js';
 import {EventStreamScanner} from '../streams/event-stream-scanner.js';
 import {StreamContent} from '../streams/stream-content.js';
@@ -17,6 +17,7 @@
 
 export type RelayOptions = {
 	content: StreamContent;
+	framing: BodyFraming;
 	/** Undefined for a stream that can't be resumed. */
 	position: StreamPosition | undefined;
 	/** Whether the connection to the endpoint has failed. */
@@ -28,10 +29,9 @@
 
 /** Relays a body with backpressure; resolves to how it ended. */
 export const relayBody = async (res: IncomingMessage, reply: Reply, {
-	content, position, isBroken, reader, onEvents,
+	content, framing, position, isBroken, reader, onEvents,
 }: RelayOptions): Promise<AnswerEnd> =>
 	new Promise(resolve => {
-		const framing = findFraming(res);
 		const scanner = content === StreamContent.None ? undefined : new EventStreamScanner();
 		const mustEndBetweenEvents = content === StreamContent.Declared || framing === BodyFraming.Connection;
 		let received = 0;
@@ -72,7 +72,7 @@
 			}
 		});
 		res.once('end', () => {
-			settle(res.complete && !isBroken());
+			settle(isBodyWhole(res, framing, isBroken()));
 		});
 		res.once('error', () => {
 			settle(false);
--- a/packages/mastvalve-gateway/src/streams/answer-end.ts
+++ b/packages/mastvalve-gateway/src/streams/answer-end.ts
@@ -3,11 +3,14 @@
  */
 
 import type {IncomingMessage} from 'node:http';
+import {hasBody} from './stream-content.js';
 
 /** What tells the end of a body. */
 export enum BodyFraming {
 	Length = 'length',
 	Chunked = 'chunked',
+	/** Neither is needed: such an answer has no body. */
+	Bodiless = 'bodiless',
 	/** Neither: the body ends with its connection. */
 	Connection = 'connection',
 }
@@ -38,14 +41,25 @@
 	isComplete: boolean;
 };
 
-export const findFraming = ({headers}: IncomingMessage): BodyFraming => {
-	if (headers['transfer-encoding'] !== undefined) {
-		return BodyFraming.Chunked;
+const lastCodingIsChunkedPattern = /(?:^|,)\s*chunked\s*$/iv;
+
+export const findFraming = (res: IncomingMessage, method: string): BodyFraming => {
+	const coding = res.headers['transfer-encoding'];
+	if (!hasBody(res, method)) {
+		return BodyFraming.Bodiless;
+	}
+
+	if (coding !== undefined) {
+		return lastCodingIsChunkedPattern.test(coding) ? BodyFraming.Chunked : BodyFraming.Connection;
 	}
 
-	return headers['content-length'] === undefined ? BodyFraming.Connection : BodyFraming.Length;
+	return res.headers['content-length'] === undefined ? BodyFraming.Connection : BodyFraming.Length;
 };
 
+/** Whether a body has ended as announced. What its connection carries or suffers behind an announced end is no part of it. */
+export const isBodyWhole = ({complete}: IncomingMessage, framing: BodyFraming, hasFailed: boolean): boolean =>
+	complete && (framing !== BodyFraming.Connection || !hasFailed);
+
 /** Classifies a body that has ended. `hasFailed` is whether its connection was reset or failed. */
 export const findBodyEnd = (res: IncomingMessage, framing: BodyFraming, hasFailed: boolean): BodyEnd => {
 	if (framing !== BodyFraming.Connection && res.complete) {
--- a/packages/mastvalve-gateway/src/streams/stream-content.ts
+++ b/packages/mastvalve-gateway/src/streams/stream-content.ts
@@ -17,8 +17,11 @@
 const eventStreamPattern = /^\s*text\/event-stream\s*(?:;|$)/iv;
 const bodilessStatuses = new Set([204, 304]);
 
-const hasPlainBody = ({headers, statusCode = 0}: IncomingMessage, method: string): boolean =>
-	(headers['content-encoding'] ?? 'identity').trim().toLowerCase() === 'identity' && method !== 'HEAD' && !bodilessStatuses.has(statusCode);
+/** Whether an answer to a request with this method may have a body. */
+export const hasBody = ({statusCode = 0}: IncomingMessage, method: string): boolean => method !== 'HEAD' && !bodilessStatuses.has(statusCode);
+
+const hasPlainBody = (res: IncomingMessage, method: string): boolean =>
+	(res.headers['content-encoding'] ?? 'identity').trim().toLowerCase() === 'identity' && hasBody(res, method);
 
 export const findStreamContent = (res: IncomingMessage, {method, isStreamRoute}: {method: string; isStreamRoute: boolean}): StreamContent => {
 	if (!hasPlainBody(res, method)) {
--- a/packages/mastvalve-gateway/src/upstream/exchange.ts
+++ b/packages/mastvalve-gateway/src/upstream/exchange.ts
@@ -7,6 +7,7 @@
 	assumeType, describeError, dropIdleConnections, watchForReset,
 } from 'mastvalve-utils';
 import type {UpstreamAgent} from './upstream-agent.js';
+import {watchSurplus} from './watch-surplus.js';
 
 export enum ExchangeKind {
 	/** The response head has arrived. */
@@ -17,9 +18,12 @@
 	Lost = 'lost',
 }
 
-/** Outcome of an attempt. `isBroken` is whether the connection has failed since the response head arrived. */
+/**
+ * Outcome of an attempt. `isBroken` is whether the connection has failed since the response head arrived, `hasSurplus` whether bytes have followed
+ * the whole response.
+ */
 export type ExchangeOutcome
-	= | {kind: ExchangeKind.Answered; res: IncomingMessage; cancel: () => void; isBroken: () => boolean}
+	= | {kind: ExchangeKind.Answered; res: IncomingMessage; cancel: () => void; isBroken: () => boolean; hasSurplus: () => boolean}
 		| {kind: ExchangeKind.NotSent | ExchangeKind.Lost; reason: string; isConnectionRefused: boolean};
 
 export type ExchangeOptions = {
@@ -53,6 +57,7 @@
 		});
 		let isSent = false;
 		const hasFailed = watchForReset(req);
+		const hasSurplus = watchSurplus(req);
 		let reason = '';
 		let isConnectionRefused = false;
 		const cancel = (): void => {
@@ -108,7 +113,7 @@
 			// Node also ends a body without a declared length when the connection is reset. The error is emitted before that end,
 			// so `isBroken` distinguishes the two.
 			resolve({
-				kind: ExchangeKind.Answered, res, cancel, isBroken: hasFailed,
+				kind: ExchangeKind.Answered, res, cancel, isBroken: hasFailed, hasSurplus,
 			});
 		});
 		req.end(body);
