Answers with thousands of fields keep them all, and a head that is too large is named with its bound

What callers saw: 502 for an unsafe request that was served, when its answer had more than a thousand fields before Attempt-Id; others lost fields without a word. Cause: Node's client drops fields beyond 1000 (maxHeadersCount) silently, so the answer "names no request". Class: a library's limit that drops instead of failing; callers' heads had the same. Change: the number of fields is bounded by the size of the head only, 16,384 bytes, a constant of the entry's own; a larger head is an error that names the bound, with the endpoint in `attempt.failed`. It stays lost (may have run) and counts as the endpoint's failure. Before: the answer with 2500 fields was 502, the log said "Parse Error: Header overflow"; both scenarios failed.

--- a/packages/mastvalve-gateway/src/upstream/exchange.ts
+++ b/packages/mastvalve-gateway/src/upstream/exchange.ts
@@ -48,13 +48,22 @@
  */
 const staleConnectionMs = 600;
 
+/** Most bytes of one head, as for callers' heads by default. */
+const maxHeadBytes = 16_384;
+
+/** Returns why a connection failed; Node's parser doesn't name the bound. */
+const describeFailure = (error: NodeJS.ErrnoException): string =>
+	(error.code === 'HPE_HEADER_OVERFLOW' ? `a head of more than ${maxHeadBytes} bytes` : describeError(error));
+
 /** Sends an attempt; the promise never rejects. */
 export const exchange = async ({agent, address, method, path, headers, body, connectTimeoutMs, signal}: ExchangeOptions): Promise<ExchangeOutcome> =>
 	new Promise(resolve => {
 		const [host, port] = address.split(':');
 		const req = request({
-			host, port, method, path, agent, headers, setHost: false,
+			host, port, method, path, agent, headers, setHost: false, maxHeaderSize: maxHeadBytes,
 		});
+		// Node drops fields beyond a thousand, the identity of the request among them; the size of the head bounds their number.
+		req.maxHeadersCount = 0;
 		let isSent = false;
 		const hasFailed = watchForReset(req);
 		const hasSurplus = watchSurplus(req);
@@ -92,7 +101,7 @@
 		});
 		req.on('error', error => {
 			isConnectionRefused = assumeType<NodeJS.ErrnoException>(error).code === 'ECONNREFUSED';
-			reason ||= describeError(error);
+			reason ||= describeFailure(error);
 		});
 		req.once('close', () => {
 			clearTimeout(connectTimer);
