Informational heads before an answer are bounded in number, bytes and time

Cause: Node's client hands over any number of informational heads, each with its own size limit, and nobody counted them. Class: a bound for each part without one for the whole. Change: 32 heads, 65,536 bytes of fields, and none later than 30 s after the beginning of the attempt. Beyond a bound the attempt is lost (it may have run), `attempt.failed` names endpoint and bound, the connection is closed, and the endpoint's failure is counted. Ten heads before an answer do no harm, nor does a long wait behind the last one.

--- a/packages/mastvalve-gateway/__tests__/heads-of-answers.feature
+++ b/packages/mastvalve-gateway/__tests__/heads-of-answers.feature
@@ -11,3 +11,25 @@
     When a caller sends a request that must not be repeated
     Then the caller receives status 502 within 500 ms
     And the failed attempt is logged with "16384 bytes"
+
+  # Guards against informational heads that are read until the caller's time is over.
+  Scenario Outline: Informational heads without end are bounded
+    Given an endpoint that sends informational heads <manner>
+    When a caller sends a request that must not be repeated
+    Then the caller receives status 502 within <limit> ms
+    And the failed attempt is logged with "<bound>"
+    And the endpoint's connection is closed
+
+    Examples:
+      | manner                                  | limit | bound       |
+      | as fast as they are read                | 500   | 32 of them  |
+      | of 8000 bytes, as fast as they are read | 500   | 65536 bytes |
+
+  Scenario: Some informational heads go before an answer
+    Given an endpoint that sends 10 informational heads before its answer
+    When a caller sends a request that must not be repeated
+    Then the caller receives the answer
+
+  Scenario: An informational head that comes too late is the last
+    Given a request whose endpoint sends informational heads from its start and after 31000 ms
+    Then the second one exceeds the bound of 30000 ms
--- a/packages/mastvalve-gateway/__tests__/heads-of-answers.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/heads-of-answers.steps.ts
@@ -8,14 +8,16 @@
 } from '@cucumber/cucumber';
 import {systemClock} from 'mastvalve-utils';
 import {waitUntil} from '../../../features/support/conditions.js';
+import {InformationalHeads} from '../src/upstream/informational-heads.js';
 import {RunningGateway} from './__fixtures__/running-gateway.js';
 import {
 	formatAnswer, idOf, startScriptedEndpoint, type Script, type ScriptedEndpoint,
 } from './__fixtures__/scripted-endpoint.js';
 
-type HeadsWorld = World & {headsRun: RunningGateway; headsEndpoint: ScriptedEndpoint; fields: number; sentAt: number; readText: () => string};
+type HeadsWorld = World & {headsRun: RunningGateway; headsEndpoint: ScriptedEndpoint; fields: number; sentAt: number; readText: () => string; exceeded: Array<string | undefined>};
 
 const body = 'whole.';
+const informational = (bytes = 1): string => `HTTP/1.1 103 Early Hints\r\nlink: ${'x'.repeat(bytes)}\r\n\r\n`;
 
 const start = async (world: HeadsWorld, script: Script): Promise<void> => {
 	world.headsEndpoint = await startScriptedEndpoint(script);
@@ -23,6 +25,17 @@
 	await world.headsRun.start([world.headsEndpoint.address]);
 };
 
+/** Writes a text again and again, as fast as it is read. */
+const repeatedly = (text: string): Script => socket => {
+	const write = (): void => {
+		if (!socket.destroyed) {
+			socket.write(text, write);
+		}
+	};
+
+	write();
+};
+
 After(async function (this: Partial<HeadsWorld>) {
 	this.headsEndpoint?.close();
 	await this.headsRun?.stop();
@@ -41,6 +54,20 @@
 	});
 });
 
+Given('an endpoint that sends informational heads as fast as they are read', async function (this: HeadsWorld) {
+	await start(this, repeatedly(informational()));
+});
+
+Given('an endpoint that sends informational heads of {int} bytes, as fast as they are read', async function (this: HeadsWorld, bytes: number) {
+	await start(this, repeatedly(informational(bytes)));
+});
+
+Given('an endpoint that sends {int} informational heads before its answer', async function (this: HeadsWorld, count: number) {
+	await start(this, (socket, text) => {
+		socket.write(informational().repeat(count) + formatAnswer(idOf(text), body));
+	});
+});
+
 When('a caller sends a request that must not be repeated', function (this: HeadsWorld) {
 	const connection = this.headsRun.connect();
 	this.sentAt = systemClock.now();
@@ -48,6 +75,11 @@
 	this.readText = connection.readText;
 });
 
+Then('the caller receives the answer', async function (this: HeadsWorld) {
+	await waitUntil('the answer is whole', async () => this.readText().endsWith(body));
+	assert.match(this.readText(), /^HTTP\/1.1 200 /v);
+});
+
 Then('the caller receives the answer with all of its fields', async function (this: HeadsWorld) {
 	await waitUntil('there is an answer', async () => this.readText().includes('\r\n\r\n'));
 	assert.match(this.readText(), /^HTTP\/1.1 200 /v);
@@ -66,3 +98,18 @@
 	assert.ok(line?.includes('"endpoint":"e0"') && line.includes(bound), line);
 	assert.deepEqual(this.headsRun.failures, ['e0']);
 });
+
+Then('the endpoint\'s connection is closed', async function (this: HeadsWorld) {
+	await waitUntil('it is closed', async () => this.headsEndpoint.open() === 0);
+});
+
+Given('a request whose endpoint sends informational heads from its start and after {int} ms', function (this: HeadsWorld, delayMs: number) {
+	const times = [0, 0, delayMs];
+	const heads = new InformationalHeads(() => times.shift()!);
+	this.exceeded = [heads.add([]), heads.add([])];
+});
+
+Then('the second one exceeds the bound of {int} ms', function (this: HeadsWorld, boundMs: number) {
+	assert.equal(this.exceeded[0], undefined);
+	assert.match(this.exceeded[1]!, new RegExp(`${boundMs} ms`, 'v'));
+});
--- a/packages/mastvalve-gateway/src/upstream/exchange.ts
+++ b/packages/mastvalve-gateway/src/upstream/exchange.ts
@@ -4,8 +4,9 @@
 
 import {request, type IncomingMessage} from 'node:http';
 import {
-	assumeType, describeError, dropIdleConnections, watchForReset,
+	assumeType, describeError, dropIdleConnections, systemClock, watchForReset,
 } from 'mastvalve-utils';
+import {InformationalHeads} from './informational-heads.js';
 import type {UpstreamAgent} from './upstream-agent.js';
 import {watchSurplus} from './watch-surplus.js';
 
@@ -64,6 +65,7 @@
 		});
 		// Node drops fields beyond a thousand, the identity of the request among them; the size of the head bounds their number.
 		req.maxHeadersCount = 0;
+		const informationalHeads = new InformationalHeads(() => systemClock.now());
 		let isSent = false;
 		const hasFailed = watchForReset(req);
 		const hasSurplus = watchSurplus(req);
@@ -103,6 +105,13 @@
 			isConnectionRefused = assumeType<NodeJS.ErrnoException>(error).code === 'ECONNREFUSED';
 			reason ||= describeFailure(error);
 		});
+		req.on('information', ({rawHeaders}) => {
+			const exceeded = informationalHeads.add(rawHeaders);
+			if (exceeded !== undefined) {
+				reason ||= exceeded;
+				req.destroy();
+			}
+		});
 		req.once('close', () => {
 			clearTimeout(connectTimer);
 			clearTimeout(staleTimer);
