--- a/packages/mastvalve-gateway/src/upstream/exchange.ts
+++ b/packages/mastvalve-gateway/src/upstream/exchange.ts
@@ -4,9 +4,11 @@
 
 import {request, type IncomingMessage} from 'node:http';
 import {
-	assumeType, describeError, dropIdleConnections, watchForReset,
+	assumeType, describeError, dropIdleConnections, systemClock, watchForReset,
 } from 'mastvalve-utils';
+import {InformationalHeads} from './informational-heads.js';
 import type {UpstreamAgent} from './upstream-agent.js';
+import {watchSurplus} from './watch-surplus.js';
 
 export enum ExchangeKind {
 	/** The response head has arrived. */
@@ -17,9 +19,12 @@
 	Lost = 'lost',
 }
 
-/** Outcome of an attempt. `isBroken` is whether the connection has failed since the response head arrived. */
+/**
+ * Outcome of an attempt. `isBroken` is whether the connection has failed since the response head arrived, `hasSurplus` whether bytes have followed
+ * the whole response.
+ */
 export type ExchangeOutcome
-	= | {kind: ExchangeKind.Answered; res: IncomingMessage; cancel: () => void; isBroken: () => boolean}
+	= | {kind: ExchangeKind.Answered; res: IncomingMessage; cancel: () => void; isBroken: () => boolean; hasSurplus: () => boolean}
 		| {kind: ExchangeKind.NotSent | ExchangeKind.Lost; reason: string; isConnectionRefused: boolean};
 
 export type ExchangeOptions = {
@@ -44,15 +49,26 @@
  */
 const staleConnectionMs = 600;
 
+/** Most bytes of one head, as for callers' heads by default. */
+const maxHeadBytes = 16_384;
+
+/** Returns why a connection failed; Node's parser doesn't name the bound. */
+const describeFailure = (error: NodeJS.ErrnoException): string =>
+	(error.code === 'HPE_HEADER_OVERFLOW' ? `a head of more than ${maxHeadBytes} bytes` : describeError(error));
+
 /** Sends an attempt; the promise never rejects. */
 export const exchange = async ({agent, address, method, path, headers, body, connectTimeoutMs, signal}: ExchangeOptions): Promise<ExchangeOutcome> =>
 	new Promise(resolve => {
 		const [host, port] = address.split(':');
 		const req = request({
-			host, port, method, path, agent, headers, setHost: false,
+			host, port, method, path, agent, headers, setHost: false, maxHeaderSize: maxHeadBytes,
 		});
+		// Node drops fields beyond a thousand, the identity of the request among them; the size of the head bounds their number.
+		req.maxHeadersCount = 0;
+		const informationalHeads = new InformationalHeads(() => systemClock.now());
 		let isSent = false;
 		const hasFailed = watchForReset(req);
+		const hasSurplus = watchSurplus(req);
 		let reason = '';
 		let isConnectionRefused = false;
 		const cancel = (): void => {
@@ -87,7 +103,14 @@
 		});
 		req.on('error', error => {
 			isConnectionRefused = assumeType<NodeJS.ErrnoException>(error).code === 'ECONNREFUSED';
-			reason ||= describeError(error);
+			reason ||= describeFailure(error);
+		});
+		req.on('information', ({rawHeaders}) => {
+			const exceeded = informationalHeads.add(rawHeaders);
+			if (exceeded !== undefined) {
+				reason ||= exceeded;
+				req.destroy();
+			}
 		});
 		req.once('close', () => {
 			clearTimeout(connectTimer);
@@ -108,7 +131,7 @@
 			// Node also ends a body without a declared length when the connection is reset. The error is emitted before that end,
 			// so `isBroken` distinguishes the two.
 			resolve({
-				kind: ExchangeKind.Answered, res, cancel, isBroken: hasFailed,
+				kind: ExchangeKind.Answered, res, cancel, isBroken: hasFailed, hasSurplus,
 			});
 		});
 		req.end(body);
