--- a/packages/mastvalve-cluster/src/peer/peer-body.ts
+++ b/packages/mastvalve-cluster/src/peer/peer-body.ts
@@ -14,6 +14,9 @@
 /** Value of `content-encoding` for compressed bodies. */
 const compression = 'deflate-raw';
 
+/** Bytes of one body as sent. The largest legitimate one is a snapshot of the log with a configuration of 16 MB, as stated and as decoded. */
+export const maxPeerBodyBytes = 134_217_728;
+
 export const encodeBody = (value: unknown): EncodedBody => {
 	const plain = Buffer.from(JSON.stringify(value));
 	const isCompressed = plain.length >= minCompressedBytes;
--- a/packages/mastvalve-cluster/src/peer/peer-client.ts
+++ b/packages/mastvalve-cluster/src/peer/peer-client.ts
@@ -13,7 +13,7 @@
 	assumeType, collectBytes, describeError, dropIdleConnections,
 } from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
-import {decodeBody, encodeBody} from './peer-body.js';
+import {decodeBody, encodeBody, maxPeerBodyBytes} from './peer-body.js';
 import {IdleTimer} from './idle-timer.js';
 
 /** Returned when a call to another process of mastvalve gets no response, or one with a status other than 200. */
@@ -105,7 +105,7 @@
 /** Maximum characters of an error response in the message of a `PeerError`. */
 const maxReasonLength = 200;
 
-const readAnswer = async (res: IncomingMessage): Promise<unknown> => decodeBody(await collectBytes(res), res.headers['content-encoding']);
+const readAnswer = async (res: IncomingMessage): Promise<unknown> => decodeBody(await collectBytes(res, maxPeerBodyBytes), res.headers['content-encoding']);
 
 /** Sends a body in chunks; `onProgress` is called after each completed write. */
 const sendInChunks = (req: ClientRequest, bytes: Uint8Array, onProgress: () => void): void => {
--- a/packages/mastvalve-cluster/src/peer/peer-server.ts
+++ b/packages/mastvalve-cluster/src/peer/peer-server.ts
@@ -8,7 +8,7 @@
 import {type MastvalveError} from 'mastvalve-types';
 import {collectBytes, describeError, toMastvalveError} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
-import {decodeBody, encodeBody} from './peer-body.js';
+import {decodeBody, encodeBody, maxPeerBodyBytes} from './peer-body.js';
 
 /** Handles the calls of one path; the signal aborts when the caller disconnects. */
 export type PeerHandler = (body: unknown, signal: AbortSignal) => Promise<Result<unknown, MastvalveError>>;
@@ -34,7 +34,7 @@
 	res.once('close', () => {
 		disconnect.abort();
 	});
-	const body = decodeBody(await collectBytes(req), req.headers['content-encoding']);
+	const body = decodeBody(await collectBytes(req, maxPeerBodyBytes), req.headers['content-encoding']);
 	const result = await handler(body, disconnect.signal);
 	if (result.isOk()) {
 		sendJson(res, 200, result.value);
--- a/packages/mastvalve-sidecar/__tests__/broken-answers.steps.ts
+++ b/packages/mastvalve-sidecar/__tests__/broken-answers.steps.ts
@@ -19,6 +19,7 @@
 const body = '{"loan":"4711","isRecorded":true}';
 const pauseMs = 5;
 const timeLimitMs = 3000;
+const maxBodyBytes = 65_536;
 
 const head = (fields: string): string => `HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n${fields}\r\n`;
 const chunk = `${body.length.toString(16)}\r\n${body}\r\n`;
@@ -75,7 +76,7 @@
 		const answer = await dispatchRequest({
 			url: `http://127.0.0.1:${port}/loans`, method: 'POST', headers: {}, body: new Uint8Array(), signal: AbortSignal.timeout(timeLimitMs), isEngine: false,
 		}, this.brokenAgent);
-		const text = await (answer.isOk() ? collectText(answer.value.body).catch(() => 'broken off') : 'broken off');
+		const text = await (answer.isOk() ? collectText(answer.value.body, maxBodyBytes).catch(() => 'broken off') : 'broken off');
 		await waitFor(0);
 		return [...bodies, text];
 	}, Promise.resolve([]));
@@ -109,7 +110,7 @@
 		const answer = await dispatchRequest({
 			url: `http://127.0.0.1:${port}/loans`, method: 'POST', headers: {'x-number': number}, body: new Uint8Array(), signal: AbortSignal.timeout(timeLimitMs), isEngine: true,
 		}, this.brokenAgent);
-		const text = answer.isOk() ? await collectText(answer.value.body) : answer.error.code;
+		const text = answer.isOk() ? await collectText(answer.value.body, maxBodyBytes) : answer.error.code;
 		await waitFor(pauseMs);
 		return [...bodies, text];
 	}, Promise.resolve([]));
