Calls in progress at control go before what their senders send behind them

What senders saw: 400 or 431 in the place of the answer to a heartbeat, a configuration or a call between instances that was taken and in progress, or a connection closed without an answer (CONNECT), when they had sent something else behind it; 417 for an unknown expectation. Cause: as in: Node's HTTP server answers errors of a connection by itself. Class: the same, at control's other servers. Ruled out: handlers; each call was taken and its answer was ready after 400 ms. Conclusion: what follows a call at control no longer takes the place of its answer.

--- a/packages/mastvalve-cluster/src/peer/peer-server.ts
+++ b/packages/mastvalve-cluster/src/peer/peer-server.ts
@@ -6,7 +6,9 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type MastvalveError} from 'mastvalve-types';
-import {collectBytes, describeError, toMastvalveError} from 'mastvalve-utils';
+import {
+	collectBytes, describeConnectionFault, describeError, guardConnections, toMastvalveError,
+} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 import {decodeBody, encodeBody, maxPeerBodyBytes} from './peer-body.js';
 
@@ -53,6 +55,9 @@
 				res.destroy();
 			});
 		});
+		guardConnections(server, fault => {
+			onError(describeConnectionFault(fault));
+		});
 		server.keepAliveTimeout = keepAliveMs;
 		server.requestTimeout = 0;
 		server.once('error', error => {
--- a/packages/mastvalve-utils/src/guard-connections.ts
+++ b/packages/mastvalve-utils/src/guard-connections.ts
@@ -12,6 +12,8 @@
 
 /** A connection that failed, or whose bytes can't be read as requests. */
 export type ConnectionFault = {
+	/** Address of the sender, `ip:port`; `unknown` if its connection was already closed. */
+	peer: string;
 	/** Code of the error, as Node's HTTP server names it. */
 	code: string;
 	reason: string;
@@ -40,8 +42,12 @@
 	private readonly unanswered = new Map<ServerResponse, IncomingMessage>();
 	private readableBytes = Number.POSITIVE_INFINITY;
 	private isClosing = false;
+	private readonly peer: string;
 
-	constructor(private readonly socket: Socket) {}
+	constructor(private readonly socket: Socket) {
+		const {remoteAddress, remotePort} = socket;
+		this.peer = remoteAddress === undefined ? 'unknown' : `${remoteAddress}:${remotePort}`;
+	}
 
 	/** Adds a request; the connection is closed behind its answer if nothing more is read from it. */
 	add(req: IncomingMessage, res: ServerResponse): void {
@@ -61,7 +67,7 @@
 		const fault = (status: number): ConnectionFault | undefined => (isRepeated && this.socket.writable
 			? undefined
 			: {
-				code, reason: describeError(error), status, unanswered: [...this.unanswered.values()].filter(({complete}) => complete),
+				peer: this.peer, code, reason: describeError(error), status, unanswered: [...this.unanswered.values()].filter(({complete}) => complete),
 			});
 		// A sender that has ended its side has left: its requests are cancelled with the connection.
 		if (!this.isReadError(code) || this.hasLeft || this.socket.bytesRead > this.readableBytes) {
@@ -132,6 +138,12 @@
 	}
 }
 
+/** Describes a fault in one line, for logs without fields of their own. */
+export const describeConnectionFault = ({peer, code, reason, status, unanswered}: ConnectionFault): string => {
+	const calls = unanswered.map(({method, url}) => `${method} ${url}`).join(', ');
+	return `connection of ${peer} failed: ${code}, ${reason}; answered with ${status === 0 ? 'nothing' : status}${calls === '' ? '' : ` behind ${calls}`}`;
+};
+
 /** Drops what follows a request to open a tunnel: Node leaves such a connection to its listener. */
 const dropRest = (socket: Socket, onBytes: () => void): void => {
 	socket.on('error', () => undefined);
