Servers of entry, sidecar and control answer unanswered requests before what follows them

What callers saw: 400, 431, 417 or a closed connection in the place of the answer to a request that ran on, and 408 once they had begun the next request and left it unfinished for 60 to 90 s. Fields beyond about a thousand were dropped, an idempotency key among them, so a call with a key ran without its claim. Cause: startServer left errors of connections, unknown expectations and the number of fields to Node's HTTP server, which knows nothing of unanswered requests. Class: answers that a library writes by itself (docs/incidents/requests-refused-while-they-ran.md). Ruled out: hono's node server; it answers requests only, each in its turn. Change: startServer guards its connections (guardConnections) for entry, sidecar and control alike; each fault is logged with the ids of the requests that are unanswered, and counted (mastvalve_connection_errors_total). The time for a head (60 s) and how often it is looked at (30 s) were Node's defaults and are named now. A body that comes slowly isn't bounded by this.

--- a/packages/mastvalve-control/src/server/start-control.ts
+++ b/packages/mastvalve-control/src/server/start-control.ts
@@ -4,7 +4,7 @@
 
 import {randomBytes} from 'node:crypto';
 import {
-	createApp, mountRouter, registerGauge, startServer, type ProgramContext, type RunningServer, type UpstreamHandlers,
+	createApp, createFaultReporter, mountRouter, registerGauge, startServer, type ProgramContext, type RunningServer, type UpstreamHandlers,
 } from 'mastvalve-http';
 import {
 	createFileSystem, defaultReplicaTimes, formatReplicaId, Journal, journalFormat, type FileSystem, type Message, type ReplicaId, type ReplicaTimes,
@@ -100,7 +100,7 @@
 				this.joining.add(id);
 			},
 		}));
-		const server = await startServer(app, instance.listen);
+		const server = await startServer(app, instance.listen, {onFault: createFaultReporter(context)});
 		return server.map(running => {
 			this.registerMetrics();
 			context.timeline.record('program.started', `control listens on ${running.address}`);
--- a/packages/mastvalve-entry/src/server/start-entry.ts
+++ b/packages/mastvalve-entry/src/server/start-entry.ts
@@ -6,7 +6,7 @@
 import {ConfigurationStore} from 'mastvalve-configuration';
 import {ControlClient} from 'mastvalve-control';
 import {
-	createApp, createUpstreamRouter, mountRouter, registerGauge, startServer, UpstreamClient, type ProgramContext, type RunningServer, type UpstreamHandlers,
+	createApp, createFaultReporter, createUpstreamRouter, mountRouter, registerGauge, startServer, UpstreamClient, type ProgramContext, type RunningServer, type UpstreamHandlers,
 } from 'mastvalve-http';
 import {RetryBudget} from 'mastvalve-routing';
 import {Program, type EntryInstance, type Settings} from 'mastvalve-settings';
@@ -104,7 +104,7 @@
 		const scope: RouteScope = async (c, serve) => this.runInScope(chooseRequestId(c), serve);
 		addModelRoutes(app, this.core, scope);
 		addServiceRoutes(app, this.core, scope);
-		const server = await startServer(app, instance.listen);
+		const server = await startServer(app, instance.listen, {onFault: createFaultReporter(context)});
 		return server.map(running => {
 			this.registerMetrics();
 			context.timeline.record('program.started', `entry listens on ${running.address}`);
--- a/packages/mastvalve-http/src/index.ts
+++ b/packages/mastvalve-http/src/index.ts
@@ -8,6 +8,7 @@
 export * from './metrics.js';
 export * from './problem-response.js';
 export * from './program-context.js';
+export * from './report-faults.js';
 export * from './server.js';
 export * from './unsent.js';
 export * from './rpc/input.js';
--- a/packages/mastvalve-http/src/server.ts
+++ b/packages/mastvalve-http/src/server.ts
@@ -6,7 +6,9 @@
 import {serve} from '@hono/node-server';
 import type {Hono} from 'hono';
 import {MastvalveError} from 'mastvalve-types';
-import {describeError, assumeType} from 'mastvalve-utils';
+import {
+	describeError, assumeType, guardConnections, type ConnectionFault,
+} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 
 /** Why a program can't listen. */
@@ -31,6 +33,19 @@
 /** Idle keep-alive connections are closed after this, ms; longer than clients keep theirs. */
 const keepAliveTimeoutMs = 65_000;
 
+/** Options of a server. */
+export type ServerOptions = {
+	/** Called for each connection that fails, or whose bytes can't be read as requests. */
+	onFault?: (fault: ConnectionFault) => void;
+	/** Longest time for a head from its first byte on, ms; a caller sends one at once. */
+	headTimeoutMs?: number;
+	/** Heads that are late are looked for this often, ms. */
+	headCheckMs?: number;
+};
+
+const defaultHeadTimeoutMs = 60_000;
+const defaultHeadCheckMs = 30_000;
+
 /** While draining, connections that became idle are closed this often, ms. */
 const closeIdleMs = 50;
 
@@ -40,11 +55,20 @@
 };
 
 /** Starts to listen on `ip:port`. */
-export const startServer = async (app: Hono, listen: string): Promise<Result<RunningServer, ListenError>> =>
+export const startServer = async (app: Hono, listen: string, options: ServerOptions = {}): Promise<Result<RunningServer, ListenError>> =>
 	new Promise(resolve => {
 		const {hostname, port} = splitAddress(listen);
-		const server = assumeType<Server>(serve({fetch: app.fetch, hostname, port}));
-		server.keepAliveTimeout = keepAliveTimeoutMs;
+		const server = assumeType<Server>(serve({
+			fetch: app.fetch,
+			hostname,
+			port,
+			serverOptions: {
+				keepAliveTimeout: keepAliveTimeoutMs,
+				headersTimeout: options.headTimeoutMs ?? defaultHeadTimeoutMs,
+				connectionsCheckingInterval: options.headCheckMs ?? defaultHeadCheckMs,
+			},
+		}));
+		guardConnections(server, options.onFault ?? (() => undefined));
 		server.once('error', thrown => {
 			resolve(err(new ListenError(listen, thrown)));
 		});
--- a/packages/mastvalve-sidecar/src/server/start-sidecar.ts
+++ b/packages/mastvalve-sidecar/src/server/start-sidecar.ts
@@ -5,7 +5,7 @@
 import {randomUUID} from 'node:crypto';
 import {ConfigurationStore} from 'mastvalve-configuration';
 import {
-	createApp, registerGauge, startServer, UpstreamClient, type ProgramContext, type RunningServer,
+	createApp, createFaultReporter, registerGauge, startServer, UpstreamClient, type ProgramContext, type RunningServer,
 } from 'mastvalve-http';
 import type {Settings, SidecarInstance} from 'mastvalve-settings';
 import {EndpointState, type Endpoint, type MastvalveError} from 'mastvalve-types';
@@ -116,7 +116,7 @@
 			mayHold: model => this.isPlain || this.keeper.isAssigned(model ?? '') || this.keeper.isReady(model ?? ''),
 			acceptClaim: claim => this.claims?.accept(claim) ?? false,
 		}));
-		const server = await startServer(app, instance.listen);
+		const server = await startServer(app, instance.listen, {onFault: createFaultReporter(context)});
 		return server.map(running => {
 			this.address = `http://${running.address}`;
 			this.registerMetrics();
