A sidecar passes whole answers on whole, whatever follows them

What callers saw: 502 with an unknown outcome, or a cut stream, for an answer that its endpoint had sent whole, when bytes that belong to no request followed it on the connection. Cause: readBody took any error of the connection for an error within the answer. The check is needed only where the end of the connection is the end of the answer: Node's client takes a reset for it. Ruled out: that the surplus comes before the end is known: the parser had marked the answer as complete in each of the 80 cases. Answers that end with their connection stay as they were. The surplus has no log line yet.

--- a/packages/mastvalve-sidecar/__tests__/broken-answers.feature
+++ b/packages/mastvalve-sidecar/__tests__/broken-answers.feature
@@ -16,6 +16,21 @@
       | a length, then closes before it           | broken off |
       | chunks, then closes before the last chunk | broken off |
 
+  # Guards against whole answers that break off: an error behind their end was taken for an error within them.
+  Scenario Outline: An answer that an endpoint frames with <framing> is whole although <surplus> follow it
+    Given an endpoint that answers with "<framing>" and sends "<surplus>" behind it
+    When a sidecar hands 20 requests to it, one after the other
+    Then each body is "whole"
+
+    Examples:
+      | framing  | surplus                           |
+      | a length | bytes that are no answer          |
+      | chunks   | bytes that are no answer          |
+      | a length | bytes that are no answer, at once |
+      | chunks   | bytes that are no answer, at once |
+      | a length | bytes without end                 |
+      | chunks   | bytes without end                 |
+
   # Guards against a refusal or a body that reaches the caller of the next request: an endpoint had answered twice on a kept connection.
   Scenario: The surplus answer of an engine is not taken for the answer to the next request
     Given an endpoint that sends each answer once more in the place of the next one on its connection
--- a/packages/mastvalve-sidecar/__tests__/broken-answers.steps.ts
+++ b/packages/mastvalve-sidecar/__tests__/broken-answers.steps.ts
@@ -67,6 +67,37 @@
 	});
 });
 
+const garbage = '\u0000no answer'.repeat(100);
+
+/** Sends bytes that belong to no request until the connection is closed. */
+const sendWithoutEnd = (socket: Socket): void => {
+	const sender = setInterval(() => {
+		socket.write(garbage);
+	}, 0);
+	socket.once('close', () => {
+		clearInterval(sender);
+	});
+};
+
+Given('an endpoint that answers with {string} and sends {string} behind it', async function (this: BrokenWorld, framing: string, surplus: string) {
+	this.brokenServer = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.on('data', () => {
+			const {text} = answers[framing]!;
+			socket.write(surplus.endsWith('at once') ? `${text}${garbage}` : text, () => {
+				if (surplus === 'bytes without end') {
+					sendWithoutEnd(socket);
+				} else {
+					socket.write(garbage);
+				}
+			});
+		});
+	});
+	await new Promise<void>(resolve => {
+		this.brokenServer.listen(0, '127.0.0.1', resolve);
+	});
+});
+
 When('a sidecar hands {int} requests to it, one after the other', async function (this: BrokenWorld, count: number) {
 	const {port} = assumeType<AddressInfo>(this.brokenServer.address());
 	this.brokenAgent = createDispatchAgent(1);
--- a/packages/mastvalve-sidecar/src/server/dispatch.ts
+++ b/packages/mastvalve-sidecar/src/server/dispatch.ts
@@ -74,10 +74,19 @@
 	});
 };
 
-/** The chunks of a body; throws if it breaks off. */
-async function * readBody(res: IncomingMessage, hasFailed: () => boolean): AsyncGenerator<Uint8Array> {
+const bodilessStatuses = new Set([204, 304]);
+
+/** Whether only the end of the connection tells where an answer ends: its head names no length, and it has no chunks. */
+const endsWithConnection = ({statusCode, headers}: IncomingMessage, method: string): boolean =>
+	method !== 'HEAD'
+	&& !bodilessStatuses.has(statusCode ?? 0)
+	&& headers['content-length'] === undefined
+	&& !/\bchunked\b/iv.test(headers['transfer-encoding'] ?? '');
+
+/** The chunks of a body; throws if it breaks off. An error of the connection behind the announced end is no part of the answer. */
+async function * readBody(res: IncomingMessage, method: string, hasFailed: () => boolean): AsyncGenerator<Uint8Array> {
 	yield * res as AsyncIterable<Uint8Array>;
-	if (!res.complete || hasFailed()) {
+	if (!res.complete || (endsWithConnection(res, method) && hasFailed())) {
 		throw new UnknownOutcomeError('The connection to the endpoint was reset before the whole answer was here.');
 	}
 }
@@ -103,7 +112,7 @@
 				return;
 			}
 
-			resolve(ok({status: res.statusCode ?? 0, headers: toHeaders(res.headers), body: Readable.from(readBody(res, hasFailed), {objectMode: false})}));
+			resolve(ok({status: res.statusCode ?? 0, headers: toHeaders(res.headers), body: Readable.from(readBody(res, method, hasFailed), {objectMode: false})}));
 		});
 		req.end(body);
 	});
