Bodies of callers and calls are bounded in bytes and time

Cause: `/rpc` had no bound, and entries serve it on their callers' port; the sidecar looked at the size when it had read the whole body; the time was left to Node's HTTP server. Ruled out: the callers' routes of the entry in bytes; hono's body limit bounded those. Hono's body limit isn't needed any more. Many callers at once are bounded only by max_in_flight times max_body_bytes (4 GB by default), which is no bound that a machine stands.

--- a/packages/mastvalve-control/src/server/start-control.ts
+++ b/packages/mastvalve-control/src/server/start-control.ts
@@ -54,6 +54,8 @@
 const handOverMs = 300;
 const announcePauseMs = 500;
 const diskIdBytes = 4;
+/** Bytes of one call of peers, operators or entries. A snapshot is sent as one message; V8 can't hold twice as much in one string. */
+const maxRpcBytes = 268_435_456;
 
 /** Starts a control instance. It listens first, since peers must be able to ask who it is. */
 export const startControl = async (options: StartControlOptions): Promise<Result<RunningProgram, MastvalveError>> => {
@@ -99,7 +101,7 @@
 			announce: id => {
 				this.joining.add(id);
 			},
-		}));
+		}), {maxBytes: maxRpcBytes});
 		const server = await startServer(app, instance.listen, {onFault: createFaultReporter(context)});
 		return server.map(running => {
 			this.registerMetrics();
--- a/packages/mastvalve-entry/src/server/model-routes.ts
+++ b/packages/mastvalve-entry/src/server/model-routes.ts
@@ -6,7 +6,7 @@
 import {assumeType, describeError} from 'mastvalve-utils';
 import type {Context, Hono} from 'hono';
 import {findServingModel, listCallableNames} from 'mastvalve-configuration';
-import {Header} from 'mastvalve-http';
+import {Header, readBody} from 'mastvalve-http';
 import {hashPrefixes} from 'mastvalve-routing';
 import {
 	BadRequestError, Outcome, UnknownNameError, type MastvalveError, type Model,
@@ -62,7 +62,12 @@
 
 const serveModel = async (c: Context, core: EntryCore, path: string, requestId: string): Promise<Response> => {
 	const {clock} = core.context;
-	const bytes = new Uint8Array(await c.req.arrayBuffer());
+	const read = await readBody(c.req.raw, {maxBytes: core.policy.maxBodyBytes});
+	if (read.isErr()) {
+		return answerError(core, read.error, requestId);
+	}
+
+	const bytes = read.value;
 	const checked = readRequestHead(c, requestId, core.policy.defaultDeadlineMs)
 		.andThen(head => parseBody(bytes).andThen(body => findModel(core, body.model).map(model => ({head, body, model}))));
 	if (checked.isErr()) {
--- a/packages/mastvalve-entry/src/server/service-routes.ts
+++ b/packages/mastvalve-entry/src/server/service-routes.ts
@@ -5,7 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import type {Context, Hono} from 'hono';
-import {Header} from 'mastvalve-http';
+import {Header, readBody} from 'mastvalve-http';
 import {
 	BadRequestError, Outcome, ServiceKind, UnknownNameError, type StoredResponse, type MastvalveError, type Service,
 } from 'mastvalve-types';
@@ -65,7 +65,12 @@
 
 	const {head, service, path, pathOnly} = call.value;
 	const {method} = c.req;
-	const body = repeatableMethods.has(method) ? undefined : new Uint8Array(await c.req.arrayBuffer());
+	const read = repeatableMethods.has(method) ? ok(undefined) : await readBody(c.req.raw, {maxBytes: core.policy.maxBodyBytes});
+	if (read.isErr()) {
+		return answerError(core, read.error, requestId);
+	}
+
+	const body = read.value;
 	core.budget.recordFirstAttempt();
 	core.countAttempt(false);
 	core.context.timeline.record('request.received', `${method} ${pathOnly} of ${service.name}`, requestId);
--- a/packages/mastvalve-entry/src/server/start-entry.ts
+++ b/packages/mastvalve-entry/src/server/start-entry.ts
@@ -2,7 +2,6 @@
  * The entry program: callers' side of mastvalve. It holds nothing that must survive; any entry serves any caller.
  */
 
-import {bodyLimit} from 'hono/body-limit';
 import {ConfigurationStore} from 'mastvalve-configuration';
 import {ControlClient} from 'mastvalve-control';
 import {
@@ -11,7 +10,7 @@
 import {RetryBudget} from 'mastvalve-routing';
 import {Program, type EntryInstance, type Settings} from 'mastvalve-settings';
 import {
-	BadRequestError, ControlUnavailableError, RefusedError, type EndpointReport, type MastvalveError,
+	ControlUnavailableError, RefusedError, type EndpointReport, type MastvalveError,
 } from 'mastvalve-types';
 import {
 	createDeadlineSignal, describeError, repeatUntilAborted, waitFor,
@@ -46,6 +45,8 @@
 const syncPauseMs = 200;
 const maxFollowWaitMs = 30_000;
 const connectionsPerSidecar = 256;
+/** Bytes of one call of sidecars; a report has some kilobytes. */
+const maxRpcBytes = 1_048_576;
 
 /** Starts an entry. */
 export const startEntry = async (options: StartEntryOptions): Promise<Result<RunningEntry, MastvalveError>> => new EntryProgram(options).start();
@@ -91,16 +92,9 @@
 	}
 
 	async start(): Promise<Result<RunningEntry, MastvalveError>> {
-		const {context, instance, settings} = this.options;
+		const {context, instance} = this.options;
 		const app = createApp(context, () => this.readReadiness());
-		const {maxBodyBytes} = settings.policy;
-		const limit = bodyLimit({
-			maxSize: maxBodyBytes,
-			onError: c => answerError(this.core, new BadRequestError(`The body is larger than ${maxBodyBytes} bytes. Nothing was run.`, 'body-too-large', 413), chooseRequestId(c)),
-		});
-		app.use('/v1/*', limit);
-		app.use('/services/*', limit);
-		mountRouter(app, createUpstreamRouter(this.createUpstreamHandlers()));
+		mountRouter(app, createUpstreamRouter(this.createUpstreamHandlers()), {maxBytes: maxRpcBytes});
 		const scope: RouteScope = async (c, serve) => this.runInScope(chooseRequestId(c), serve);
 		addModelRoutes(app, this.core, scope);
 		addServiceRoutes(app, this.core, scope);
--- a/packages/mastvalve-http/src/index.ts
+++ b/packages/mastvalve-http/src/index.ts
@@ -5,9 +5,11 @@
 
 export * from './app.js';
 export * from './headers.js';
+export * from './limit-bytes.js';
 export * from './metrics.js';
 export * from './problem-response.js';
 export * from './program-context.js';
+export * from './read-body.js';
 export * from './report-faults.js';
 export * from './server.js';
 export * from './unsent.js';
--- a/packages/mastvalve-http/src/problem-response.ts
+++ b/packages/mastvalve-http/src/problem-response.ts
@@ -12,6 +12,7 @@
 const titles: Readonly<Record<number, string>> = {
 	400: 'The request is not valid',
 	404: 'There is no such name',
+	408: 'The body came too slowly',
 	409: 'It conflicts with what is there',
 	413: 'The body is too large',
 	422: 'It can not be carried out as it is',
--- a/packages/mastvalve-http/src/rpc/trpc.ts
+++ b/packages/mastvalve-http/src/rpc/trpc.ts
@@ -6,11 +6,15 @@
 import {initTRPC, type AnyTRPCRouter} from '@trpc/server';
 import {fetchRequestHandler} from '@trpc/server/adapters/fetch';
 import type {Hono} from 'hono';
+import type {BadRequestError} from 'mastvalve-types';
 import {
 	assumeType, formatReading, parseReading, type HybridClock,
 } from 'mastvalve-utils';
+import {ok, type Result} from 'neverthrow';
 import {Agent, fetch as undiciFetch, type RequestInit} from 'undici';
 import {Header} from '../headers.js';
+import {toProblemResponse} from '../problem-response.js';
+import {readBody, type BodyBounds} from '../read-body.js';
 
 const t = initTRPC.create();
 
@@ -25,9 +29,24 @@
 /** Calls in one HTTP request at the most. */
 const maxBatch = 64;
 
+/** A request whose body has been read within its bounds. */
+const readRequest = async (req: Request, bounds: BodyBounds): Promise<Result<Request, BadRequestError>> => {
+	if (req.method === 'GET') {
+		return ok(req);
+	}
+
+	const body = await readBody(req, bounds);
+	return body.map(bytes => new Request(req.url, {
+		method: req.method, headers: req.headers, body: new Uint8Array(bytes), signal: req.signal,
+	}));
+};
+
 /** Serves a router under `/rpc`. */
-export const mountRouter = (app: Hono, router: AnyTRPCRouter): void => {
-	app.all(`${rpcPath}/*`, async c => fetchRequestHandler({endpoint: rpcPath, req: c.req.raw, router}));
+export const mountRouter = (app: Hono, router: AnyTRPCRouter, bounds: BodyBounds): void => {
+	app.all(`${rpcPath}/*`, async c => {
+		const read = await readRequest(c.req.raw, bounds);
+		return read.isOk() ? fetchRequestHandler({endpoint: rpcPath, req: read.value, router}) : toProblemResponse(read.error);
+	});
 };
 
 /** Connections for calls between our processes. */
--- a/packages/mastvalve-sidecar/src/server/forward-handler.ts
+++ b/packages/mastvalve-sidecar/src/server/forward-handler.ts
@@ -5,12 +5,15 @@
 import type {Agent} from 'node:http';
 import {Readable} from 'node:stream';
 import type {Handler} from 'hono';
-import {Header, toProblemResponse, type ProgramContext} from 'mastvalve-http';
+import {
+	Header, readBody, toProblemResponse, type ProgramContext,
+} from 'mastvalve-http';
 import type {AdmissionRequest} from 'mastvalve-routing';
 import {
-	BadRequestError, MastvalveError, Outcome, RefusedError, type Endpoint,
+	MastvalveError, Outcome, RefusedError, type Endpoint,
 } from 'mastvalve-types';
 import {createDeadlineSignal} from 'mastvalve-utils';
+import {ok} from 'neverthrow';
 import {copyHeaders, dispatchRequest, type DispatchAnswer} from './dispatch.js';
 import type {EndpointGate} from './endpoint-gate.js';
 import {readForwardRequest, type ForwardRequest} from './forward-request.js';
@@ -66,7 +69,12 @@
 		return res;
 	};
 
-	const body = await readBody(c.req.raw, options.maxBodyBytes);
+	const read = hasBody(c.req.method) ? await readBody(c.req.raw, {maxBytes: options.maxBodyBytes}) : ok(undefined);
+	if (read.isErr()) {
+		return answerError(read.error);
+	}
+
+	const body = read.value;
 	const obstacle = findObstacle(options, forward);
 	if (obstacle) {
 		return answerError(obstacle);
@@ -112,18 +120,7 @@
 	});
 };
 
-const readBody = async (req: Request, maxBytes: number): Promise<Uint8Array | undefined> => {
-	if (req.method === 'GET' || req.method === 'HEAD') {
-		return undefined;
-	}
-
-	const body = new Uint8Array(await req.arrayBuffer());
-	if (body.length > maxBytes) {
-		throw new BadRequestError(`The body has ${body.length} bytes; at most ${maxBytes} are taken.`, 'body-too-large', 413);
-	}
-
-	return body;
-};
+const hasBody = (method: string): boolean => method !== 'GET' && method !== 'HEAD';
 
 const formatLoad = (gate: EndpointGate): string => `${gate.queue.runningCount};${gate.queue.queuedCount}`;
 
