Limits of workspaces: refunds of a repeated call count once

What callers saw: nothing is known. In virtual time one entry that had run half of a workspace's window, and was granted nearly as much that it didn't run, ran 542,186 tokens in 8 s where 396,000 are allowed (rule QUOTA).

Cause: an entry repeats a call to the leader whose connection closes within 50 ms. A leader that had handled the first one deducted its refunds a second time, and so forgot as much of what had run. The comment at the retry weighed claims only, which err on the safe side when they count twice. Class: a call that may be handled twice contains something that isn't idempotent. In the same call: unused permits of limited endpoints were returned twice; grants of the entry itself were counted twice, which refuses a workspace what it hasn't used.

Ruled out: the change of leader (one leader all the time); the entry's history (the first handling has no effect on it).

Change: calls are numbered by the entry, a repeated one keeps its number, and the leader leaves out refunds, unused permits and reported grants of a call that it has handled. Weighed: the repeated call without refunds.

By reading, unlike here, the dispatch client repeats what is keyed by run.

--- a/packages/mastvalve-fleet-control/src/limit-account.ts
+++ b/packages/mastvalve-fleet-control/src/limit-account.ts
@@ -19,6 +19,9 @@
 	now: () => number;
 };
 
+/** A call of an entry; one without a number is never taken for a repeated one. */
+type NumberedCall = {entry: string; number?: number};
+
 /** Time for which the list of busy workspaces is reused, ms: entries need it only once they are disconnected. */
 const busyTtlMs = 100;
 /** Maximum length of the list of busy workspaces in an answer; without a list, entries treat all workspaces as busy. */
@@ -31,6 +34,8 @@
 	readonly recorder: GrantRecorder;
 	/** Entries whose earlier grants are known. */
 	readonly synchronizedEntries = new Set<string>();
+	/** Number of the last call that was handled, by entry. */
+	private readonly handledCalls = new Map<string, number>();
 	private busy: {workspaces: string[] | undefined; at: number} | undefined;
 
 	constructor(private readonly options: LimitAccountOptions) {
@@ -44,6 +49,17 @@
 		}));
 	}
 
+	/** Whether a call of an entry was handled before. */
+	hasHandled({entry, number = Number.POSITIVE_INFINITY}: NumberedCall): boolean {
+		return number <= (this.handledCalls.get(entry) ?? Number.NEGATIVE_INFINITY);
+	}
+
+	noteHandled({entry, number}: NumberedCall): void {
+		if (number !== undefined) {
+			this.handledCalls.set(entry, number);
+		}
+	}
+
 	/** Lists the workspaces that use half of their window or more; undefined if they are too many to list. */
 	listBusy(): string[] | undefined {
 		const now = this.options.now();
--- a/packages/mastvalve-fleet-control/src/limit-service.ts
+++ b/packages/mastvalve-fleet-control/src/limit-service.ts
@@ -33,6 +33,8 @@
 /** Request of an entry to the leader. */
 export type LimitRequest = {
 	entry: string;
+	/** Number of the call, ascending; a call whose connection closed is repeated under the same number. */
+	number?: number;
 	claims: LimitClaim[];
 	/** Limits that endpoints announced in their responses. */
 	words: LimitReport[];
@@ -72,6 +74,10 @@
 /** Interval at which ceilings are raised ahead of the usage, ms: a step lasts longer, and checking all workspaces at each call would cost more than it saves. */
 const minRecordIntervalMs = 20;
 
+/** Returns a repeated call without what would count twice in an entry's favour, and without the grants that were counted. */
+const omitReturned = ({localGrants, ...request}: LimitRequest): LimitRequest =>
+	({...request, claims: request.claims.map(claim => ({...claim, cost: Math.max(0, claim.cost)})), unused: []});
+
 export class LimitService {
 	/** Account of the current term. */
 	private account: LimitAccount | undefined;
@@ -81,12 +87,13 @@
 	constructor(private readonly options: LimitServiceOptions) {}
 
 	/** Grants or defers claims; undefined if another instance may lead, or if grants could not be recorded in time. */
-	async answer(request: LimitRequest): Promise<LimitResponse | undefined> {
+	async answer(received: LimitRequest): Promise<LimitResponse | undefined> {
 		const account = this.readAccount();
 		if (!account) {
 			return undefined;
 		}
 
+		const request = account.hasHandled(received) ? omitReturned(received) : received;
 		account.ledger.noteCall(request.entry, this.options.now(), request.excess);
 		this.countReported(account, request);
 		if (!account.synchronizedEntries.has(request.entry)) {
@@ -95,6 +102,7 @@
 			};
 		}
 
+		account.noteHandled(request);
 		const waitMs = await this.settleClaims(account, request);
 		// Another leader may have granted claims while this one waited for a record.
 		return waitMs && this.readAccount() === account ? this.settlePermits(account, request, waitMs) : undefined;
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/limited-workspaces.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/limited-workspaces.ts
@@ -67,8 +67,8 @@
 	/** Commands that were committed, with their size in bytes. */
 	readonly commits: Array<{at: number; bytes: number}> = [];
 	readonly refusals: Array<{workspace: string; at: number; isCutOff: boolean}> = [];
+	readonly entries: VirtualLimitEntry[];
 	private readonly random: Random;
-	private readonly entries: VirtualLimitEntry[];
 	private readonly machine = new FleetMachine();
 	private leader: LimitService | undefined;
 	private term = 0;
--- a/packages/mastvalve-gateway/__tests__/__fixtures__/virtual-limit-entry.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/virtual-limit-entry.ts
@@ -25,6 +25,13 @@
 	onRefused: (workspace: string) => void;
 };
 
+/** When the connection of a call closes. */
+export enum Closing {
+	Never = 'never',
+	BeforeHandled = 'before the leader has handled it',
+	AfterHandled = 'after the leader has handled it',
+}
+
 /** Duration of a call to the leader, ms, and of one that is not answered. */
 const callDurationMs = 3;
 const failedCallDurationMs = 150;
@@ -34,6 +41,8 @@
 export class VirtualLimitEntry {
 	/** Whether no call reaches a leader. */
 	isCutOff = false;
+	/** When the connection of the next call closes; calls after it are answered. */
+	nextClosing = Closing.Never;
 	readonly client: LimitClient;
 	private readonly ending = new AbortController();
 	private frozenUntil = 0;
@@ -97,8 +106,14 @@
 
 	private async call<T>(request: LimitRequest): Promise<Result<T, PeerError>> {
 		const {time, ask} = this.options;
+		const closing = this.nextClosing;
+		this.nextClosing = Closing.Never;
 		await time.wait(callDurationMs / 2);
-		const response = this.isCutOff ? undefined : await ask(request);
+		const response = this.isCutOff || closing === Closing.BeforeHandled ? undefined : await ask(request);
+		if (closing !== Closing.Never) {
+			return err(new PeerError('leader', '/limits', 'connection closed'));
+		}
+
 		await time.wait(response ? callDurationMs / 2 : failedCallDurationMs);
 		await this.thaw();
 		return response ? ok(assumeType<T>(response)) : err(new PeerError('leader', '/limits', 'no answer'));
--- a/packages/mastvalve-gateway/src/limits/limit-leader-client.ts
+++ b/packages/mastvalve-gateway/src/limits/limit-leader-client.ts
@@ -20,7 +20,7 @@
 };
 
 /** A request to the leader; the client adds the entry and its grant history. */
-export type LimitRequestBody = Omit<LimitRequest, 'entry' | 'history' | 'localGrants'>;
+export type LimitRequestBody = Omit<LimitRequest, 'entry' | 'number' | 'history' | 'localGrants'>;
 
 /** A request without claims, to find out whether a leader answers. */
 export const emptyLimitRequest: LimitRequestBody = {
@@ -33,11 +33,14 @@
 const closedConnectionMs = 50;
 
 export class LimitLeaderClient {
+	/** Number of calls so far. */
+	private number = 0;
+
 	constructor(private readonly options: LimitLeaderClientOptions) {}
 
 	/**
-	 * Sends a request; undefined when no leader answers. Retries once on a closed connection, since peers close kept ones now and then, and
-	 * counting a claim twice is harmless.
+	 * Sends a request; undefined when no leader answers. Retries once on a closed connection, since peers close kept ones now and then. A leader
+	 * that has handled it counts its claims twice, which exceeds no limit, and its refunds once, by its number.
 	 */
 	async send(body: LimitRequestBody): Promise<LimitResponse | undefined> {
 		const {history, now} = this.options;
@@ -75,7 +78,10 @@
 	private createRequest(body: LimitRequestBody): LimitRequest {
 		const {entry, history, now} = this.options;
 		const localGrants = history.listUnreported(now());
-		return {...body, entry, ...(localGrants.length > 0 && {localGrants})};
+		this.number += 1;
+		return {
+			...body, entry, number: this.number, ...(localGrants.length > 0 && {localGrants}),
+		};
 	}
 
 	/** Calls the leader. An answer that arrives too late counts as none: this entry may have stood still, and other leaders may have granted since. */
