An entry that stops answers all requests that were sent at once

What callers saw: of two requests that were sent at once to an entry that stops, the second one ran and its connection was closed without an answer (10 of 10 with real processes). Cause: each answer of a stopping entry says that the connection closes, and Node closes it behind the first one that does. Class: what a library closes by itself (docs/incidents/requests-refused-while-they-ran.md). Ruled out: the drain, which waits for both. Change: only the newest answer of a connection announces its close; a request behind an answer that has announced it isn't served.

--- a/packages/mastvalve-gateway/__tests__/caller-connections.feature
+++ b/packages/mastvalve-gateway/__tests__/caller-connections.feature
@@ -33,6 +33,13 @@
     When a caller sends a request, a part of the next one, and its rest after 3800 ms
     Then it gets the answers to both requests
 
+  # Guards against requests that run and are cut off: Node closes a connection behind the first answer that says so.
+  Scenario: Requests that were sent at once are answered by an entry that stops
+    Given an entry with an endpoint that answers after 300 ms
+    When the entry stops, and a caller sends two requests at once
+    Then it gets the answers to both requests
+    And its connection is closed
+
   Scenario: A caller that leaves behind bytes that are no request is noticed
     Given an entry with an endpoint that answers after 4200 ms
     When callers send these behind a request that must not be repeated, and leave
--- a/packages/mastvalve-gateway/__tests__/caller-connections.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/caller-connections.steps.ts
@@ -137,6 +137,16 @@
 	caller.socket.write(next.slice(20));
 });
 
+When('the entry stops, and a caller sends two requests at once', async function (this: CallersWorld) {
+	const caller = await open(this, 'nothing');
+	void this.gateway.gateway.drain(eventIntervalMs);
+	caller.socket.write(request('r-first') + request('r-second'));
+});
+
+Then('its connection is closed', async function (this: CallersWorld) {
+	await waitUntil('the connection is closed', async () => this.callers.every(({socket}) => socket.closed));
+});
+
 When('callers send only these', async function (this: CallersWorld, table: DataTable) {
 	await Promise.all(listNames(table).map(async name => {
 		const caller = await open(this, name);
--- a/packages/mastvalve-utils/src/guard-connections.ts
+++ b/packages/mastvalve-utils/src/guard-connections.ts
@@ -33,6 +33,8 @@
 const lingerMs = 500;
 
 const badRequestStatus = 400;
+const connectionField = 'connection';
+const closeToken = 'close';
 const statuses = new Map([[timeoutCode, 408], ['HPE_HEADER_OVERFLOW', 431], ['HPE_CHUNK_EXTENSIONS_OVERFLOW', 413], [tunnelCode, 405]]);
 
 const formatAnswer = (status: number): string => `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
@@ -51,6 +53,7 @@
 
 	/** Adds a request; the connection is closed behind its answer if nothing more is read from it. */
 	add(req: IncomingMessage, res: ServerResponse): void {
+		this.leaveCloseTo(res);
 		this.unanswered.set(res, req);
 		res.once('close', () => {
 			this.unanswered.delete(res);
@@ -83,6 +86,23 @@
 		return fault(this.unanswered.size > 0 ? this.closeBehindAnswers(code) : this.reject(code));
 	}
 
+	/**
+	 * Lets only the newest answer announce that the connection closes: Node closes it behind the answer that does, whatever is unanswered. A request
+	 * behind an answer that has announced it already isn't served.
+	 */
+	private leaveCloseTo(res: ServerResponse): void {
+		const closing = [...this.unanswered.keys()].filter(earlier => earlier.getHeader(connectionField) === closeToken);
+		if (closing.some(({headersSent}) => headersSent)) {
+			res.destroy();
+			return;
+		}
+
+		closing.forEach(earlier => {
+			earlier.removeHeader(connectionField);
+			res.setHeader(connectionField, closeToken);
+		});
+	}
+
 	private get hasLeft(): boolean {
 		return this.socket.readableEnded || !this.socket.writable;
 	}
@@ -109,7 +129,7 @@
 		const [res, req] = [...this.unanswered].at(-1) ?? [];
 		// Only the newest request can have a body that isn't whole yet; it is rejected in its turn, since its rest can't be read.
 		if (code !== timeoutCode && res && !res.headersSent) {
-			res.setHeader('connection', 'close');
+			res.setHeader(connectionField, closeToken);
 			if (req?.complete === false) {
 				res.writeHead(badRequestStatus, {'content-length': 0});
 				res.end();
