An entry reads no more of an answer than its bounds

What callers saw: an answer without end was kept in the entry's memory until its caller's deadline, then 504; a stream whose event never ends, or a refusal of a sidecar without end, the same. Cause: readWhole collected every chunk, the parser of events had no bound for an event that isn't whole, and a refusal was read by `body.json()`. Ruled out: heads; undici gives them up at 16 KB (a scenario holds it). Not counted there: spaces before a field's value. Change: `policy.max_answer_bytes` (4 MB; an entry holds an answer up to four times over) bounds what is read whole, 262,144 characters an event, 64 KiB a refusal. Streams without a length go on as long as their caller reads and its deadline allows: their events pass through, and only what isn't whole yet is kept. Services whose whole answers are above 4 MB need the setting raised.

--- a/packages/mastvalve-entry/src/requests/attempt.ts
+++ b/packages/mastvalve-entry/src/requests/attempt.ts
@@ -6,16 +6,22 @@
 import {randomUUID} from 'node:crypto';
 import type {Readable} from 'node:stream';
 import {
-	createDeadlineSignal, formatReading, parseReading, type HybridClock, describeError, assumeType,
+	collectText, createDeadlineSignal, formatReading, parseReading, type HybridClock, describeError, assumeType,
 } from 'mastvalve-utils';
-import {Header, problemContentType, wasNeverSent} from 'mastvalve-http';
+import {
+	Header, limitBytes, problemContentType, wasNeverSent,
+} from 'mastvalve-http';
 import {
 	DeadlineError, MastvalveError, Outcome, UnknownOutcomeError, type Endpoint, type Problem,
 } from 'mastvalve-types';
 import {err, ok, type Result} from 'neverthrow';
 import {request, type Dispatcher} from 'undici';
+import {AnswerTooLargeError} from './answer-too-large-error.js';
 import type {EntryRequest} from './entry-request.js';
 
+/** Bytes of a sidecar's refusal; it has some hundreds. */
+const maxProblemBytes = 65_536;
+
 /** An answer whose body is still coming. */
 export type AttemptAnswer = {
 	status: number;
@@ -66,7 +72,8 @@
 		const headers = toHeaderRecord(res.headers);
 		options.hybridClock.observe(parseReading(headers[Header.Clock]));
 		if (headers[Header.Outcome] !== undefined && headers['content-type'] === problemContentType) {
-			return err(toError(assumeType<Problem>(await res.body.json())));
+			const problem = await collectText(limitBytes(res.body, maxProblemBytes, () => new AnswerTooLargeError('The refusal', options.endpoint.id, maxProblemBytes)), maxProblemBytes);
+			return err(toError(assumeType<Problem>(JSON.parse(problem))));
 		}
 
 		return ok({
--- a/packages/mastvalve-entry/src/requests/stream-answer.ts
+++ b/packages/mastvalve-entry/src/requests/stream-answer.ts
@@ -24,18 +24,29 @@
 	return (choice?.delta?.content ?? choice?.text ?? '') !== '';
 };
 
+/** Characters of an event that isn't whole yet; one with a token has some hundreds. */
+const maxEventLength = 262_144;
+
 /** The events of one attempt, as their chunks come. */
 async function * readEvents(body: Readable): AsyncGenerator<EventSourceMessage> {
 	const waiting: EventSourceMessage[] = [];
+	let isTooLarge = false;
 	const parser = createParser({
+		maxBufferSize: maxEventLength,
 		onEvent(event) {
 			waiting.push(event);
 		},
+		onError({type}) {
+			isTooLarge ||= type === 'max-buffer-size-exceeded';
+		},
 	});
 	const decoder = new TextDecoder();
 	for await (const chunk of body) {
 		parser.feed(decoder.decode(assumeType<Uint8Array>(chunk), {stream: true}));
 		yield * waiting.splice(0);
+		if (isTooLarge) {
+			throw new UnknownOutcomeError(`An event of the engine's stream has more than ${maxEventLength} characters.`);
+		}
 	}
 }
 
--- a/packages/mastvalve-entry/src/server/model-routes.ts
+++ b/packages/mastvalve-entry/src/server/model-routes.ts
@@ -3,15 +3,16 @@
  */
 
 import {Buffer} from 'node:buffer';
-import {assumeType, describeError} from 'mastvalve-utils';
+import {assumeType, collectBytes, describeError} from 'mastvalve-utils';
 import type {Context, Hono} from 'hono';
 import {findServingModel, listCallableNames} from 'mastvalve-configuration';
-import {Header, readBody} from 'mastvalve-http';
+import {Header, limitBytes, readBody} from 'mastvalve-http';
 import {hashPrefixes} from 'mastvalve-routing';
 import {
 	BadRequestError, Outcome, UnknownNameError, type MastvalveError, type Model,
 } from 'mastvalve-types';
 import {err, ok, type Result} from 'neverthrow';
+import {AnswerTooLargeError} from '../requests/answer-too-large-error.js';
 import {toAttemptError} from '../requests/attempt.js';
 import type {EntryRequest} from '../requests/entry-request.js';
 import {streamAnswer} from '../requests/stream-answer.js';
@@ -112,7 +113,7 @@
 			core.table.recordEnd(endpoint);
 			if (error && !request.signal.aborted) {
 				core.table.recordFailure(endpoint);
-				timeline.record('request.broken', `${error.code} at ${endpoint.id}`, request.requestId);
+				timeline.record('request.broken', `${error.code} at ${endpoint.id}: ${error.message}`, request.requestId);
 			}
 		},
 		onEnd(tokens, error) {
@@ -132,7 +133,7 @@
 };
 
 const answerWhole = async (core: EntryCore, request: EntryRequest, first: OpenAnswer): Promise<Response> => {
-	const body = await readWhole(core, first);
+	const body = await readWhole(core, request.requestId, first);
 	if (body.isOk()) {
 		core.context.timeline.record('request.ended', `whole, ${body.value.length} bytes`, request.requestId);
 		return new Response(new Uint8Array(body.value), {
@@ -151,15 +152,21 @@
 	return next?.isOk() ? answerWhole(core, request, next.value) : answerError(core, next?.isErr() ? next.error : body.error, request.requestId);
 };
 
-/** Reads a body to its end; a body that breaks off is an error, never an answer. */
-export const readWhole = async (core: EntryCore, answer: OpenAnswer): Promise<Result<Uint8Array, MastvalveError>> => {
+/** What reading a body needs of the core. */
+export type ReadingParts = {context: Pick<EntryCore['context'], 'timeline'>; policy: Pick<EntryCore['policy'], 'maxAnswerBytes'>; table: Pick<EntryCore['table'], 'recordEnd' | 'recordFailure'>};
+
+/** Reads a body to its end; a body that breaks off, or is larger than is read whole, is an error, never an answer. */
+export const readWhole = async ({context, policy, table}: ReadingParts, requestId: string, {body, endpoint}: OpenAnswer): Promise<Result<Uint8Array, MastvalveError>> => {
+	const {maxAnswerBytes} = policy;
 	try {
-		const chunks = assumeType<Uint8Array[]>(await answer.body.toArray());
-		core.table.recordEnd(answer.endpoint);
-		return ok(Buffer.concat(chunks));
-	} catch (error) {
-		core.table.recordEnd(answer.endpoint);
-		core.table.recordFailure(answer.endpoint);
-		return err(toAttemptError(error));
+		const bytes = await collectBytes(limitBytes(body, maxAnswerBytes, () => new AnswerTooLargeError('The body', endpoint.id, maxAnswerBytes)), maxAnswerBytes);
+		table.recordEnd(endpoint);
+		return ok(bytes);
+	} catch (error_) {
+		const error = toAttemptError(error_);
+		table.recordEnd(endpoint);
+		table.recordFailure(endpoint);
+		context.timeline.record('request.broken', `${error.code} at ${endpoint.id}: ${error.message}`, requestId);
+		return err(error);
 	}
 };
--- a/packages/mastvalve-entry/src/server/service-routes.ts
+++ b/packages/mastvalve-entry/src/server/service-routes.ts
@@ -153,7 +153,7 @@
 	}
 
 	const {status, headers} = opened.value;
-	const whole = await readWhole(core, opened.value);
+	const whole = await readWhole(core, request.requestId, opened.value);
 	return whole.map(body => ({status, contentType: headers['content-type'] ?? 'application/octet-stream', body: Buffer.from(body).toString('base64')}));
 };
 
--- a/packages/mastvalve-settings/src/settings.ts
+++ b/packages/mastvalve-settings/src/settings.ts
@@ -62,6 +62,8 @@
 	maxInFlight: number;
 	/** Largest request body, bytes. */
 	maxBodyBytes: number;
+	/** Largest answer that is read whole, bytes; an entry holds one up to four times over (its chunks, whole, and in base64 for repeats). */
+	maxAnswerBytes: number;
 	/** How long keys of calls that must not be repeated are kept, ms. */
 	claimRetentionMs: number;
 };
--- a/packages/mastvalve/src/dev/dev-deployment.ts
+++ b/packages/mastvalve/src/dev/dev-deployment.ts
@@ -65,7 +65,7 @@
 		platformList,
 		weightStore: {loadsPerSecond: 10, parallelLoads: 15},
 		policy: {
-			moveWeight: 0.2, ratePerReplica: 6, retryShare: 0.1, defaultDeadlineMs: 30_000, maxInFlight: 2000, maxBodyBytes: 2_000_000, claimRetentionMs: 86_400_000,
+			moveWeight: 0.2, ratePerReplica: 6, retryShare: 0.1, defaultDeadlineMs: 30_000, maxInFlight: 2000, maxBodyBytes: 2_000_000, maxAnswerBytes: 4_000_000, claimRetentionMs: 86_400_000,
 		},
 		logLevel: LogLevel.Error,
 		instances: [control, entry, ...sidecars],
