Control bounds the platform's list, and goes on with its duties when it can't be read

What operators saw: a list without end was kept in the leader's memory until its call's 1 s was over; then, as with a list that isn't JSON, the leader's round failed, so no model was placed as long as the list was like that. Cause: `res.json()` has no bound, and its errors weren't caught beside those of the call. Ruled out: bytes behind a whole list; undici closes the connection and the list is read (a scenario holds it). Change: fetchList reads at most 1 MiB (10,000 instances) within 1 s; a list that is larger, broken, no list or answered with another status counts as none, and a line names its address and the reason.

--- a/packages/mastvalve-control/src/server/start-control.ts
+++ b/packages/mastvalve-control/src/server/start-control.ts
@@ -15,13 +15,13 @@
 	callUntilAborted, describeError, repeatUntilAborted, toMastvalveError, waitFor, assumeType,
 } from 'mastvalve-utils';
 import {err, type Result} from 'neverthrow';
-import {fetch as undiciFetch} from 'undici';
 import {createControlRouter} from './control-router.js';
 import {
 	createOperatorHandlers, createUpstreamHandlers, proposeCommand, type ControlParts,
 } from './control-handlers.js';
 import {DemandEstimate} from './demand-estimate.js';
 import {EndpointWatch, type ListedInstance} from './endpoint-watch.js';
+import {fetchList} from './fetch-list.js';
 import {decideFormation, FormationKind} from './form-cluster.js';
 import {carryOutDuties} from './leader-duties.js';
 import type {OperatorHandlers} from './operator-router.js';
@@ -50,7 +50,6 @@
 const dutyPauseMs = 500;
 const formationPauseMs = 200;
 const peerCallMs = 1000;
-const listCallMs = 1000;
 const handOverMs = 300;
 const announcePauseMs = 500;
 const diskIdBytes = 4;
@@ -202,13 +201,12 @@
 	}
 
 	private async fetchList(): Promise<ListedInstance[] | undefined> {
-		const {platformList} = this.options.settings;
-		if (platformList === undefined) {
-			return undefined;
-		}
-
-		const res = await undiciFetch(`${platformList}/instances`, {signal: AbortSignal.timeout(listCallMs)}).catch(() => undefined);
-		return res?.ok ? assumeType<ListedInstance[]>(await res.json()) : undefined;
+		const {settings: {platformList}, context} = this.options;
+		return platformList === undefined
+			? undefined
+			: fetchList(platformList, message => {
+				context.logger.warn(message);
+			});
 	}
 
 	private readReadiness(): string | undefined {
