--- a/packages/mastvalve-sidecar/src/server/start-sidecar.ts
+++ b/packages/mastvalve-sidecar/src/server/start-sidecar.ts
@@ -13,7 +13,7 @@
 	callUntilAborted, describeError, repeatUntilAborted, waitFor,
 } from 'mastvalve-utils';
 import type {Result} from 'neverthrow';
-import {EngineClient} from '../engine/engine-client.js';
+import {EngineClient, StatusTooLargeError} from '../engine/engine-client.js';
 import {EngineKeeper} from '../engine/engine-keeper.js';
 import {ClaimGuard} from './claim-guard.js';
 import {createDispatchAgent} from './dispatch.js';
@@ -129,7 +129,9 @@
 	private async run(): Promise<void> {
 		const {signal} = this.ending;
 		const onError = (thrown: unknown) => {
-			this.options.context.logger.debug(`a round failed and is tried again: ${describeError(thrown)}`);
+			// An engine that restarts fails rounds; one that sends without end is in trouble.
+			const level = thrown instanceof StatusTooLargeError ? 'warn' : 'debug';
+			this.options.context.logger[level](`a round failed and is tried again: ${describeError(thrown)}`);
 		};
 
 		this.store.subscribe(() => {
