--- a/packages/mastvalve-utils/src/guard-connections.ts
+++ b/packages/mastvalve-utils/src/guard-connections.ts
@@ -12,6 +12,8 @@
 
 /** A connection that failed, or whose bytes can't be read as requests. */
 export type ConnectionFault = {
+	/** Address of the sender, `ip:port`; `unknown` if its connection was already closed. */
+	peer: string;
 	/** Code of the error, as Node's HTTP server names it. */
 	code: string;
 	reason: string;
@@ -31,6 +33,8 @@
 const lingerMs = 500;
 
 const badRequestStatus = 400;
+const connectionField = 'connection';
+const closeToken = 'close';
 const statuses = new Map([[timeoutCode, 408], ['HPE_HEADER_OVERFLOW', 431], ['HPE_CHUNK_EXTENSIONS_OVERFLOW', 413], [tunnelCode, 405]]);
 
 const formatAnswer = (status: number): string => `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
@@ -40,11 +44,16 @@
 	private readonly unanswered = new Map<ServerResponse, IncomingMessage>();
 	private readableBytes = Number.POSITIVE_INFINITY;
 	private isClosing = false;
+	private readonly peer: string;
 
-	constructor(private readonly socket: Socket) {}
+	constructor(private readonly socket: Socket) {
+		const {remoteAddress, remotePort} = socket;
+		this.peer = remoteAddress === undefined ? 'unknown' : `${remoteAddress}:${remotePort}`;
+	}
 
 	/** Adds a request; the connection is closed behind its answer if nothing more is read from it. */
 	add(req: IncomingMessage, res: ServerResponse): void {
+		this.leaveCloseTo(res);
 		this.unanswered.set(res, req);
 		res.once('close', () => {
 			this.unanswered.delete(res);
@@ -61,7 +70,7 @@
 		const fault = (status: number): ConnectionFault | undefined => (isRepeated && this.socket.writable
 			? undefined
 			: {
-				code, reason: describeError(error), status, unanswered: [...this.unanswered.values()].filter(({complete}) => complete),
+				peer: this.peer, code, reason: describeError(error), status, unanswered: [...this.unanswered.values()].filter(({complete}) => complete),
 			});
 		// A sender that has ended its side has left: its requests are cancelled with the connection.
 		if (!this.isReadError(code) || this.hasLeft || this.socket.bytesRead > this.readableBytes) {
@@ -77,6 +86,23 @@
 		return fault(this.unanswered.size > 0 ? this.closeBehindAnswers(code) : this.reject(code));
 	}
 
+	/**
+	 * Lets only the newest answer announce that the connection closes: Node closes it behind the answer that does, whatever is unanswered. A request
+	 * behind an answer that has announced it already isn't served.
+	 */
+	private leaveCloseTo(res: ServerResponse): void {
+		const closing = [...this.unanswered.keys()].filter(earlier => earlier.getHeader(connectionField) === closeToken);
+		if (closing.some(({headersSent}) => headersSent)) {
+			res.destroy();
+			return;
+		}
+
+		closing.forEach(earlier => {
+			earlier.removeHeader(connectionField);
+			res.setHeader(connectionField, closeToken);
+		});
+	}
+
 	private get hasLeft(): boolean {
 		return this.socket.readableEnded || !this.socket.writable;
 	}
@@ -103,7 +129,7 @@
 		const [res, req] = [...this.unanswered].at(-1) ?? [];
 		// Only the newest request can have a body that isn't whole yet; it is rejected in its turn, since its rest can't be read.
 		if (code !== timeoutCode && res && !res.headersSent) {
-			res.setHeader('connection', 'close');
+			res.setHeader(connectionField, closeToken);
 			if (req?.complete === false) {
 				res.writeHead(badRequestStatus, {'content-length': 0});
 				res.end();
@@ -132,6 +158,12 @@
 	}
 }
 
+/** Describes a fault in one line, for logs without fields of their own. */
+export const describeConnectionFault = ({peer, code, reason, status, unanswered}: ConnectionFault): string => {
+	const calls = unanswered.map(({method, url}) => `${method} ${url}`).join(', ');
+	return `connection of ${peer} failed: ${code}, ${reason}; answered with ${status === 0 ? 'nothing' : status}${calls === '' ? '' : ` behind ${calls}`}`;
+};
+
 /** Drops what follows a request to open a tunnel: Node leaves such a connection to its listener. */
 const dropRest = (socket: Socket, onBytes: () => void): void => {
 	socket.on('error', () => undefined);
