A seed killed at the first start doesn't keep control from creating its log

What operators saw: a control instance named as a seed is killed in its first 0.2 s and started again; no configuration is ever acknowledged, and no instance belongs to a log. Cause: an instance records with its identity that it may begin a log, as only the first start's settings tell. One that was killed before gets an identity that may not begin, and the others waited until every seed might. Class: the whole system waits for what only the memory of one process knew. Ruled out: creating it at once without the seeds that may not begin. Change: the seeds that may begin are the founders once all seeds have answered. Each records the founders first, once and for good (initialVoters of the header without a log's identity), and creates the log when each other one has the same record, or answers under another identity. Tests changed: "a seed whose disk was initialized after the first start prevents the others from creating a log" asserted this fault. In its place: such a seed creates none itself, must have answered, and the others create the same one; nobody creates a log under other founders than a seed with a lost disk may have. "Create the same log as soon as all have answered" has become two steps, each checked for "not before".

--- a/packages/mastvalve-cluster/__tests__/control-group.feature
+++ b/packages/mastvalve-cluster/__tests__/control-group.feature
@@ -4,12 +4,15 @@
     Then an instance that discovers a log joins it, whatever the other answers are
 
   Scenario: The seeds create the log together at the first start, or not at all
-    Then the seeds create the same log as soon as all of them have answered, and not before
+    Then the seeds record the same founders as soon as all of them have answered, and not before
+    And they create the same log as soon as all of them have recorded the same founders, and not before
     And an instance that is not a seed, or whose disk was initialized after the first start, creates no log
 
-  Scenario: Seeds without a replica are not initial voters, and a seed that may not create a log blocks its creation
+  # Guards against a system that never starts: a seed that was killed before it had written its disk kept the others from creating the log.
+  Scenario: Seeds without a replica are not initial voters, and neither are seeds that may not create a log
     Then the seeds with a replica create the log without the others
-    And a seed whose disk was initialized after the first start prevents the others from creating a log
+    And a seed whose disk was initialized after the first start leaves it to the others, once it has answered
+    And a log that a seed with a lost disk may have created is created by nobody under other founders
 
   Scenario: When no seed has a replica, the founder that the first seed names creates the log
     Then the founder creates the log alone, and no other instance does
--- a/packages/mastvalve-cluster/src/membership/control-group.ts
+++ b/packages/mastvalve-cluster/src/membership/control-group.ts
@@ -236,14 +236,15 @@
 		await Promise.all([this.discovery.announce({id: this.ownId, mayBegin: this.mayBegin}), waitFor(formationRetryMs, this.shutdown.signal)]);
 	}
 
-	/** Records the log that this instance belongs to. A disk that rejects the record is tried again with the next answers. */
+	/** Records the log that this instance belongs to, or its founders. A disk that rejects the record is tried again with the next answers. */
 	private async recordFormation({clusterId, initialVoters}: Formation): Promise<void> {
 		const {onEvent, onError} = this.options;
 		try {
 			await this.journal.recordCluster(clusterId, initialVoters);
-			onEvent('log.formed', `cluster ${clusterId} as ${this.ownId}, initial voters ${initialVoters.join(', ')}`);
+			const voters = `as ${this.ownId}, initial voters ${initialVoters.join(', ')}`;
+			onEvent(clusterId === undefined ? 'log.founders-recorded' : 'log.formed', clusterId === undefined ? voters : `cluster ${clusterId} ${voters}`);
 		} catch (error) {
-			onError(`storage rejected the record of cluster ${clusterId}; retrying: ${describeError(error)}`);
+			onError(`storage rejected the record of cluster ${clusterId ?? 'founders'}; retrying: ${describeError(error)}`);
 			await waitFor(formationRetryMs, this.shutdown.signal);
 		}
 	}
--- a/packages/mastvalve-cluster/src/membership/formation.ts
+++ b/packages/mastvalve-cluster/src/membership/formation.ts
@@ -2,17 +2,23 @@
  * Decides from the answers of the seeds which replicated log an instance joins or creates.
  *
  * If any instance that answers belongs to a log, this one joins it. A new log is created only at the first start of the
- * system, when all seeds have answered. Seeds with a replica create it together: their identities are durable, so all
- * of them start with the same voters, and an instance that loses its disk later can't create a second log. When no seed
- * has a replica, the first seed by address names the only instance that creates it.
+ * system, when all seeds have answered, by the seeds that may begin: their identities are durable. A seed that was killed
+ * before it had written its identity, or that has lost its disk, may not begin; it joins later.
+ *
+ * The log is created in two steps. Each founder first records the founders, once and for good. A founder creates the log
+ * when every other one has recorded the same founders, or has lost its disk since (its address answers under another
+ * identity). So whoever may have created a log with this instance as a founder has its record of the same founders, and
+ * two logs are never created, whichever processes are killed and whichever disks are lost meanwhile.
+ *
+ * When no seed has a replica, the first seed by address names the only founder.
  */
 
-import type {ReplicaId} from 'mastvalve-replication';
+import {getInstanceName, type ReplicaId} from 'mastvalve-replication';
 import {hashCanonically} from 'mastvalve-utils';
 import type {Identity} from './identity.js';
 
-/** The log to join or create. */
-export type Formation = {clusterId: string; initialVoters: ReplicaId[]};
+/** The log to join or create; without `clusterId`, the founders to record before it may be created. */
+export type Formation = {clusterId: string | undefined; initialVoters: ReplicaId[]};
 
 const clusterIdLength = 16;
 
@@ -24,7 +30,30 @@
 		return founder === undefined ? undefined : [founder];
 	}
 
-	return seedsWithLog.every(({mayBegin}) => mayBegin) ? seedsWithLog.flatMap(({replicaId}) => replicaId ?? []).toSorted() : undefined;
+	return seedsWithLog.flatMap(({replicaId, mayBegin}) => (replicaId !== undefined && mayBegin ? [replicaId] : [])).toSorted();
+};
+
+const isSame = (founders: readonly ReplicaId[], others: readonly ReplicaId[]): boolean =>
+	founders.length === others.length && founders.every((founder, index) => founder === others[index]);
+
+/** Returns the founders that this instance records, or undefined if it isn't one or the seeds must be asked again. */
+const chooseFounders = (own: Identity, seeds: readonly string[], answers: readonly Identity[]): ReplicaId[] | undefined => {
+	const {replicaId} = own;
+	if (replicaId === undefined || !own.mayBegin) {
+		return undefined;
+	}
+
+	const recorded = answers.find(({initialVoters}) => initialVoters.includes(replicaId));
+	const seedIdentities = seeds.toSorted().map(seed => [own, ...answers].find(({address}) => address === seed));
+	const isComplete = !seedIdentities.includes(undefined);
+	const founders = recorded?.initialVoters ?? (isComplete ? listFounders(seedIdentities.filter(identity => identity !== undefined)) : undefined);
+	return founders?.includes(replicaId) ? founders : undefined;
+};
+
+/** Whether the founder has recorded the same founders, or has lost its disk. */
+const isSettled = (founder: ReplicaId, founders: readonly ReplicaId[], answers: readonly Identity[]): boolean => {
+	const answer = answers.find(({address}) => address === getInstanceName(founder));
+	return answer !== undefined && (answer.replicaId !== founder || isSame(answer.initialVoters, founders));
 };
 
 /** Returns the log of this instance, or undefined if the peers must be asked again. `answers` come from the other instances. */
@@ -34,11 +63,12 @@
 		return {clusterId: formed.clusterId, initialVoters: formed.initialVoters};
 	}
 
-	const seedIdentities = seeds.toSorted().map(seed => [own, ...answers].find(({address}) => address === seed));
-	const founders = seedIdentities.includes(undefined) ? undefined : listFounders(seedIdentities.filter(identity => identity !== undefined));
-	if (!founders || !own.mayBegin || own.replicaId === undefined || !founders.includes(own.replicaId)) {
-		return undefined;
+	const founders = own.initialVoters;
+	if (founders.length === 0) {
+		const chosen = chooseFounders(own, seeds, answers);
+		return chosen && {clusterId: undefined, initialVoters: chosen};
 	}
 
-	return {clusterId: hashCanonically(founders).slice(0, clusterIdLength), initialVoters: founders};
+	const isAgreed = founders.every(founder => founder === own.replicaId || isSettled(founder, founders, answers));
+	return isAgreed ? {clusterId: hashCanonically(founders).slice(0, clusterIdLength), initialVoters: founders} : undefined;
 };
--- a/packages/mastvalve-cluster/src/membership/identity.ts
+++ b/packages/mastvalve-cluster/src/membership/identity.ts
@@ -10,6 +10,7 @@
 	/** Undefined for an instance without a log, which only reports the peers that it knows. */
 	replicaId: ReplicaId | undefined;
 	clusterId: string | undefined;
+	/** Voters with which the log was formed; without a log, the founders that this instance has recorded, if any. */
 	initialVoters: ReplicaId[];
 	mayBegin: boolean;
 	/** Known addresses of instances that have a replica of the log or want one. */
--- a/packages/mastvalve-replication/src/journal-codec.ts
+++ b/packages/mastvalve-replication/src/journal-codec.ts
@@ -23,7 +23,7 @@
 	disk: string;
 	/** Identity of the replicated log; undefined until the replica has formed or joined one. */
 	clusterId: string | undefined;
-	/** Voters with which the log was formed. */
+	/** Voters with which the log was formed; while there is none, those with which this replica may form it, and none before it has chosen them. */
 	initialVoters: string[];
 	/** Whether this replica may form a new log. A replica whose disk was empty while the system was already running must join the existing one. */
 	mayBegin?: boolean;
--- a/packages/mastvalve-replication/src/journal.ts
+++ b/packages/mastvalve-replication/src/journal.ts
@@ -156,10 +156,10 @@
 	}
 
 	/**
-	 * Records which replicated log this replica belongs to. Until then, the journal holds only the replica's identity. After an error it may be
-	 * called again.
+	 * Records which replicated log this replica belongs to, or, without its identity, with which voters it may be formed. Until then, the
+	 * journal holds only the replica's identity. After an error it may be called again.
 	 */
-	async recordCluster(clusterId: string, initialVoters: string[]): Promise<void> {
+	async recordCluster(clusterId: string | undefined, initialVoters: string[]): Promise<void> {
 		const header = {...this.header, clusterId, initialVoters};
 		await this.compact({append: []}, header);
 		this.header = header;
