A sidecar reads all fields of an endpoint's answer

What callers saw: an answer with more than about a thousand fields lost the rest, the length of its body among them; with bytes behind it, which the length tells from the body, it reached its caller as broken off, since only the end of the connection seemed to end it. Cause: the parser of Node's HTTP client keeps a thousand fields by default. Class: what a library does without us. Ruled out: the limit of a head (16 KB); 2,500 empty fields are below it. Change: no limit in number; the size of the head bounds it. Before: the scenario failed, 20 of 20 answers broken off. After: 15 of 15 scenarios of the feature. Conclusion: the fault is gone between sidecar and endpoint; entries read sidecars with undici, which keeps all fields of 16 KB.

--- a/packages/mastvalve-sidecar/__tests__/broken-answers.feature
+++ b/packages/mastvalve-sidecar/__tests__/broken-answers.feature
@@ -31,6 +31,12 @@
       | a length | bytes without end                 |
       | chunks   | bytes without end                 |
 
+  # Guards against fields that Node's client drops silently beyond a thousand: without its length, the end of an answer isn't known.
+  Scenario: An answer whose length stands behind 2500 fields is whole
+    Given an endpoint that answers with "a length behind 2500 fields" and sends "bytes that are no answer" behind it
+    When a sidecar hands 20 requests to it, one after the other
+    Then each body is "whole"
+
   # Guards against a refusal or a body that reaches the caller of the next request: an endpoint had answered twice on a kept connection.
   Scenario: The surplus answer of an engine is not taken for the answer to the next request
     Given an endpoint that sends each answer once more in the place of the next one on its connection
--- a/packages/mastvalve-sidecar/__tests__/broken-answers.steps.ts
+++ b/packages/mastvalve-sidecar/__tests__/broken-answers.steps.ts
@@ -30,6 +30,7 @@
 const answers: Record<string, ScriptedAnswer> = {
 	'a length': {text: `${head(`content-length: ${body.length}\r\n`)}${body}`},
 	chunks: {text: `${head('transfer-encoding: chunked\r\n')}${chunk}0\r\n\r\n`},
+	'a length behind 2500 fields': {text: `${head(`${'a:\r\n'.repeat(2500)}content-length: ${body.length}\r\n`)}${body}`},
 	'nothing, then closes': {text: `${head('')}${body}`, end: 'close'},
 	'nothing, then resets after a pause': {text: `${head('')}${body}`, end: 'reset after a pause'},
 	'nothing, then resets at once': {text: `${head('')}${body}`, end: 'reset'},
--- a/packages/mastvalve-sidecar/src/server/dispatch.ts
+++ b/packages/mastvalve-sidecar/src/server/dispatch.ts
@@ -100,6 +100,8 @@
 		const req = request(url, {
 			method, headers, signal, agent,
 		});
+		// The parser drops the fields beyond a thousand by default, the length of the body among them; the size of the head bounds their number.
+		req.maxHeadersCount = 0;
 		const hasFailed = watchForReset(req);
 		limitConnectTime(req, url);
 		req.once('error', error => {
