A sidecar gives up informational heads without end

What callers saw: an endpoint that sends 103 heads without end was read until the caller's deadline; then 504, with nothing that names it. Cause: Node's client reads any number of informational heads. Ruled out: fields of one head without end; the parser gives them up at 16 KB, which is a named bound now (a scenario holds it). Change: limitInformationalHeads (mastvalve-utils) ends an attempt after 16 of them; the outcome is unknown, the connection is closed, and request.refused names the endpoint and the reason. Entry to sidecar and sidecar to an engine's management (undici) still read them until the deadline or the call's 2 s; the first peer is our own process.

--- a/packages/mastvalve-sidecar/__tests__/broken-answers.feature
+++ b/packages/mastvalve-sidecar/__tests__/broken-answers.feature
@@ -37,6 +37,17 @@
     When a sidecar hands 20 requests to it, one after the other
     Then each body is "whole"
 
+  # Guards against heads that are read until the time of the request is over.
+  Scenario Outline: <heads> are given up at their bound
+    Given an endpoint that sends "<heads>" without end
+    When a sidecar hands a request to it
+    Then it gives the request up within 1000 ms, with an error that says "<bound>"
+
+    Examples:
+      | heads               | bound                               |
+      | informational heads | more than 16 informational heads    |
+      | fields of a head    | Header overflow                     |
+
   # Guards against a refusal or a body that reaches the caller of the next request: an endpoint had answered twice on a kept connection.
   Scenario: The surplus answer of an engine is not taken for the answer to the next request
     Given an endpoint that sends each answer once more in the place of the next one on its connection
--- a/packages/mastvalve-sidecar/__tests__/broken-answers.steps.ts
+++ b/packages/mastvalve-sidecar/__tests__/broken-answers.steps.ts
@@ -14,7 +14,7 @@
 import {resetConnection} from '../../../features/support/reset-connection.js';
 import {createDispatchAgent, dispatchRequest} from '../src/server/dispatch.js';
 
-type BrokenWorld = World & {brokenServer: Server; brokenAgent: Agent; bodies: string[]};
+type BrokenWorld = World & {brokenServer: Server; brokenAgent: Agent; bodies: string[]; dispatchError: string; dispatchMs: number};
 
 const body = '{"loan":"4711","isRecorded":true}';
 const pauseMs = 5;
@@ -100,6 +100,46 @@
 	});
 });
 
+const endless = new Map([
+	['informational heads', 'HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n'],
+	['fields of a head', 'HTTP/1.1 200 OK\r\nx: y\r\n'],
+]);
+
+Given('an endpoint that sends {string} without end', async function (this: BrokenWorld, heads: string) {
+	this.brokenServer = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			const text = endless.get(heads)!;
+			socket.write(text);
+			const sender = setInterval(() => {
+				socket.write(text.slice(heads === 'fields of a head' ? text.indexOf('x: ') : 0).repeat(100));
+			}, 1);
+			socket.once('close', () => {
+				clearInterval(sender);
+			});
+		});
+	});
+	await new Promise<void>(resolve => {
+		this.brokenServer.listen(0, '127.0.0.1', resolve);
+	});
+});
+
+When('a sidecar hands a request to it', async function (this: BrokenWorld) {
+	const {port} = assumeType<AddressInfo>(this.brokenServer.address());
+	this.brokenAgent = createDispatchAgent(1);
+	const beganAt = performance.now();
+	const answer = await dispatchRequest({
+		url: `http://127.0.0.1:${port}/loans`, method: 'POST', headers: {}, body: new Uint8Array(), signal: AbortSignal.timeout(timeLimitMs), isEngine: false,
+	}, this.brokenAgent);
+	this.dispatchError = answer.isErr() ? answer.error.message : 'none';
+	this.dispatchMs = performance.now() - beganAt;
+});
+
+Then('it gives the request up within {int} ms, with an error that says {string}', function (this: BrokenWorld, limitMs: number, bound: string) {
+	assert.ok(this.dispatchError.toLowerCase().includes(bound.toLowerCase()), this.dispatchError);
+	assert.ok(this.dispatchMs < limitMs, `${Math.round(this.dispatchMs)} ms`);
+});
+
 When('a sidecar hands {int} requests to it, one after the other', async function (this: BrokenWorld, count: number) {
 	const {port} = assumeType<AddressInfo>(this.brokenServer.address());
 	this.brokenAgent = createDispatchAgent(1);
--- a/packages/mastvalve-sidecar/src/server/dispatch.ts
+++ b/packages/mastvalve-sidecar/src/server/dispatch.ts
@@ -12,7 +12,9 @@
 import {
 	MastvalveError, Outcome, RefusedError, UnknownOutcomeError,
 } from 'mastvalve-types';
-import {describeError, watchForReset} from 'mastvalve-utils';
+import {
+	describeError, limitInformationalHeads, maxAnswerHeadBytes, watchForReset,
+} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 
 /** What is handed over. */
@@ -98,10 +100,11 @@
 export const dispatchRequest = async ({url, method, headers, body, signal, isEngine}: DispatchRequest, agent: Agent): Promise<Result<DispatchAnswer, MastvalveError>> =>
 	new Promise(resolve => {
 		const req = request(url, {
-			method, headers, signal, agent,
+			method, headers, signal, agent, maxHeaderSize: maxAnswerHeadBytes,
 		});
 		// The parser drops the fields beyond a thousand by default, the length of the body among them; the size of the head bounds their number.
 		req.maxHeadersCount = 0;
+		limitInformationalHeads(req);
 		const hasFailed = watchForReset(req);
 		limitConnectTime(req, url);
 		req.once('error', error => {
--- a/packages/mastvalve-sidecar/src/server/forward-handler.ts
+++ b/packages/mastvalve-sidecar/src/server/forward-handler.ts
@@ -63,7 +63,7 @@
 	const {context, gate, endpointId} = options;
 	const forward = readForwardRequest(name => c.req.header(name));
 	const answerError = (error: MastvalveError): Response => {
-		context.timeline.record('request.refused', `${error.code} at ${endpointId}, outcome ${error.outcome}`, forward.requestId);
+		context.timeline.record('request.refused', `${error.code} at ${endpointId}, outcome ${error.outcome}: ${error.message}`, forward.requestId);
 		const res = toProblemResponse(error, forward.requestId);
 		res.headers.set(Header.Load, formatLoad(gate));
 		return res;
