Answers of calls between programs are bounded

What operators saw: nothing yet; a program that answers a call without end would have taken its callers' memory until the call's time was over (up to 12 s). Cause: tRPC's client reads an answer by `res.json()`. Ruled out: the time of calls; each has a signal. Change: an answer has at most 64 MiB, since a configuration is one answer; beyond it the call fails with its address and the bound, and the connection is closed.

--- a/packages/mastvalve-http/__tests__/bodies.feature
+++ b/packages/mastvalve-http/__tests__/bodies.feature
@@ -18,3 +18,10 @@
     Given a program that takes calls of at most 100000 bytes within 300 ms
     When a caller calls it with "whole chunks" for at most 500 ms
     Then the caller gets the answer to its call
+
+  # Guards against answers of calls that are kept in memory without a bound.
+  Scenario: An answer without end is given up at its bound
+    Given a program that answers calls without end
+    When another program calls it
+    Then the call fails with "is larger than 67108864 bytes"
+    And the program has sent fewer than 100000000 bytes
--- a/packages/mastvalve-http/__tests__/bodies.steps.ts
+++ b/packages/mastvalve-http/__tests__/bodies.steps.ts
@@ -4,20 +4,28 @@
 
 import {strict as assert} from 'node:assert';
 import {once} from 'node:events';
-import {connect, type Socket} from 'node:net';
+import {
+	connect, createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
 import {
 	After, Given, Then, When, type World,
 } from '@cucumber/cucumber';
 import {Hono} from 'hono';
-import {waitFor} from 'mastvalve-utils';
+import {assumeType, HybridClock, waitFor} from 'mastvalve-utils';
 import {trustedInput} from '../src/rpc/input.js';
-import {createRouter, mountRouter, procedure} from '../src/rpc/trpc.js';
+import {
+	createRouter, createRpcClient, mountRouter, procedure,
+} from '../src/rpc/trpc.js';
+import type {UpstreamRouter} from '../src/rpc/upstream-router.js';
 import {startServer, type RunningServer} from '../src/server.js';
 
-type BodiesWorld = World & {rpcServer: RunningServer; rpcCaller: Socket; rpcAnswer: string};
+type BodiesWorld = World & {rpcServer: RunningServer; endlessProgram: Server; rpcCaller: Socket; rpcAnswer: string};
 
 const byteIntervalMs = 20;
 const chunkBytes = 65_536;
+const piece = ' '.repeat(chunkBytes);
+/** Ends an answer that isn't given up, bytes. */
+const lastByte = 200_000_000;
 
 const formatHead = (field: string): string => `POST /rpc/take?batch=1 HTTP/1.1\r\nhost: h\r\ncontent-type: application/json\r\n${field}\r\n\r\n`;
 const chunked = formatHead('transfer-encoding: chunked');
@@ -83,7 +91,47 @@
 	assert.match(this.rpcAnswer, /^HTTP\/1\.1 200.*"data":42/sv);
 });
 
+Given('a program that answers calls without end', async function (this: BodiesWorld) {
+	this.endlessProgram = createServer(socket => {
+		const send = (): void => {
+			while (socket.writable && socket.bytesWritten < lastByte) {
+				if (!socket.write(piece)) {
+					socket.once('drain', send);
+					return;
+				}
+			}
+
+			socket.end();
+		};
+
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			this.rpcCaller = socket;
+			socket.write('HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nconnection: close\r\n\r\n[');
+			send();
+		});
+	});
+	await new Promise<void>(resolve => {
+		this.endlessProgram.listen(0, '127.0.0.1', resolve);
+	});
+});
+
+When('another program calls it', async function (this: BodiesWorld) {
+	const {port} = assumeType<AddressInfo>(this.endlessProgram.address());
+	const client = createRpcClient<UpstreamRouter>(`http://127.0.0.1:${port}`, new HybridClock(Date.now));
+	this.rpcAnswer = await client.readLatest.query().then(() => 'an answer', String);
+});
+
+Then('the call fails with {string}', function (this: BodiesWorld, reason: string) {
+	assert.ok(this.rpcAnswer.includes(reason), this.rpcAnswer);
+});
+
+Then('the program has sent fewer than {int} bytes', function (this: BodiesWorld, bytes: number) {
+	assert.ok(this.rpcCaller.bytesWritten < bytes, `${this.rpcCaller.bytesWritten} bytes sent`);
+});
+
 After(async function (this: BodiesWorld) {
 	this.rpcCaller?.destroy();
 	await this.rpcServer?.close();
+	this.endlessProgram?.close();
 });
--- a/packages/mastvalve-http/src/rpc/trpc.ts
+++ b/packages/mastvalve-http/src/rpc/trpc.ts
@@ -8,11 +8,14 @@
 import type {Hono} from 'hono';
 import type {BadRequestError} from 'mastvalve-types';
 import {
-	assumeType, formatReading, parseReading, type HybridClock,
+	assumeType, collectText, ExceededBoundError, formatReading, parseReading, type HybridClock,
 } from 'mastvalve-utils';
 import {ok, type Result} from 'neverthrow';
-import {Agent, fetch as undiciFetch, type RequestInit} from 'undici';
+import {
+	Agent, fetch as undiciFetch, type RequestInit, type Response as UndiciResponse,
+} from 'undici';
 import {Header} from '../headers.js';
+import {limitBytes} from '../limit-bytes.js';
 import {toProblemResponse} from '../problem-response.js';
 import {readBody, type BodyBounds} from '../read-body.js';
 
@@ -52,6 +55,16 @@
 /** Connections for calls between our processes. */
 const agent = new Agent({keepAliveTimeout: 30_000, connect: {timeout: 1000}, connections: 8});
 
+/** Bytes of one answer. A configuration of some thousand endpoints has some MB; peers are programs of ours. */
+const maxAnswerBytes = 67_108_864;
+
+/** An answer that has been read within its bound. */
+const readAnswer = async (res: UndiciResponse, url: string): Promise<Response> => {
+	const createError = (): Error => new ExceededBoundError(`the answer of ${url} is larger than ${maxAnswerBytes} bytes`);
+	const text = res.body ? await collectText(limitBytes(res.body, maxAnswerBytes, createError), maxAnswerBytes) : '';
+	return new Response(text, {status: res.status, headers: {'content-type': res.headers.get('content-type') ?? ''}});
+};
+
 /** Makes a client for the router at `http://ip:port`. */
 export const createRpcClient = <Router extends AnyTRPCRouter>(url: string, clock: HybridClock): TRPCClient<Router> =>
 	createTRPCClient<AnyTRPCRouter>({
@@ -63,7 +76,7 @@
 				async fetch(input, init) {
 					const res = await undiciFetch(String(input), {...assumeType<RequestInit>(init), dispatcher: agent});
 					clock.observe(parseReading(res.headers.get(Header.Clock) ?? undefined));
-					return res;
+					return readAnswer(res, url);
 				},
 			}),
 		],
