Limits of endpoints: entries without a leader share a third of a limit, since a leader may grant all of it

What callers saw: nothing is known. In virtual time an endpoint with a limit of 4 a second got up to 37 requests in 4 s where 29 are allowed (one and a half times the limit, and five), while most of the entries were cut off from a leader that served the others: 15 of 36 series with half of the entries cut off or more; 4 of 36 with a limit of 1.7, up to 18 of 15.

Cause: entries that are cut off share the whole limit, and the leader, which counts what it doesn't hear of as zero, grants the whole limit to the others. Features and the proof had a third of the entries cut off, which the tolerance covers.

Ruled out: elections (the series have a single leader); more than one bucket for a share (at most the limit with no leader at all).

Change: what entries without a leader share is a third of the limit. Shares that the leader holds back for entries that it doesn't hear were not built: it doesn't know which entries there are, a new one least of all.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/limited-fleet.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/limited-fleet.ts
@@ -9,7 +9,7 @@
 } from 'mastvalve-fleet-control';
 import {FleetCommandKind, type FleetCommand, type FleetEndpoint} from 'mastvalve-fleet';
 import {
-	LimitHeaderKind, TokenBucket, parseLimitHeader, type LimitTimestamp,
+	disconnectedRatio, LimitHeaderKind, TokenBucket, parseLimitHeader, type LimitTimestamp,
 } from 'mastvalve-limits';
 import {assumeType, createRandom, type Random} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
@@ -28,6 +28,8 @@
 	AnyAnswerEndsLimit = 'any-answer-ends',
 	/** Entries do not report received limits to the leader. */
 	DropsReports = 'untold',
+	/** Disconnected entries share whole limits. */
+	SharesWhole = 'shares-whole',
 	/** Reservations of callers that disconnect are not released. */
 	KeepsReservations = 'keeps-reservations',
 	/** A request claims again without its reservation. */
@@ -201,7 +203,7 @@
 			entry: `entry ${index} ${this.random()}`,
 			client: {call: async ({body}) => this.call(entry, assumeType<LimitRequest>(body))},
 			readLeader: () => 'leader',
-			readEntryCount: () => this.options.entries,
+			readEntryCount: () => this.options.entries * (this.options.fault === LimitFault.SharesWhole ? disconnectedRatio : 1),
 			random: this.random,
 			now,
 			windowMs: 8000,
--- a/packages/mastvalve-gateway/__tests__/limited-endpoints.feature
+++ b/packages/mastvalve-gateway/__tests__/limited-endpoints.feature
@@ -128,6 +128,21 @@
       | 31      | a third of the entries is disconnected |
       | 31      | entries restart one after another      |
 
+  # Guards against a limit that is granted twice: disconnected entries shared all of it, and the leader, which counts those that it
+  # doesn't hear as zero, granted all of it to the others.
+  Scenario Outline: Disconnected entries and those that a leader serves keep to a limit together: <entries> entries, <what>
+    Given <entries> entries in virtual time sharing 1 endpoint, with 0 of all requests through one entry
+    When the endpoints report a limit of "4" per second, and 30 requests per second arrive, while "<what>" from 8 s to 16 s
+    Then each endpoint receives at most 29 requests in any 4 s, starting 1000 ms after it reported its limit
+    And each endpoint receives at least 24 requests in the last 8 s
+
+    Examples:
+      | entries | what                                 |
+      | 5       | most of the entries are disconnected |
+      | 31      | half of the entries is disconnected  |
+      | 31      | most of the entries are disconnected |
+      | 300     | most of the entries are disconnected |
+
   # Guards against a lower limit that is ignored while no leader answers: an endpoint lowered its limit from 4 to 0.5 requests per second,
   # and the entries kept their shares of 4, since the replicated limit took precedence over the received one: 9 requests in 4 s, 8 allowed.
   Scenario: A lower limit is enforced while no leader answers
--- a/packages/mastvalve-gateway/__tests__/limited-fleet.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/limited-fleet.steps.ts
@@ -96,6 +96,12 @@
 	}, Promise.resolve());
 };
 
+const disconnect = (share: number): Disturbance => async ({fleet}) => {
+	fleet.setDisconnected(share, true);
+	await fleet.time.wait(8000);
+	fleet.setDisconnected(share, false);
+};
+
 const disturbances: Record<string, Disturbance> = {
 	'the leader changes repeatedly': changeLeaderRepeatedly,
 	'entries restart one after another': restartEntries,
@@ -104,11 +110,9 @@
 		await fleet.time.wait(8000);
 		fleet.electLeader();
 	},
-	async 'a third of the entries is disconnected'({fleet}) {
-		fleet.setDisconnected(1 / 3, true);
-		await fleet.time.wait(8000);
-		fleet.setDisconnected(1 / 3, false);
-	},
+	'a third of the entries is disconnected': disconnect(1 / 3),
+	'half of the entries is disconnected': disconnect(0.5),
+	'most of the entries are disconnected': disconnect(0.8),
 };
 
 When('the endpoints report a limit of {string} per second, and {int} requests per second arrive, while {string} from 8 s to 16 s', async function (this: FleetWorld, header: string, perSecond: number, disturbance: string) {
--- a/packages/mastvalve-limits/src/disconnected-rates.ts
+++ b/packages/mastvalve-limits/src/disconnected-rates.ts
@@ -1,6 +1,7 @@
 /**
- * Endpoint limits of an entry while it is disconnected from the leader: an equal share of each limit among the entries that control has
- * counted. Buckets start with a random fill, so that entries that are disconnected at the same moment don't all send their first request
+ * Endpoint limits of an entry while it is disconnected from the leader: an equal share, among the entries that control has counted, of a
+ * part of each limit. Only a part, since a leader that this entry doesn't reach may grant the whole limit to the others: it counts what
+ * it doesn't hear of as zero. Buckets start with a random fill, so that entries that are disconnected at the same moment don't all send their first request
  * at once.
  */
 
@@ -9,6 +10,12 @@
 import {minPerSecond} from './limit-header.js';
 import {TokenBucket} from './token-bucket.js';
 
+/**
+ * Part of a limit that all disconnected entries share: with the whole limit and the burst of a leader it stays below one and a half times the
+ * limit and a few requests, whatever the number of disconnected entries.
+ */
+export const disconnectedRatio = 1 / 3;
+
 /** Retry interval while the share of this entry is unknown: leaders are elected within 1.5 s. */
 const unknownShareRetryMs = 1000;
 
@@ -48,7 +55,7 @@
 			return unknownShareRetryMs;
 		}
 
-		const rate = perSecond / Math.max(1, entryCount);
+		const rate = disconnectedRatio * perSecond / Math.max(1, entryCount);
 		const bucket = this.buckets.get(endpoint) ?? new TokenBucket(rate, now, this.options.random());
 		this.buckets.set(endpoint, bucket);
 		bucket.setRate(rate, now);
--- a/packages/mastvalve-proofs/__tests__/endpoint-limits.proofs.ts
+++ b/packages/mastvalve-proofs/__tests__/endpoint-limits.proofs.ts
@@ -27,6 +27,8 @@
 /** Requests a second, above all limits. */
 const load = 25;
 const words = ['0.5', '1.7', '4'];
+/** Shares of the entries that are cut off. */
+const cutShares = [1 / 3, 0.5, 0.8];
 
 const limitCase = fc.record<LimitCase>({
 	seed: fc.nat(1_000_000),
@@ -46,7 +48,7 @@
 			fleet.electLeader();
 		},
 		[Disturbance.Cut]() {
-			fleet.setDisconnected(1 / 3, true);
+			fleet.setDisconnected(cutShares[pick % cutShares.length]!, true);
 		},
 		[Disturbance.Heal]() {
 			fleet.setDisconnected(1, false);
@@ -94,6 +96,11 @@
 	...each, entries: Math.min(each.entries, 3), maxAnswerMs: 4000, perSecond: 0, steps: each.steps.filter(({kind}) => kind === Disturbance.Heal || kind === Disturbance.Restart),
 }));
 
+/** Most entries are cut off from a leader that serves the others. */
+const cutOff = limitCase.map((each): LimitCase => ({
+	...each, entries: Math.max(each.entries, 5), firstShare: 0, perSecond: words.length - 1, steps: each.steps.map(() => ({kind: Disturbance.Cut, pick: cutShares.length - 1})),
+}));
+
 const runLimits = (broken: LimitFault, cases = limitCase) => async (variant: Variant, run: ProofRun): Promise<ProofOutcome> =>
 	checkProperty(cases, async each => playCase(each, variant === Variant.Real ? LimitFault.None : broken), {...run, variant});
 
@@ -101,13 +108,20 @@
 	[LimitFault.CountsLocally, 'each entry keeps to the limit by what it sends itself'],
 	[LimitFault.DropsReports, 'what an entry hears of a limit is told to nobody'],
 	[LimitFault.AnyAnswerEndsLimit, 'any answer that names no limit ends it'],
+	[LimitFault.SharesWhole, 'entries that are cut off share the whole limit'],
 ];
 
+/** Cases in which a twin shows. */
+const casesOf: Partial<Record<LimitFault, typeof limitCase>> = {
+	[LimitFault.AnyAnswerEndsLimit]: lateAnswers,
+	[LimitFault.SharesWhole]: cutOff,
+};
+
 /** The proofs. */
 export const endpointLimitsProofs: Proof[] = twins.map(([fault, twin]): Proof => ({
 	property: Property.Configuration,
 	failure: 'an endpoint names limits while leaders are lost and follow each other, and entries are cut off and restarted',
 	scenario: 'all entries together keep to the limit that an endpoint has named',
 	twin,
-	run: runLimits(fault, fault === LimitFault.AnyAnswerEndsLimit ? lateAnswers : limitCase),
+	run: runLimits(fault, casesOf[fault]),
 }));
