Entries share what is allowed to all of them by the former count until a new leader has heard them

What callers saw: nothing is known.

Cause: a leader tells each entry how many have reported in the last 3 s. A new one has heard of none, so it told the first entry 1, the second 2.

Change: entries report the count that they know, and for the first 3 s of a term the largest of these counts at least. The count moves out of the demand of models into a class of its own. Weighed and tried: no count in these 3 s, and entries keep the former one. Entries that start meanwhile have no slack then, for up to 4 s also after the start of the whole system; not kept.

What remains: at the start of the whole system, and of all entries together with the leader, counts are as before; an entry that has just started and is the first to report after an election is told 1. Entries that are cut off from a leader go on with their shares while the others' grow after 3 s, to less than twice in sum.

--- a/packages/mastvalve-fleet-control/src/demand-report.ts
+++ b/packages/mastvalve-fleet-control/src/demand-report.ts
@@ -20,6 +20,8 @@
 	absent: string[];
 	/** Endpoints whose responses announced that they are leaving; repeated until control has recorded it. */
 	leaving: string[];
+	/** Number of entries as a leader has told it last: a new one doesn't know it. */
+	knownEntries?: number | undefined;
 };
 
 /** Response of the leader. */
--- a/packages/mastvalve-fleet-control/src/engines/engine-demand.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-demand.ts
@@ -111,12 +111,6 @@
 		};
 	}
 
-	/** Counts the entries whose last report has not expired. */
-	countActiveEntries(): number {
-		const now = this.now();
-		return [...this.pending.values()].filter(({at}) => now - at < pendingDemandTtlMs).length;
-	}
-
 	/** Lists the pending demand for a service, earliest deadline first. */
 	listPending(service: string): TimedPendingDemand[] {
 		const now = this.now();
--- a/packages/mastvalve-fleet-control/src/engines/engine-scheduler.ts
+++ b/packages/mastvalve-fleet-control/src/engines/engine-scheduler.ts
@@ -98,11 +98,6 @@
 		this.scheduleRound();
 	}
 
-	/** Counts the entries whose last report has not expired. */
-	countActiveEntries(): number {
-		return this.demand.countActiveEntries();
-	}
-
 	/** Runs one round: claims the order lease if this instance doesn't hold it in this term, otherwise starts moves. */
 	async runRound(): Promise<void> {
 		const {machine, clock} = this.options;
--- a/packages/mastvalve-fleet-control/src/fleet-control.ts
+++ b/packages/mastvalve-fleet-control/src/fleet-control.ts
@@ -25,6 +25,7 @@
 import type {FollowRequest} from './follow.js';
 import {createForwardedHandlers} from './forwarded-control.js';
 import {LimitPublisher} from './limit-publisher.js';
+import {EntryCount} from './entry-count.js';
 import {LimitService, type LimitRequest} from './limit-service.js';
 import {Liveness} from './liveness.js';
 import {FreshnessTracker} from './freshness-tracker.js';
@@ -80,6 +81,7 @@
 	private readonly scheduler: EngineScheduler;
 	private readonly freshness: FreshnessTracker;
 	private readonly limits: LimitService;
+	private readonly entryCount = new EntryCount();
 	private readonly crashes: CrashService;
 	private readonly limitPublisher: LimitPublisher;
 
@@ -157,8 +159,7 @@
 				const report = assumeType<DemandReport>(body);
 				this.scheduler.recordReport(report);
 				await this.markLeaving(report.leaving);
-				const answer: DemandResponse = {entries: this.scheduler.countActiveEntries()};
-				return toLeaderAnswer(this.group.isLeading ? answer : undefined);
+				return toLeaderAnswer(this.countEntries(report));
 			}],
 			['/limits', async body => {
 				const answers = await this.limits.answer(assumeType<LimitRequest>(body));
@@ -261,6 +262,18 @@
 		this.crashVerdicts.recordHeartbeats(ids, now);
 	}
 
+	/** Counts the entries, of which one reports now; undefined if another instance may lead. */
+	private countEntries(report: DemandReport): DemandResponse | undefined {
+		const {isLeading, leadingTerm} = this.group;
+		if (!isLeading || leadingTerm === undefined) {
+			return undefined;
+		}
+
+		const now = this.options.clock.now();
+		this.entryCount.record(report, leadingTerm, now);
+		return {entries: this.entryCount.count(now)};
+	}
+
 	/** Records the limits of endpoints and the grants to workspaces that are due. */
 	private async recordLimits(): Promise<void> {
 		await Promise.all([this.limitPublisher.publish(), this.limits.recordGrants()]);
--- a/packages/mastvalve-fleet-control/src/index.ts
+++ b/packages/mastvalve-fleet-control/src/index.ts
@@ -9,6 +9,7 @@
 export * from './forwarded-control.js';
 export type * from './follow.js';
 export * from './dispatch-service.js';
+export * from './entry-count.js';
 export * from './grant-recorder.js';
 export * from './limit-publisher.js';
 export * from './limit-service.js';
--- a/packages/mastvalve-gateway/src/fleet/demand-reporter.ts
+++ b/packages/mastvalve-gateway/src/fleet/demand-reporter.ts
@@ -46,7 +46,7 @@
 		}
 
 		const answer = await this.client.call<DemandResponse>({
-			address, path: '/demand', body: demand.takeReport(), idleTimeoutMs, signal,
+			address, path: '/demand', body: {...demand.takeReport(), knownEntries: this.entryCount}, idleTimeoutMs, signal,
 		});
 		this.entryCount = answer.isOk() ? answer.value.entries : this.entryCount;
 		return answer.isOk();
