--- a/packages/mastvalve-gateway/__tests__/leader-changes.feature
+++ b/packages/mastvalve-gateway/__tests__/leader-changes.feature
@@ -28,6 +28,13 @@
       | 300     | 300    | cut off   |
       | 300     | 300    | frozen    |
 
+  # Guards against the case of the day on which the limit was exceeded: 2,449,850 tokens ran of 2,294,129 allowed.
+  Scenario: A workspace that rises to 8 times its usual load keeps to its limit when the leader is lost and six of 31 entries freeze
+    Given 31 entries, and a workspace that sends half of its limit
+    When it sends 8 times as much, the leader is lost 2 s later, and 6 entries freeze before the next one is elected
+    Then no window of either workspace runs more than the tolerance allows
+    And the first workspace uses most of its limit in some window
+
   # Guards against a leader that grants to others what leaves the window of an entry it can't hear: that entry goes on for seconds
   # with what it was granted in its last window.
   Scenario Outline: Grants of entries that are cut off from a living leader are not granted to others: <silent> of <entries> for <seconds> s
--- a/packages/mastvalve-gateway/__tests__/leader-changes.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/leader-changes.steps.ts
@@ -44,6 +44,9 @@
 const peakMs = 6000;
 /** Time from the failure until the workspace sends more, ms: entries have noticed it by then. */
 const noticedAfterMs = 200;
+/** Time from the rise to the loss of the leader, and for which entries are frozen then, ms. */
+const riseBeforeMs = 2000;
+const riseFrozenMs = 7500;
 
 const runSeries = async (seed: number, entries: number, silent: number, how: Silence): Promise<LimitedWorkspaces> => {
 	const fleet = new LimitedWorkspaces({entries, seed});
@@ -124,6 +127,37 @@
 	return fleet;
 };
 
+/** The workspace rises to 8 times its usual load shortly before the leader is lost; some entries freeze before the next one is elected. */
+const runRise = async (seed: number, entries: number, frozen: number): Promise<LimitedWorkspaces> => {
+	const fleet = new LimitedWorkspaces({entries, seed});
+	const {time} = fleet;
+	void fleet.send(hot, halfLoad, {until: lostAt - riseBeforeMs});
+	await time.advance(lostAt - riseBeforeMs);
+	void fleet.send(hot, halfLoad * peakLoad);
+	await time.advance(riseBeforeMs);
+	fleet.loseLeader();
+	await time.advance(noticedAfterMs);
+	fleet.silence(frozen, Silence.Frozen, riseFrozenMs);
+	await time.advance(noticedAfterMs);
+	fleet.electLeader();
+	await time.advance(settledAfterMs);
+	fleet.close();
+	return fleet;
+};
+
+Given('{int} entries, and a workspace that sends half of its limit', function (this: LeaderChangesWorld, entries: number) {
+	this.entryCount = entries;
+});
+
+When('it sends 8 times as much, the leader is lost 2 s later, and {int} entries freeze before the next one is elected', {timeout: 120_000}, async function (this: LeaderChangesWorld, frozen: number) {
+	this.series = await Promise.all(cutOffSeeds.map(async seed => runRise(seed, this.entryCount, frozen)));
+});
+
+Then('the first workspace uses most of its limit in some window', function (this: LeaderChangesWorld) {
+	const most = this.series.map(fleet => fleet.findMaxInWindow(hot));
+	assert.ok(Math.min(...most) >= 0.9 * computeCapacity(hot), `${most.join(', ')} of ${computeCapacity(hot)}`);
+});
+
 Given('{int} entries, and a workspace with requests of about {int} tokens that uses just less than half of its window', function (this: LeaderChangesWorld, entries: number, tokens: number) {
 	this.entryCount = entries;
 	this.requestTokens = tokens;
