Test of bytes behind answers names a request that it doesn't expect

The scenarios failed in 2 of some 25 runs, at a load average of 20 to 27, with a TypeError in the stand-in endpoint: it had got a request without the form of the test's paths. The check is as strict.

--- a/packages/mastvalve-gateway/__tests__/surplus-bytes.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/surplus-bytes.steps.ts
@@ -59,7 +59,8 @@
 const start = async (world: SurplusWorld, surplus: string, delayMs: number): Promise<void> => {
 	world.received = [];
 	world.surplusEndpoint = await startScriptedEndpoint((socket, text) => {
-		const form = /^\w+ \/\w+\/(?<form>\S+)/v.exec(text)!.groups!.form!;
+		const form = /^\w+ \/\w+\/(?<form>\S+)/v.exec(text)?.groups?.form;
+		assert.ok(form, `an unexpected request: ${text}`);
 		const answer = answers.get(form)!(idOf(text));
 		if (delayMs === 0) {
 			socket.write(answer + surpluses[surplus]!);
