Bodies without end share a bounded rate, end at a bound, and count against their endpoints

Cause: such a body was relayed as fast as it came until its caller's time was over. That saturates the entry's processor, and a saturated entry closes new connections unread, so requests beside went without any answer. The endpoint's failure was never counted: the caller's deadline ended the request. Class: a bound for time that takes no account of what is done in it. Bodies without a length (or with one of more than 64 MiB) have an allowance each and share 32 MiB/s of an entry beyond it; they end at 64 MiB, or 1 MiB and 4 KiB for each output token that the caller names; beyond that, or at the caller's deadline, the endpoint's failure is counted and a line names it. Bodies with a length go as fast as before.

--- a/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
+++ b/packages/mastvalve-gateway/__tests__/__fixtures__/running-gateway.ts
@@ -37,7 +37,7 @@
 		model: textOf(headers['x-model']),
 		adapter: undefined,
 		promptTokens: 0,
-		maxOutputTokens: 0,
+		maxOutputTokens: Number(textOf(headers['x-max-tokens']) ?? 0),
 		expectedOutputTokens: 0,
 		promptParts: (textOf(headers['x-parts']) ?? '').split(',').filter(Boolean).map(id => ({id, tokens: 100})),
 		declaredTokens: undefined,
--- a/packages/mastvalve-gateway/src/requests/handle-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/handle-answer.ts
@@ -12,8 +12,10 @@
 import type {EndpointRequest} from '../routing/endpoint-tracker.js';
 import type {GatewayCore} from '../server/gateway-core.js';
 import {findFraming, type AnswerEnd} from '../streams/answer-end.js';
+import {findMaxBytes, isSuspicious, isUnbounded} from '../streams/body-bound.js';
 import {findStreamContent, StreamContent} from '../streams/stream-content.js';
 import type {ExchangeKind, ExchangeOutcome} from '../upstream/exchange.js';
+import {AnswerPace} from '../upstream/relay-budget.js';
 import {AnswerIdentity, identifyAnswer} from './answer-identity.js';
 import {bindBegunStream} from './bind-stream.js';
 import {BeginningWatch} from './beginning-watch.js';
@@ -167,6 +169,12 @@
 	});
 };
 
+/** Logs a body that looks like one without end when its caller's time or leaving ends it, and counts it as a failure of its endpoint. */
+const recordEndless = ({tracker, log}: GatewayCore, {requestId}: CallerRequest, endpoint: string, end: AnswerEnd): void => {
+	tracker.recordFailure(endpoint);
+	log('answer.endless', {request: requestId, endpoint, ...describeEnd(end)});
+};
+
 /** Relays an answer to the caller; true when the request has ended. */
 const relayAnswer = async (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, {
 	endpoint, outcome: {res, cancel, isBroken, hasSurplus}, run, status, knownCrashes,
@@ -181,8 +189,11 @@
 	const beginning = new BeginningWatch(() => core.clock.now(), () => {
 		core.quarantine.recordBegun(request, knownCrashes);
 	});
+	const framing = findFraming(res, request.method);
+	const maxBytes = findMaxBytes(framing, request.caller.maxOutputTokens);
+	const pace = isUnbounded(framing, res) ? new AnswerPace(core.agent.relayBudget, () => core.clock.now()) : undefined;
 	const end = await verifyEnd(core, endpoint, await relayBody(res, reply, {
-		content, framing: findFraming(res, request.method), position: progress.streamPosition, isBroken, reader, onEvents(events) {
+		content, framing, position: progress.streamPosition, isBroken, reader, pace, maxBytes, onEvents(events) {
 			if (!beginning.hasEvents) {
 				bindBegunStream(core, request, progress, endpoint);
 			}
@@ -194,6 +205,10 @@
 	if (!end.isComplete) {
 		cancel();
 		reader.resume();
+		if (request.signal.aborted && isSuspicious(pace?.sharedBytes ?? 0) && !reader.hasBeenSlow) {
+			recordEndless(core, request, endpoint.id, end);
+		}
+
 		return request.signal.aborted || failBrokenAnswer(core, request, reply, progress, {
 			endpoint, status, reader, run, end, beginning,
 		});
--- a/packages/mastvalve-gateway/src/requests/relay-body.ts
+++ b/packages/mastvalve-gateway/src/requests/relay-body.ts
@@ -8,11 +8,12 @@
 import type {IncomingMessage} from 'node:http';
 import type {AnswerReader} from '../memory/answer-reader.js';
 import {
-	BodyFraming, findBodyEnd, isBodyWhole, type AnswerEnd,
+	BodyEnd, BodyFraming, findBodyEnd, isBodyWhole, type AnswerEnd,
 } from '../streams/answer-end.js';
 import {EventStreamScanner} from '../streams/event-stream-scanner.js';
 import {StreamContent} from '../streams/stream-content.js';
 import type {StreamPosition} from '../streams/stream-position.js';
+import type {AnswerPace} from '../upstream/relay-budget.js';
 import type {Reply} from './reply.js';
 
 export type RelayOptions = {
@@ -23,18 +24,35 @@
 	/** Whether the connection to the endpoint has failed. */
 	isBroken: () => boolean;
 	reader: AnswerReader;
+	/** Undefined for a body that is relayed as fast as its caller reads. */
+	pace: AnswerPace | undefined;
+	/** Most bytes; a body with more is broken off. */
+	maxBytes: number;
 	/** Called when complete events are passed on, with their number so far. */
 	onEvents: (events: number) => void;
 };
 
 /** Relays a body with backpressure; resolves to how it ended. */
 export const relayBody = async (res: IncomingMessage, reply: Reply, {
-	content, framing, position, isBroken, reader, onEvents,
+	content, framing, position, isBroken, reader, pace, maxBytes, onEvents,
 }: RelayOptions): Promise<AnswerEnd> =>
 	new Promise(resolve => {
 		const scanner = content === StreamContent.None ? undefined : new EventStreamScanner();
 		const mustEndBetweenEvents = content === StreamContent.Declared || framing === BodyFraming.Connection;
 		let received = 0;
+		let holds = 0;
+		const hold = (): void => {
+			holds += 1;
+			res.pause();
+		};
+
+		const release = (): void => {
+			holds -= 1;
+			if (holds === 0) {
+				res.resume();
+			}
+		};
+
 		const settle = (hasEnded: boolean): void => {
 			const isInsideEvent = scanner?.isBetweenEvents === false;
 			const isComplete = hasEnded && !(isInsideEvent && mustEndBetweenEvents);
@@ -45,7 +63,7 @@
 			}
 
 			resolve({
-				framing, end: findBodyEnd(res, framing, isBroken()), bytes: received, events: scanner?.events, isInsideEvent, isComplete,
+				framing, end: received > maxBytes ? BodyEnd.BeyondBound : findBodyEnd(res, framing, isBroken()), bytes: received, events: scanner?.events, isInsideEvent, isComplete,
 			});
 		};
 
@@ -55,6 +73,12 @@
 
 		res.on('data', (chunk: Uint8Array) => {
 			received += chunk.length;
+			if (received > maxBytes) {
+				res.pause();
+				settle(false);
+				return;
+			}
+
 			const eventsBefore = scanner?.events ?? 0;
 			const boundary = scanner?.scan(chunk) ?? chunk.length;
 			if (scanner && scanner.events > eventsBefore) {
@@ -63,13 +87,19 @@
 
 			const bytes = position ? position.take(chunk, boundary) : chunk;
 			if (bytes.length > 0 && !reply.write(bytes)) {
-				res.pause();
+				hold();
 				reader.stop();
 				reply.onDrain(() => {
 					reader.resume();
-					res.resume();
+					release();
 				});
 			}
+
+			const waitMs = pace?.take(chunk.length) ?? 0;
+			if (waitMs > 0) {
+				hold();
+				setTimeout(release, waitMs);
+			}
 		});
 		res.once('end', () => {
 			settle(isBodyWhole(res, framing, isBroken()));
--- a/packages/mastvalve-gateway/src/streams/answer-end.ts
+++ b/packages/mastvalve-gateway/src/streams/answer-end.ts
@@ -24,6 +24,8 @@
 	Closed = 'closed',
 	/** The connection was reset or failed. */
 	Failed = 'failed',
+	/** It had more bytes than a body without a length may have, and was broken off by the entry. */
+	BeyondBound = 'beyond-bound',
 }
 
 /** End of a relayed body. */
--- a/packages/mastvalve-gateway/src/upstream/upstream-agent.ts
+++ b/packages/mastvalve-gateway/src/upstream/upstream-agent.ts
@@ -1,5 +1,5 @@
 /**
- * Keep-alive connections to endpoints. An idle connection that receives any byte is closed, since that byte would be read as the
+ * Keep-alive connections to endpoints, with the budget for relaying what comes on them. An idle connection that receives any byte is closed, since that byte would be read as the
  * response to the next request. Idle connections are closed before the keep-alive timeout that their endpoint announces.
  */
 
@@ -7,6 +7,7 @@
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {assumeType} from 'mastvalve-utils';
+import {RelayBudget} from './relay-budget.js';
 
 /** Idle timeout for endpoints that announce no keep-alive timeout, ms; shorter than any keep-alive timeout observed. */
 const defaultIdleTimeoutMs = 4000;
@@ -19,6 +20,7 @@
 };
 
 export class UpstreamAgent extends Agent {
+	readonly relayBudget = new RelayBudget();
 	/** Idle timeouts derived from the `Keep-Alive` header, by connection. */
 	private readonly idleTimeoutsMs = new WeakMap<Duplex, number>();
 
