Streams that can't be finished tell their error before they are cut

What callers saw: a stream that no endpoint could finish was cut without the error event that docs/operations/http.md promises. Cause: the entry wrote the event and threw at once; hono then destroys the connection with all that Node hasn't sent yet, since chunks go out a tick later. Class: what a library does without us. Change: the error follows 20 ms behind the last event (createStreamBody); streamAnswer itself stays as it is. Conclusion: the fault is gone for callers that read; one whose connection is full for longer still loses the event.

--- a/packages/mastvalve-entry/src/requests/stream-answer.ts
+++ b/packages/mastvalve-entry/src/requests/stream-answer.ts
@@ -7,7 +7,7 @@
  */
 
 import type {Readable} from 'node:stream';
-import {assumeType} from 'mastvalve-utils';
+import {assumeType, waitFor} from 'mastvalve-utils';
 import {createParser, type EventSourceMessage} from 'eventsource-parser';
 import {MastvalveError, UnknownOutcomeError} from 'mastvalve-types';
 import type {Result} from 'neverthrow';
@@ -119,3 +119,19 @@
 
 	return failure;
 }
+
+/** Time for the server to send the last events, ms: an error cuts the connection with all that it still holds. */
+const flushMs = 20;
+
+async function * delayError(stream: AsyncIterable<Uint8Array>): AsyncGenerator<Uint8Array> {
+	try {
+		yield * stream;
+	} catch (error) {
+		await waitFor(flushMs);
+		throw error;
+	}
+}
+
+/** The body of an answer that is streamed. */
+export const createStreamBody = (first: AttemptAnswer, options: StreamOptions): ReadableStream =>
+	ReadableStream.from(delayError(streamAnswer(first, options))) as ReadableStream;
--- a/packages/mastvalve-entry/src/server/model-routes.ts
+++ b/packages/mastvalve-entry/src/server/model-routes.ts
@@ -15,7 +15,7 @@
 import {AnswerTooLargeError} from '../requests/answer-too-large-error.js';
 import {toAttemptError} from '../requests/attempt.js';
 import type {EntryRequest} from '../requests/entry-request.js';
-import {streamAnswer} from '../requests/stream-answer.js';
+import {createStreamBody} from '../requests/stream-answer.js';
 import {answerError, type RouteScope} from './answer.js';
 import {
 	openAnswer, requireConfiguration, type EntryCore, type OpenAnswer,
@@ -105,7 +105,7 @@
 const answerStream = (core: EntryCore, request: EntryRequest, first: OpenAnswer): Response => {
 	const {timeline} = core.context;
 	core.openStreams += 1;
-	const body = streamAnswer(first, {
+	const body = createStreamBody(first, {
 		mayResume: () => !request.signal.aborted && core.context.clock.now() < request.deadlineAt && core.budget.takeRetry(),
 		resume: async tokens => openAnswer(core, request, tokens),
 		onAttemptEnd(answer, error) {
@@ -121,7 +121,7 @@
 			timeline.record('request.ended', error ? `${error.code} after ${tokens} tokens` : `whole, ${tokens} tokens`, request.requestId);
 		},
 	});
-	return new Response(ReadableStream.from(body) as ReadableStream, {
+	return new Response(body, {
 		status: first.status,
 		headers: {
 			'content-type': 'text/event-stream',
