Lines tell of bytes behind whole answers, and name the peers of failed connections

What operators saw: nothing of an endpoint that sends more than its answer, since the answer is passed on whole; a failed connection of a caller without its address. Cause: the error behind a whole answer was dropped without a line when it stopped counting as an error within it. Change: the sidecar warns with endpoint and request when the connection of a whole answer has failed with its end; the lines of the servers' faults have the peer. Before: no such line. Conclusion: bytes that come later aren't told: the connection is closed by then.

--- a/packages/mastvalve-http/src/report-faults.ts
+++ b/packages/mastvalve-http/src/report-faults.ts
@@ -15,10 +15,10 @@
 		labelNames: ['code', 'requests'],
 		registers: [registry],
 	});
-	return ({code, reason, status, unanswered}) => {
+	return ({peer, code, reason, status, unanswered}) => {
 		faults.inc({code, requests: unanswered.length > 0 ? 'unanswered' : 'none'});
 		logger.warn({
-			code, reason, status, requests: unanswered.map(({headers}) => headers[Header.RequestId]),
+			peer, code, reason, status, requests: unanswered.map(({headers}) => headers[Header.RequestId]),
 		}, 'a connection of a caller failed, or sent what is no request');
 	};
 };
--- a/packages/mastvalve-sidecar/__tests__/broken-answers.feature
+++ b/packages/mastvalve-sidecar/__tests__/broken-answers.feature
@@ -37,6 +37,21 @@
     When a sidecar hands 20 requests to it, one after the other
     Then each body is "whole"
 
+  Scenario Outline: Bytes that follow a whole answer at once are told
+    Given an endpoint that answers with "<framing>" and sends "bytes that are no answer, at once" behind it
+    When a sidecar hands 20 requests to it, one after the other
+    Then 20 times a surplus is told
+
+    Examples:
+      | framing  |
+      | a length |
+      | chunks   |
+
+  Scenario: A whole answer that nothing follows tells of no surplus
+    Given an endpoint that answers with "a length"
+    When a sidecar hands 20 requests to it, one after the other
+    Then 0 times a surplus is told
+
   # Guards against heads that are read until the time of the request is over.
   Scenario Outline: <heads> are given up at their bound
     Given an endpoint that sends "<heads>" without end
--- a/packages/mastvalve-sidecar/__tests__/broken-answers.steps.ts
+++ b/packages/mastvalve-sidecar/__tests__/broken-answers.steps.ts
@@ -14,7 +14,7 @@
 import {resetConnection} from '../../../features/support/reset-connection.js';
 import {createDispatchAgent, dispatchRequest} from '../src/server/dispatch.js';
 
-type BrokenWorld = World & {brokenServer: Server; brokenAgent: Agent; bodies: string[]; dispatchError: string; dispatchMs: number};
+type BrokenWorld = World & {brokenServer: Server; brokenAgent: Agent; bodies: string[]; surplusCount: number; dispatchError: string; dispatchMs: number};
 
 const body = '{"loan":"4711","isRecorded":true}';
 const pauseMs = 5;
@@ -127,9 +127,14 @@
 When('a sidecar hands a request to it', async function (this: BrokenWorld) {
 	const {port} = assumeType<AddressInfo>(this.brokenServer.address());
 	this.brokenAgent = createDispatchAgent(1);
+	this.surplusCount = 0;
+	const onSurplus = (): void => {
+		this.surplusCount += 1;
+	};
+
 	const beganAt = performance.now();
 	const answer = await dispatchRequest({
-		url: `http://127.0.0.1:${port}/loans`, method: 'POST', headers: {}, body: new Uint8Array(), signal: AbortSignal.timeout(timeLimitMs), isEngine: false,
+		url: `http://127.0.0.1:${port}/loans`, method: 'POST', headers: {}, body: new Uint8Array(), signal: AbortSignal.timeout(timeLimitMs), isEngine: false, onSurplus,
 	}, this.brokenAgent);
 	this.dispatchError = answer.isErr() ? answer.error.message : 'none';
 	this.dispatchMs = performance.now() - beganAt;
@@ -143,10 +148,15 @@
 When('a sidecar hands {int} requests to it, one after the other', async function (this: BrokenWorld, count: number) {
 	const {port} = assumeType<AddressInfo>(this.brokenServer.address());
 	this.brokenAgent = createDispatchAgent(1);
+	this.surplusCount = 0;
+	const onSurplus = (): void => {
+		this.surplusCount += 1;
+	};
+
 	this.bodies = await Array.from({length: count}).reduce<Promise<string[]>>(async before => {
 		const bodies = await before;
 		const answer = await dispatchRequest({
-			url: `http://127.0.0.1:${port}/loans`, method: 'POST', headers: {}, body: new Uint8Array(), signal: AbortSignal.timeout(timeLimitMs), isEngine: false,
+			url: `http://127.0.0.1:${port}/loans`, method: 'POST', headers: {}, body: new Uint8Array(), signal: AbortSignal.timeout(timeLimitMs), isEngine: false, onSurplus,
 		}, this.brokenAgent);
 		const text = await (answer.isOk() ? collectText(answer.value.body, maxBodyBytes).catch(() => 'broken off') : 'broken off');
 		await waitFor(0);
@@ -158,6 +168,10 @@
 	assert.deepEqual([...new Set(this.bodies)], [result === 'whole' ? body : result]);
 });
 
+Then('{int} times a surplus is told', function (this: BrokenWorld, count: number) {
+	assert.equal(this.surplusCount, count);
+});
+
 Given('an endpoint that sends each answer once more in the place of the next one on its connection', async function (this: BrokenWorld) {
 	this.brokenServer = createServer(socket => {
 		let surplus = '';
@@ -177,10 +191,15 @@
 When('a sidecar hands {int} numbered requests to that engine, one after the other', async function (this: BrokenWorld, count: number) {
 	const {port} = assumeType<AddressInfo>(this.brokenServer.address());
 	this.brokenAgent = createDispatchAgent(1);
+	this.surplusCount = 0;
+	const onSurplus = (): void => {
+		this.surplusCount += 1;
+	};
+
 	this.bodies = await Array.from({length: count}, (_, index) => String(index + 1)).reduce<Promise<string[]>>(async (before, number) => {
 		const bodies = await before;
 		const answer = await dispatchRequest({
-			url: `http://127.0.0.1:${port}/loans`, method: 'POST', headers: {'x-number': number}, body: new Uint8Array(), signal: AbortSignal.timeout(timeLimitMs), isEngine: true,
+			url: `http://127.0.0.1:${port}/loans`, method: 'POST', headers: {'x-number': number}, body: new Uint8Array(), signal: AbortSignal.timeout(timeLimitMs), isEngine: true, onSurplus,
 		}, this.brokenAgent);
 		const text = answer.isOk() ? await collectText(answer.value.body, maxBodyBytes) : answer.error.code;
 		await waitFor(pauseMs);
--- a/packages/mastvalve-sidecar/src/server/dispatch.ts
+++ b/packages/mastvalve-sidecar/src/server/dispatch.ts
@@ -26,6 +26,8 @@
 	signal: AbortSignal;
 	/** The endpoint is a model engine, whose 429 and 503 mean that it did not run the request. */
 	isEngine: boolean;
+	/** Called when the connection failed behind a whole answer, as it does if bytes follow that belong to no request. */
+	onSurplus: () => void;
 };
 
 /** The endpoint's answer, while its body is still coming. */
@@ -86,9 +88,14 @@
 	&& !/\bchunked\b/iv.test(headers['transfer-encoding'] ?? '');
 
 /** The chunks of a body; throws if it breaks off. An error of the connection behind the announced end is no part of the answer. */
-async function * readBody(res: IncomingMessage, method: string, hasFailed: () => boolean): AsyncGenerator<Uint8Array> {
+async function * readBody(res: IncomingMessage, {method, onSurplus}: DispatchRequest, hasFailed: () => boolean): AsyncGenerator<Uint8Array> {
 	yield * res as AsyncIterable<Uint8Array>;
-	if (!res.complete || (endsWithConnection(res, method) && hasFailed())) {
+	const isAnnounced = !endsWithConnection(res, method);
+	if (res.complete && isAnnounced && hasFailed()) {
+		onSurplus();
+	}
+
+	if (!res.complete || (!isAnnounced && hasFailed())) {
 		throw new UnknownOutcomeError('The connection to the endpoint was reset before the whole answer was here.');
 	}
 }
@@ -97,8 +104,9 @@
 export const createDispatchAgent = (maxConnections: number): Agent => new Agent({keepAlive: false, maxSockets: maxConnections});
 
 /** Hands a request over. */
-export const dispatchRequest = async ({url, method, headers, body, signal, isEngine}: DispatchRequest, agent: Agent): Promise<Result<DispatchAnswer, MastvalveError>> =>
+export const dispatchRequest = async (dispatched: DispatchRequest, agent: Agent): Promise<Result<DispatchAnswer, MastvalveError>> =>
 	new Promise(resolve => {
+		const {url, method, headers, body, signal, isEngine} = dispatched;
 		const req = request(url, {
 			method, headers, signal, agent, maxHeaderSize: maxAnswerHeadBytes,
 		});
@@ -117,7 +125,7 @@
 				return;
 			}
 
-			resolve(ok({status: res.statusCode ?? 0, headers: toHeaders(res.headers), body: Readable.from(readBody(res, method, hasFailed), {objectMode: false})}));
+			resolve(ok({status: res.statusCode ?? 0, headers: toHeaders(res.headers), body: Readable.from(readBody(res, dispatched, hasFailed), {objectMode: false})}));
 		});
 		req.end(body);
 	});
--- a/packages/mastvalve-sidecar/src/server/forward-handler.ts
+++ b/packages/mastvalve-sidecar/src/server/forward-handler.ts
@@ -108,6 +108,9 @@
 		body,
 		signal: createDeadlineSignal(Math.max(1, forward.deadlineMs), [c.req.raw.signal, ending.signal]),
 		isEngine: options.isEngine,
+		onSurplus() {
+			context.logger.warn({endpoint: endpointId, request: forward.requestId}, 'the connection failed behind a whole answer, as it does when bytes follow that belong to no request');
+		},
 	}, options.agent);
 	if (answer.isErr()) {
 		gate.leave(admission);
