A seed without a disk that is killed at the first start doesn't keep control from creating its log

What operators saw: where seeds are instances without a disk (entries), the first by address is killed in its first 0.2 to 0.3 s and started again; no configuration is ever acknowledged. Cause: that seed names the founder from memory, at the first start only. The others named one too, and nobody asked them. Same class as: the whole system waits for what only the memory of one process knew. Ruled out: asking the next seed at once, since the founder of the first one may have begun already; the proof's twin that obeys any seed creates two logs. Change: seeds repeat the founder that another one names (founder-naming.ts). One that has restarted says that it may name none, and the next one by address names its own candidate. The founder begins only while all seeds that may name one name it, before it records itself and, with new answers, after that. Two founders can't both find that, since a seed names one in its lifetime. Tests changed: the founder that only the first seed names no longer begins while another seed names another one; the scenario's seeds agree now, and a step of its own checks that nobody begins while they don't, or while one hasn't named any though it may, or hasn't answered.

--- a/packages/mastvalve-cluster/__tests__/control-group.feature
+++ b/packages/mastvalve-cluster/__tests__/control-group.feature
@@ -14,8 +14,11 @@
     And a seed whose disk was initialized after the first start leaves it to the others, once it has answered
     And a log that a seed with a lost disk may have created is created by nobody under other founders
 
-  Scenario: When no seed has a replica, the founder that the first seed names creates the log
+  # Guards against a system that never starts: the first seed was killed before it had named the founder, and named none after its restart.
+  Scenario: When no seed has a replica, the founder that the seeds name creates the log
     Then the founder creates the log alone, and no other instance does
+    And nobody creates it while a seed names another founder, or none though it may, also after the founder has recorded itself
+    And seeds repeat the founder that another one names, and leave it to the next one if they have restarted
 
   Scenario: Five instances form a group of five voters when no seed has a replica
     Given 5 control instances whose seeds are 3 instances without a log
--- a/packages/mastvalve-cluster/__tests__/control-group.steps.ts
+++ b/packages/mastvalve-cluster/__tests__/control-group.steps.ts
@@ -19,7 +19,7 @@
 import {findFreePorts} from '../../../features/support/free-ports.js';
 import {waitUntil} from '../../../features/support/conditions.js';
 import {
-	ControlDirectory, ControlGroup, decideFormation, PeerClient, startPeerServer, type Identity,
+	ControlDirectory, ControlGroup, decideFormation, nameFounder, PeerClient, startPeerServer, type Identity,
 } from '../src/index.js';
 
 type Member = {address: string; folder: string; group: ControlGroup; applied: unknown[]; server: Server; client: PeerClient};
@@ -292,7 +292,7 @@
 });
 
 /** An instance without a log. */
-const identifyDirectory = (address: string, founder?: string): Identity => identity(address, {replicaId: undefined, mayBegin: false, founder});
+const identifyDirectory = (address: string, founder?: string): Identity => identity(address, {replicaId: undefined, mayBegin: founder !== undefined, founder});
 
 const seedAddresses = ['a:1', 'b:1', 'c:1'];
 
@@ -365,13 +365,37 @@
 });
 
 Then('the founder creates the log alone, and no other instance does', () => {
-	const seeds = [identifyDirectory('c:1', 'd:1#5'), identifyDirectory('b:1'), identifyDirectory('a:1', 'd:1#4')];
+	const seeds = [identifyDirectory('c:1', 'd:1#4'), identifyDirectory('b:1'), identifyDirectory('a:1', 'd:1#4')];
 	assert.deepEqual(decideAfterRecord(identity('d:1#4'), seedAddresses.toReversed(), seeds)?.initialVoters, ['d:1#4']);
 	assert.equal(decideFormation(identity('d:1#5'), seedAddresses, seeds), undefined);
 	assert.equal(decideFormation(identity('d:1#4', {mayBegin: false}), seedAddresses, seeds), undefined);
 	assert.equal(decideFormation(identity('d:1#4'), seedAddresses, seeds.slice(0, 2)), undefined);
 });
 
+Then('nobody creates it while a seed names another founder, or none though it may, also after the founder has recorded itself', () => {
+	const [a, b, c] = [identifyDirectory('a:1', 'd:1#4'), identifyDirectory('b:1', 'd:1#4'), identifyDirectory('c:1', 'd:1#4')] as const;
+	const undecided = {...c, founder: undefined};
+	const other = identifyDirectory('c:1', 'e:1#5');
+	[identity('d:1#4'), identity('d:1#4', {initialVoters: ['d:1#4']}), identity('e:1#5', {initialVoters: ['e:1#5']})].forEach(own => {
+		assert.equal(decideFormation(own, seedAddresses, [a, b, undecided]), undefined);
+		assert.equal(decideFormation(own, seedAddresses, [a, b, other]), undefined);
+		assert.equal(decideFormation(own, seedAddresses, [a, b]), undefined);
+	});
+});
+
+Then('seeds repeat the founder that another one names, and leave it to the next one if they have restarted', () => {
+	const own = identity('b:1', {replicaId: undefined});
+	const first = {...own, address: 'a:1'};
+	const last = {...own, address: 'c:1'};
+	assert.equal(nameFounder(first, seedAddresses, [], 'd:1#4'), 'd:1#4');
+	assert.equal(nameFounder(own, seedAddresses, [last], 'd:1#4'), undefined);
+	assert.equal(nameFounder(own, seedAddresses, [first, last], 'd:1#4'), undefined);
+	assert.equal(nameFounder(own, seedAddresses, [{...first, founder: 'e:1#5'}, last], 'd:1#4'), 'e:1#5');
+	assert.equal(nameFounder(own, seedAddresses, [{...first, mayBegin: false}, last], 'd:1#4'), 'd:1#4');
+	assert.equal(nameFounder(own, seedAddresses, [{...first, mayBegin: false}, {...last, founder: 'e:1#5'}], 'd:1#4'), 'e:1#5');
+	assert.equal(nameFounder({...own, mayBegin: false}, seedAddresses, [{...first, founder: 'e:1#5'}, last], 'd:1#4'), undefined);
+});
+
 Given('a peer whose connections stall after their first response, while new ones work', async function (this: GroupWorld) {
 	const answered = new Set<unknown>();
 	const [port] = await findFreePorts(1);
--- a/packages/mastvalve-cluster/src/membership/control-directory.ts
+++ b/packages/mastvalve-cluster/src/membership/control-directory.ts
@@ -2,8 +2,8 @@
  * Discovers the control instances on behalf of an instance without a log. Such an instance may be a seed, so it reports
  * the control instances to its peers.
  *
- * At the first start of the system it also names the founder, which creates the log if no seed has a replica. It names one
- * founder in its lifetime and none after a restart, so two logs are never created.
+ * At the first start of the system it also names the founder, which creates the log if no seed has a replica: one in its
+ * lifetime, and none after a restart (`founder-naming.ts`).
  */
 
 import {getInstanceName, type ReplicaId} from 'mastvalve-replication';
@@ -14,6 +14,7 @@
 import type {PeerClient} from '../peer/peer-client.js';
 import type {PeerHandler} from '../peer/peer-server.js';
 import {Announcements, type Announcement} from './announcements.js';
+import {nameFounder} from './founder-naming.js';
 import type {Identity} from './identity.js';
 import {PeerDiscovery} from './peer-discovery.js';
 
@@ -36,6 +37,9 @@
 	private readonly discovery: PeerDiscovery;
 	private readonly announcements: Announcements;
 	private founder: ReplicaId | undefined;
+	/** First instance that asked to join and may begin a log. */
+	private candidate: ReplicaId | undefined;
+	private answers: Identity[] = [];
 	/** Addresses of the instances that reported a replica of the log. */
 	private discoveredAddresses: string[] = [];
 
@@ -74,7 +78,7 @@
 			replicaId: undefined,
 			clusterId: undefined,
 			initialVoters: [],
-			mayBegin: false,
+			mayBegin: this.options.isFirstStart,
 			peers: [...new Set([...this.listControlAddresses(), ...this.announcements.listAddresses()])],
 			founder: this.founder,
 		};
@@ -82,9 +86,15 @@
 
 	private recordAnnouncement(announcement: Announcement): void {
 		this.announcements.record(announcement);
-		if (this.options.isFirstStart && announcement.mayBegin) {
-			this.founder ??= announcement.id;
+		if (announcement.mayBegin) {
+			this.candidate ??= announcement.id;
 		}
+
+		this.nameFounder();
+	}
+
+	private nameFounder(): void {
+		this.founder ??= nameFounder(this.identify(), this.options.readSeeds(), this.answers, this.candidate);
 	}
 
 	private async discover(): Promise<void> {
@@ -93,7 +103,8 @@
 		}
 
 		this.discovery.addPeers(this.announcements.listAddresses());
-		const answers = await this.discovery.identifyPeers();
-		this.discoveredAddresses = answers.filter(({clusterId}) => clusterId !== undefined).flatMap(({replicaId}) => (replicaId === undefined ? [] : [getInstanceName(replicaId)]));
+		this.answers = await this.discovery.identifyPeers();
+		this.nameFounder();
+		this.discoveredAddresses = this.answers.filter(({clusterId}) => clusterId !== undefined).flatMap(({replicaId}) => (replicaId === undefined ? [] : [getInstanceName(replicaId)]));
 	}
 }
--- a/packages/mastvalve-cluster/src/membership/formation.ts
+++ b/packages/mastvalve-cluster/src/membership/formation.ts
@@ -10,7 +10,8 @@
  * identity). So whoever may have created a log with this instance as a founder has its record of the same founders, and
  * two logs are never created, whichever processes are killed and whichever disks are lost meanwhile.
  *
- * When no seed has a replica, the first seed by address names the only founder.
+ * When no seed has a replica, the seeds name the only founder (`founder-naming.ts`). All that may name one must name it, both
+ * before it records itself and, asked again, before it creates the log.
  */
 
 import {getInstanceName, type ReplicaId} from 'mastvalve-replication';
@@ -26,8 +27,9 @@
 const listFounders = (seeds: readonly Identity[]): ReplicaId[] | undefined => {
 	const seedsWithLog = seeds.filter(({replicaId}) => replicaId !== undefined);
 	if (seedsWithLog.length === 0) {
-		const founder = seeds[0]?.founder;
-		return founder === undefined ? undefined : [founder];
+		const founders = [...new Set(seeds.flatMap(({founder}) => founder ?? []))];
+		const isUndecided = seeds.some(({founder, mayBegin}) => founder === undefined && mayBegin);
+		return founders.length === 1 && !isUndecided ? founders : undefined;
 	}
 
 	return seedsWithLog.flatMap(({replicaId, mayBegin}) => (replicaId !== undefined && mayBegin ? [replicaId] : [])).toSorted();
@@ -36,6 +38,12 @@
 const isSame = (founders: readonly ReplicaId[], others: readonly ReplicaId[]): boolean =>
 	founders.length === others.length && founders.every((founder, index) => founder === others[index]);
 
+/** Returns the founders by the present answers, or undefined unless all seeds have answered. */
+const findFounders = (own: Identity, seeds: readonly string[], answers: readonly Identity[]): ReplicaId[] | undefined => {
+	const identities = seeds.toSorted().map(seed => [own, ...answers].find(({address}) => address === seed));
+	return identities.includes(undefined) ? undefined : listFounders(identities.filter(identity => identity !== undefined));
+};
+
 /** Returns the founders that this instance records, or undefined if it isn't one or the seeds must be asked again. */
 const chooseFounders = (own: Identity, seeds: readonly string[], answers: readonly Identity[]): ReplicaId[] | undefined => {
 	const {replicaId} = own;
@@ -44,9 +52,7 @@
 	}
 
 	const recorded = answers.find(({initialVoters}) => initialVoters.includes(replicaId));
-	const seedIdentities = seeds.toSorted().map(seed => [own, ...answers].find(({address}) => address === seed));
-	const isComplete = !seedIdentities.includes(undefined);
-	const founders = recorded?.initialVoters ?? (isComplete ? listFounders(seedIdentities.filter(identity => identity !== undefined)) : undefined);
+	const founders = recorded?.initialVoters ?? findFounders(own, seeds, answers);
 	return founders?.includes(replicaId) ? founders : undefined;
 };
 
@@ -56,6 +62,14 @@
 	return answer !== undefined && (answer.replicaId !== founder || isSame(answer.initialVoters, founders));
 };
 
+/** Whether the founders that this instance has recorded may create the log. */
+const isAgreed = (own: Identity, seeds: readonly string[], answers: readonly Identity[]): boolean => {
+	const founders = own.initialVoters;
+	return seeds.includes(own.address)
+		? founders.every(founder => founder === own.replicaId || isSettled(founder, founders, answers))
+		: isSame(findFounders(own, seeds, answers) ?? [], founders);
+};
+
 /** Returns the log of this instance, or undefined if the peers must be asked again. `answers` come from the other instances. */
 export const decideFormation = (own: Identity, seeds: readonly string[], answers: readonly Identity[]): Formation | undefined => {
 	const formed = answers.find(answer => answer.clusterId !== undefined);
@@ -69,6 +83,5 @@
 		return chosen && {clusterId: undefined, initialVoters: chosen};
 	}
 
-	const isAgreed = founders.every(founder => founder === own.replicaId || isSettled(founder, founders, answers));
-	return isAgreed ? {clusterId: hashCanonically(founders).slice(0, clusterIdLength), initialVoters: founders} : undefined;
+	return isAgreed(own, seeds, answers) ? {clusterId: hashCanonically(founders).slice(0, clusterIdLength), initialVoters: founders} : undefined;
 };
--- a/packages/mastvalve-cluster/src/membership/identity.ts
+++ b/packages/mastvalve-cluster/src/membership/identity.ts
@@ -12,9 +12,10 @@
 	clusterId: string | undefined;
 	/** Voters with which the log was formed; without a log, the founders that this instance has recorded, if any. */
 	initialVoters: ReplicaId[];
+	/** Whether it may create a log; for an instance without a replica, whether it may name a founder. */
 	mayBegin: boolean;
 	/** Known addresses of instances that have a replica of the log or want one. */
 	peers: string[];
-	/** The replica that creates the log when no seed has a replica; reported only by seeds without a log. */
+	/** The replica that creates the log when no seed has a replica; reported only by seeds without one. */
 	founder: ReplicaId | undefined;
 };
--- a/packages/mastvalve-proofs/__tests__/formation-model.ts
+++ b/packages/mastvalve-proofs/__tests__/formation-model.ts
@@ -3,7 +3,9 @@
  * disks between any two of their steps.
  */
 
-import type {decideFormation, Formation, Identity} from 'mastvalve-cluster';
+import {
+	nameFounder, type decideFormation, type Formation, type Identity,
+} from 'mastvalve-cluster';
 
 export type DecideFormation = typeof decideFormation;
 
@@ -14,6 +16,8 @@
 	Initialize = 'initialize',
 	/** It gets the answer of another one. */
 	Ask = 'ask',
+	/** It asks another one to join, which matters at seeds without a disk. */
+	Announce = 'announce',
 	Decide = 'decide',
 	/** It writes what it has decided. */
 	Record = 'record',
@@ -25,9 +29,12 @@
 export type FormationStep = {kind: FormationStepKind; at: number; peer: number};
 
 /** What a running process knows. */
-type Memory = {mayBegin: boolean; answers: Identity[]; decision: Formation | undefined};
+type Memory = {mayBegin: boolean; answers: Identity[]; decision: Formation | undefined; candidate?: string; founder?: string};
 
-type Instance = {address: string; isFirstStart: boolean; disk: Identity | undefined; memory: Memory | undefined};
+type Instance = {address: string; hasDisk: boolean; isFirstStart: boolean; disk: Identity | undefined; memory: Memory | undefined};
+
+/** `seedsHaveDisks` tells whether seeds keep the log. */
+export type FormationModelOptions = {instances: number; seeds: number; seedsHaveDisks: boolean};
 
 /** Rounds of steps after which instances without further faults must have formed a log. */
 const settlingRounds = 8;
@@ -40,19 +47,19 @@
 	private disks = 0;
 	private lostDisks = 0;
 
-	constructor(private readonly decide: DecideFormation, {instances, seeds}: {instances: number; seeds: number}) {
+	constructor(private readonly decide: DecideFormation, {instances, seeds, seedsHaveDisks}: FormationModelOptions) {
 		this.instances = Array.from({length: instances}, (_, index) => ({
-			address: `n${index}:1`, isFirstStart: true, disk: undefined, memory: undefined,
+			address: `n${index}:1`, hasDisk: seedsHaveDisks || index >= seeds, isFirstStart: true, disk: undefined, memory: undefined,
 		}));
 		this.seeds = this.instances.slice(0, seeds).map(({address}) => address);
 	}
 
-	/** Whether all instances belong to a log. */
+	/** Whether all instances with a disk belong to a log. */
 	get isFormed(): boolean {
-		return this.instances.every(({disk}) => disk?.clusterId !== undefined);
+		return this.instances.every(({hasDisk, disk}) => !hasDisk || disk?.clusterId !== undefined);
 	}
 
-	/** Whether a log must be formed: no disk was lost, and a seed has written that it may begin. */
+	/** Whether a log must be formed: no disk was lost, and a seed with a disk has written that it may begin. */
 	get mustForm(): boolean {
 		return this.lostDisks === 0 && this.instances.some(({address, disk}) => this.seeds.includes(address) && disk?.mayBegin);
 	}
@@ -76,6 +83,11 @@
 				break;
 			}
 
+			case FormationStepKind.Announce: {
+				this.announce(instance, this.instances[peer % this.instances.length]!);
+				break;
+			}
+
 			case FormationStepKind.Decide: {
 				this.decideAt(instance);
 				break;
@@ -102,15 +114,15 @@
 	/** All start again, and nothing fails any more. */
 	settle(): void {
 		const all = this.instances.map((_, index) => index);
-		const round = [FormationStepKind.Start, FormationStepKind.Initialize, FormationStepKind.Ask, FormationStepKind.Decide, FormationStepKind.Record];
+		const round = [FormationStepKind.Start, FormationStepKind.Initialize, FormationStepKind.Announce, FormationStepKind.Ask, FormationStepKind.Decide, FormationStepKind.Record];
 		const steps = Array.from({length: settlingRounds}, () => round).flat();
-		steps.flatMap(kind => all.flatMap(at => (kind === FormationStepKind.Ask ? all : [at]).map(peer => ({kind, at, peer})))).forEach(step => {
+		steps.flatMap(kind => all.flatMap(at => ([FormationStepKind.Ask, FormationStepKind.Announce].includes(kind) ? all : [at]).map(peer => ({kind, at, peer})))).forEach(step => {
 			this.step(step);
 		});
 	}
 
 	private initialize(instance: Instance): void {
-		if (!instance.memory || instance.disk) {
+		if (!instance.memory || instance.disk !== undefined || !instance.hasDisk) {
 			return;
 		}
 
@@ -126,15 +138,47 @@
 		};
 	}
 
+	/** What an instance answers, if it runs and has written its identity. */
+	private identify({address, hasDisk, disk, memory}: Instance): Identity | undefined {
+		if (!memory || hasDisk) {
+			return memory && disk;
+		}
+
+		const {mayBegin, founder} = memory;
+		return {
+			address, replicaId: undefined, clusterId: undefined, initialVoters: [], mayBegin, peers: [], founder,
+		};
+	}
+
 	private ask({memory}: Instance, peer: Instance): void {
-		if (!memory || !peer.memory || !peer.disk) {
-			return;
+		const answer = this.identify(peer);
+		if (memory && answer) {
+			memory.answers = [...memory.answers.filter(({address}) => address !== peer.address), answer];
 		}
+	}
 
-		memory.answers = [...memory.answers.filter(({address}) => address !== peer.address), peer.disk];
+	private announce({memory, disk}: Instance, {hasDisk, memory: seed}: Instance): void {
+		if (memory && disk?.mayBegin && seed && !hasDisk) {
+			seed.candidate ??= disk.replicaId;
+		}
+	}
+
+	private nameFounder(instance: Instance): void {
+		const {memory} = instance;
+		const own = this.identify(instance);
+		if (memory && own) {
+			memory.founder ??= nameFounder(own, this.seeds, memory.answers, memory.candidate);
+			memory.answers = [];
+		}
 	}
 
-	private decideAt({memory, disk}: Instance): void {
+	private decideAt(instance: Instance): void {
+		const {memory, disk} = instance;
+		if (!instance.hasDisk) {
+			this.nameFounder(instance);
+			return;
+		}
+
 		if (!memory || !disk || disk.clusterId !== undefined || memory.decision) {
 			return;
 		}
