--- a/packages/mastvalve-control/src/server/start-control.ts
+++ b/packages/mastvalve-control/src/server/start-control.ts
@@ -4,7 +4,7 @@
 
 import {randomBytes} from 'node:crypto';
 import {
-	createApp, mountRouter, registerGauge, startServer, type ProgramContext, type RunningServer, type UpstreamHandlers,
+	createApp, createFaultReporter, mountRouter, registerGauge, startServer, type ProgramContext, type RunningServer, type UpstreamHandlers,
 } from 'mastvalve-http';
 import {
 	createFileSystem, defaultReplicaTimes, formatReplicaId, Journal, journalFormat, type FileSystem, type Message, type ReplicaId, type ReplicaTimes,
@@ -15,13 +15,13 @@
 	callUntilAborted, describeError, repeatUntilAborted, toMastvalveError, waitFor, assumeType,
 } from 'mastvalve-utils';
 import {err, type Result} from 'neverthrow';
-import {fetch as undiciFetch} from 'undici';
 import {createControlRouter} from './control-router.js';
 import {
 	createOperatorHandlers, createUpstreamHandlers, proposeCommand, type ControlParts,
 } from './control-handlers.js';
 import {DemandEstimate} from './demand-estimate.js';
 import {EndpointWatch, type ListedInstance} from './endpoint-watch.js';
+import {fetchList} from './fetch-list.js';
 import {decideFormation, FormationKind} from './form-cluster.js';
 import {carryOutDuties} from './leader-duties.js';
 import type {OperatorHandlers} from './operator-router.js';
@@ -50,10 +50,11 @@
 const dutyPauseMs = 500;
 const formationPauseMs = 200;
 const peerCallMs = 1000;
-const listCallMs = 1000;
 const handOverMs = 300;
 const announcePauseMs = 500;
 const diskIdBytes = 4;
+/** Bytes of one call of peers, operators or entries. A snapshot is sent as one message; V8 can't hold twice as much in one string. */
+const maxRpcBytes = 268_435_456;
 
 /** Starts a control instance. It listens first, since peers must be able to ask who it is. */
 export const startControl = async (options: StartControlOptions): Promise<Result<RunningProgram, MastvalveError>> => {
@@ -99,8 +100,8 @@
 			announce: id => {
 				this.joining.add(id);
 			},
-		}));
-		const server = await startServer(app, instance.listen);
+		}), {maxBytes: maxRpcBytes});
+		const server = await startServer(app, instance.listen, {onFault: createFaultReporter(context)});
 		return server.map(running => {
 			this.registerMetrics();
 			context.timeline.record('program.started', `control listens on ${running.address}`);
@@ -200,13 +201,12 @@
 	}
 
 	private async fetchList(): Promise<ListedInstance[] | undefined> {
-		const {platformList} = this.options.settings;
-		if (platformList === undefined) {
-			return undefined;
-		}
-
-		const res = await undiciFetch(`${platformList}/instances`, {signal: AbortSignal.timeout(listCallMs)}).catch(() => undefined);
-		return res?.ok ? assumeType<ListedInstance[]>(await res.json()) : undefined;
+		const {settings: {platformList}, context} = this.options;
+		return platformList === undefined
+			? undefined
+			: fetchList(platformList, message => {
+				context.logger.warn(message);
+			});
 	}
 
 	private readReadiness(): string | undefined {
--- a/packages/mastvalve-sidecar/src/server/dispatch.ts
+++ b/packages/mastvalve-sidecar/src/server/dispatch.ts
@@ -12,7 +12,9 @@
 import {
 	MastvalveError, Outcome, RefusedError, UnknownOutcomeError,
 } from 'mastvalve-types';
-import {describeError, watchForReset} from 'mastvalve-utils';
+import {
+	describeError, limitInformationalHeads, maxAnswerHeadBytes, watchForReset,
+} from 'mastvalve-utils';
 import {err, ok, type Result} from 'neverthrow';
 
 /** What is handed over. */
@@ -74,10 +76,19 @@
 	});
 };
 
-/** The chunks of a body; throws if it breaks off. */
-async function * readBody(res: IncomingMessage, hasFailed: () => boolean): AsyncGenerator<Uint8Array> {
+const bodilessStatuses = new Set([204, 304]);
+
+/** Whether only the end of the connection tells where an answer ends: its head names no length, and it has no chunks. */
+const endsWithConnection = ({statusCode, headers}: IncomingMessage, method: string): boolean =>
+	method !== 'HEAD'
+	&& !bodilessStatuses.has(statusCode ?? 0)
+	&& headers['content-length'] === undefined
+	&& !/\bchunked\b/iv.test(headers['transfer-encoding'] ?? '');
+
+/** The chunks of a body; throws if it breaks off. An error of the connection behind the announced end is no part of the answer. */
+async function * readBody(res: IncomingMessage, method: string, hasFailed: () => boolean): AsyncGenerator<Uint8Array> {
 	yield * res as AsyncIterable<Uint8Array>;
-	if (!res.complete || hasFailed()) {
+	if (!res.complete || (endsWithConnection(res, method) && hasFailed())) {
 		throw new UnknownOutcomeError('The connection to the endpoint was reset before the whole answer was here.');
 	}
 }
@@ -89,8 +100,11 @@
 export const dispatchRequest = async ({url, method, headers, body, signal, isEngine}: DispatchRequest, agent: Agent): Promise<Result<DispatchAnswer, MastvalveError>> =>
 	new Promise(resolve => {
 		const req = request(url, {
-			method, headers, signal, agent,
+			method, headers, signal, agent, maxHeaderSize: maxAnswerHeadBytes,
 		});
+		// The parser drops the fields beyond a thousand by default, the length of the body among them; the size of the head bounds their number.
+		req.maxHeadersCount = 0;
+		limitInformationalHeads(req);
 		const hasFailed = watchForReset(req);
 		limitConnectTime(req, url);
 		req.once('error', error => {
@@ -103,7 +117,7 @@
 				return;
 			}
 
-			resolve(ok({status: res.statusCode ?? 0, headers: toHeaders(res.headers), body: Readable.from(readBody(res, hasFailed), {objectMode: false})}));
+			resolve(ok({status: res.statusCode ?? 0, headers: toHeaders(res.headers), body: Readable.from(readBody(res, method, hasFailed), {objectMode: false})}));
 		});
 		req.end(body);
 	});
--- a/packages/mastvalve-sidecar/src/server/start-sidecar.ts
+++ b/packages/mastvalve-sidecar/src/server/start-sidecar.ts
@@ -5,7 +5,7 @@
 import {randomUUID} from 'node:crypto';
 import {ConfigurationStore} from 'mastvalve-configuration';
 import {
-	createApp, registerGauge, startServer, UpstreamClient, type ProgramContext, type RunningServer,
+	createApp, createFaultReporter, registerGauge, startServer, UpstreamClient, type ProgramContext, type RunningServer,
 } from 'mastvalve-http';
 import type {Settings, SidecarInstance} from 'mastvalve-settings';
 import {EndpointState, type Endpoint, type MastvalveError} from 'mastvalve-types';
@@ -13,7 +13,7 @@
 	callUntilAborted, describeError, repeatUntilAborted, waitFor,
 } from 'mastvalve-utils';
 import type {Result} from 'neverthrow';
-import {EngineClient} from '../engine/engine-client.js';
+import {EngineClient, StatusTooLargeError} from '../engine/engine-client.js';
 import {EngineKeeper} from '../engine/engine-keeper.js';
 import {ClaimGuard} from './claim-guard.js';
 import {createDispatchAgent} from './dispatch.js';
@@ -116,7 +116,7 @@
 			mayHold: model => this.isPlain || this.keeper.isAssigned(model ?? '') || this.keeper.isReady(model ?? ''),
 			acceptClaim: claim => this.claims?.accept(claim) ?? false,
 		}));
-		const server = await startServer(app, instance.listen);
+		const server = await startServer(app, instance.listen, {onFault: createFaultReporter(context)});
 		return server.map(running => {
 			this.address = `http://${running.address}`;
 			this.registerMetrics();
@@ -129,7 +129,9 @@
 	private async run(): Promise<void> {
 		const {signal} = this.ending;
 		const onError = (thrown: unknown) => {
-			this.options.context.logger.debug(`a round failed and is tried again: ${describeError(thrown)}`);
+			// An engine that restarts fails rounds; one that sends without end is in trouble.
+			const level = thrown instanceof StatusTooLargeError ? 'warn' : 'debug';
+			this.options.context.logger[level](`a round failed and is tried again: ${describeError(thrown)}`);
 		};
 
 		this.store.subscribe(() => {
