Bodies of answers that aren't passed on are read up to a bound

What others saw: the body of a refusal, or of a 500 that is tried elsewhere, was read at full speed until the whole request had ended. Cause: `res.resume()` drains such a body so that the connection can be used again, whatever its size. Change: up to 64 KiB; beyond that the connection is closed, `answer.endless` names endpoint and bound, and the endpoint's failure is counted, also behind "not run", which is believed as before.

--- a/packages/mastvalve-gateway/__tests__/bodies-without-end.feature
+++ b/packages/mastvalve-gateway/__tests__/bodies-without-end.feature
@@ -35,3 +35,16 @@
     When a caller reads the whole answer
     Then it has all 20971520 bytes after at most 3000 ms
     And no failure of the endpoint is recorded
+
+  # Guards against bodies that nobody wants, of answers that aren't passed on, and that are read until the request has ended.
+  Scenario Outline: A refusal with a body without end is no longer read
+    Given an endpoint that answers "<status>" with a body without end, and another that answers after 1500 ms
+    When a caller sends a request that may be repeated
+    Then it gets the answer of the other
+    And less than 5000 kB of the body were sent
+    And "answer.endless" is logged, and failures of the endpoint recorded
+
+    Examples:
+      | status          |
+      | 503 and not run |
+      | 500             |
--- a/packages/mastvalve-gateway/__tests__/bodies-without-end.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/bodies-without-end.steps.ts
@@ -10,9 +10,13 @@
 import {waitFor} from 'mastvalve-utils';
 import {waitUntil} from '../../../features/support/conditions.js';
 import {RunningGateway, type Received} from './__fixtures__/running-gateway.js';
-import {idOf, startScriptedEndpoint, type ScriptedEndpoint} from './__fixtures__/scripted-endpoint.js';
+import {
+	formatAnswer, idOf, startScriptedEndpoint, type ScriptedEndpoint,
+} from './__fixtures__/scripted-endpoint.js';
 
-type EndlessWorld = World & {endlessRun: RunningGateway; endlessEndpoint: ScriptedEndpoint; endlessCallers: Socket[]; relayed: number; received: Received};
+type EndlessWorld = World & {
+	endlessRun: RunningGateway; endlessEndpoint: ScriptedEndpoint; slowEndpoint: ScriptedEndpoint; endlessCallers: Socket[]; relayed: number; sent: () => number; received: Received;
+};
 
 const kilobyte = 1000;
 /** Bytes that are written at once. */
@@ -50,6 +54,7 @@
 		socket.destroy();
 	});
 	this.endlessEndpoint?.close();
+	this.slowEndpoint?.close();
 	await this.endlessRun?.stop();
 });
 
@@ -137,3 +142,47 @@
 Then('no failure of the endpoint is recorded', function (this: EndlessWorld) {
 	assert.deepEqual(this.endlessRun.failures, []);
 });
+
+const statusFields = new Map([['503 and not run', '503 Service Unavailable\r\nx-not-run: 1'], ['500', '500 Internal Server Error']]);
+
+Given('an endpoint that answers {string} with a body without end, and another that answers after {int} ms', async function (this: EndlessWorld, status: string, delayMs: number) {
+	let sent = 0;
+	this.sent = () => sent;
+	this.endlessEndpoint = await startScriptedEndpoint((socket, text) => {
+		const write = (): void => {
+			if (!socket.destroyed) {
+				socket.write(formatChunk(writtenBytes), write);
+				sent += writtenBytes;
+			}
+		};
+
+		socket.write(`HTTP/1.1 ${statusFields.get(status)!}\r\nx-id: ${idOf(text)}\r\n${chunked}\r\n`);
+		write();
+	});
+	this.slowEndpoint = await startScriptedEndpoint((socket, text) => {
+		setTimeout(() => {
+			socket.write(formatAnswer(idOf(text), 'whole.'));
+		}, delayMs);
+	});
+	this.endlessRun = new RunningGateway();
+	await this.endlessRun.start([this.endlessEndpoint.address, this.slowEndpoint.address]);
+});
+
+When('a caller sends a request that may be repeated', async function (this: EndlessWorld) {
+	this.received = await this.endlessRun.call('/patient/x');
+});
+
+Then('it gets the answer of the other', function (this: EndlessWorld) {
+	assert.deepEqual({status: this.received.status, body: this.received.body}, {status: 200, body: 'whole.'});
+	assert.equal(this.endlessEndpoint.requests.length, 1);
+});
+
+Then('less than {int} kB of the body were sent', function (this: EndlessWorld, limit: number) {
+	assert.ok(this.sent() < limit * kilobyte, `${this.sent()} bytes`);
+});
+
+Then('{string} is logged, and failures of the endpoint recorded', async function (this: EndlessWorld, kind: string) {
+	await waitUntil('it is logged', async () => this.endlessRun.lines.some(line => line.includes(`"kind":"${kind}"`) && line.includes('"endpoint":"e0"')));
+	assert.ok(this.endlessRun.failures.length > 0);
+	assert.ok(this.endlessRun.failures.every(id => id === 'e0'));
+});
--- a/packages/mastvalve-gateway/src/requests/handle-answer.ts
+++ b/packages/mastvalve-gateway/src/requests/handle-answer.ts
@@ -14,6 +14,7 @@
 import {findFraming, type AnswerEnd} from '../streams/answer-end.js';
 import {findMaxBytes, isSuspicious, isUnbounded} from '../streams/body-bound.js';
 import {findStreamContent, StreamContent} from '../streams/stream-content.js';
+import {discardBody, maxDiscardedBytes} from '../upstream/discard-body.js';
 import type {ExchangeKind, ExchangeOutcome} from '../upstream/exchange.js';
 import {AnswerPace} from '../upstream/relay-budget.js';
 import {AnswerIdentity, identifyAnswer} from './answer-identity.js';
@@ -106,11 +107,23 @@
 /** An answer whose head has been decoded. */
 type DecodedAnswer = ReceivedAnswer & {status: number; head: AnswerHeaders};
 
+/** Reads an answer that isn't passed on to its end; one with a large body counts as a failure of its endpoint, and its connection is closed. */
+const discardAnswer = ({tracker, log}: GatewayCore, {requestId}: CallerRequest, {endpoint, outcome: {res, cancel}}: DecodedAnswer): void => {
+	discardBody(res, () => {
+		cancel();
+		tracker.recordFailure(endpoint.id);
+		log('answer.endless', {
+			request: requestId, endpoint: endpoint.id, status: res.statusCode, reason: `more than ${maxDiscardedBytes} bytes of an answer that isn't passed on`,
+		});
+	});
+};
+
 /** Handles an answer that says that the request was not run; true when the request has ended. */
-const handleRefusal = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, {
-	endpoint, outcome, run, status, head,
-}: DecodedAnswer): boolean => {
-	outcome.res.resume();
+const handleRefusal = (core: GatewayCore, request: CallerRequest, reply: Reply, progress: RequestProgress, answer: DecodedAnswer): boolean => {
+	const {
+		endpoint, run, status, head,
+	} = answer;
+	discardAnswer(core, request, answer);
 	run?.end(head.isMisdirected ? RunEventKind.Cancelled : RunEventKind.Failed);
 	recordMisdirection(core, request, endpoint, head);
 	core.log('attempt.refused', {
@@ -257,7 +270,7 @@
 	recordStatus(core, answer);
 	const mayRetryFailure = status >= minServerErrorStatus && !reply.hasBegun && isRepeatable(request.route) && progress.sentCount < request.route.maxAttempts;
 	if (mayRetryFailure && hasTimeForAttempt(core, request)) {
-		res.resume();
+		discardAnswer(core, request, answer);
 		return false;
 	}
 
