--- a/packages/mastvalve-cluster/__tests__/catching-up.feature
+++ b/packages/mastvalve-cluster/__tests__/catching-up.feature
@@ -9,3 +9,9 @@
     When the link recovers
     Then the replica has all changes, and at most 3 times their bytes were sent to it
     And no body exceeded 1000 KB
+
+  # Guards against bodies that no peer reads: a snapshot counted as nothing, and one is sent per election timeout while the link is slow.
+  Scenario: Each call carries one snapshot at most
+    Given 5 snapshots of the log that wait for a slow link, with heartbeats between them
+    When the link takes calls
+    Then no call carries two snapshots, and all messages are sent in order
--- a/packages/mastvalve-cluster/__tests__/catching-up.steps.ts
+++ b/packages/mastvalve-cluster/__tests__/catching-up.steps.ts
@@ -7,11 +7,11 @@
 	Given, Then, When, type World,
 } from '@cucumber/cucumber';
 import {
-	defaultReplicaRules, Replica, Role, type Message,
+	defaultReplicaRules, MessageKind, Replica, Role, type Message,
 } from 'mastvalve-replication';
 import {keepNewest, takeBatch} from '../src/peer/log-transport.js';
 
-type CatchUpWorld = World & {replicas: Map<string, Replica>; now: number; links: Map<string, Message[]>; bodies: number[]; changeBytes: number; changes: number};
+type CatchUpWorld = World & {replicas: Map<string, Replica>; now: number; links: Map<string, Message[]>; bodies: number[]; changeBytes: number; changes: number; waiting: Message[]; batches: Message[][]};
 
 const ids = ['a', 'b', 'c'];
 const leaderId = 'a';
@@ -91,3 +91,30 @@
 	const largest = Math.max(...this.bodies);
 	assert.ok(largest <= max * kilobyte, `${Math.round(largest / kilobyte)} KB`);
 });
+
+Given('{int} snapshots of the log that wait for a slow link, with heartbeats between them', function (this: CatchUpWorld, count: number) {
+	const ids = {from: leaderId, to: disconnectedId, term: 1, sentAt: 0};
+	this.waiting = Array.from({length: count}, (): Message[] => [
+		{
+			...ids, kind: MessageKind.SnapshotRequest, snapshot: {index: 1, term: 1, membership: {voters: [leaderId], learners: []}, data: {}},
+		},
+		{
+			...ids, kind: MessageKind.AppendRequest, prevIndex: 1, prevTerm: 1, entries: [], commit: 1,
+		},
+	]).flat();
+});
+
+When('the link takes calls', function (this: CatchUpWorld) {
+	this.batches = [];
+	let waiting = this.waiting;
+	while (waiting.length > 0) {
+		const batch = takeBatch(waiting);
+		this.batches.push(batch);
+		waiting = waiting.slice(batch.length);
+	}
+});
+
+Then('no call carries two snapshots, and all messages are sent in order', function (this: CatchUpWorld) {
+	assert.deepEqual(this.batches.flat(), this.waiting);
+	assert.ok(this.batches.every(batch => batch.filter(({kind}) => kind === MessageKind.SnapshotRequest).length <= 1));
+});
--- a/packages/mastvalve-cluster/src/peer/log-transport.ts
+++ b/packages/mastvalve-cluster/src/peer/log-transport.ts
@@ -23,8 +23,14 @@
 /** Log bytes per call, except for a single larger message: a peer reads the whole body of a call before it processes it. */
 const maxBatchBytes = 524_288;
 
-const estimateMessageBytes = (message: Message): number =>
-	(message.kind === MessageKind.AppendRequest ? message.entries.reduce((sum, entry) => sum + estimateEntrySize(entry), 0) : 0);
+/** A snapshot counts as a whole call, since it may hold the largest configuration; it isn't encoded for measuring. */
+const estimateMessageBytes = (message: Message): number => {
+	if (message.kind === MessageKind.SnapshotRequest) {
+		return maxBatchBytes;
+	}
+
+	return message.kind === MessageKind.AppendRequest ? message.entries.reduce((sum, entry) => sum + estimateEntrySize(entry), 0) : 0;
+};
 
 /** Returns the messages of the next call. */
 export const takeBatch = (pending: readonly Message[]): Message[] => takeUpToSize(pending, estimateMessageBytes, maxBatchBytes);
