Endpoints can't speak as their sidecar: their headers of mastvalve's are dropped

What callers saw: an endpoint that ran a call, not to be repeated, and answered 503 with application/problem+json and mastvalve-outcome had its call sent again to the next endpoint, and after the last one the entry told not-run of a call that had run twice.

Cause (class: an answer is believed although it is somebody else's word): the sidecar passed on all headers of an endpoint's answer but those of the connection, and the entry takes an answer with these two headers for its sidecar's refusal. The outcome is then read from the endpoint's body, so the header's value doesn't matter.

Ruled out: mastvalve-clock, -load and -endpoint were already the sidecar's. Callers' headers reach sidecars by a list of names that has none of mastvalve's (by reading).

Change: the sidecar drops each header of an endpoint whose name begins with mastvalve-, in any case, whether it has a use yet or not.

Not run: the whole suite, real processes, claims (a sidecar's claim guard is its own, so a second sidecar would accept the token; by reading).

--- a/packages/mastvalve-http/src/headers.ts
+++ b/packages/mastvalve-http/src/headers.ts
@@ -36,6 +36,11 @@
 	RetryAfter = 'retry-after',
 }
 
+const ownPrefix = 'mastvalve-';
+
+/** Whether only mastvalve's own programs may set a header on an answer: `name`, in any case, is one of mastvalve's, whether it has a use yet or not. */
+export const isOwnHeader = (name: string): boolean => name.toLowerCase().startsWith(ownPrefix);
+
 /** Longest deadline that a caller may state, ms. */
 export const maxDeadlineMs = 3_600_000;
 
--- a/packages/mastvalve-sidecar/src/server/dispatch.ts
+++ b/packages/mastvalve-sidecar/src/server/dispatch.ts
@@ -8,7 +8,9 @@
 	Agent, request, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage,
 } from 'node:http';
 import {Readable} from 'node:stream';
-import {ConnectTimeoutError, Header, wasNeverSent} from 'mastvalve-http';
+import {
+	ConnectTimeoutError, Header, isOwnHeader, wasNeverSent,
+} from 'mastvalve-http';
 import {
 	MastvalveError, Outcome, RefusedError, UnknownOutcomeError,
 } from 'mastvalve-types';
@@ -43,10 +45,11 @@
 export const copyHeaders = (headers: Iterable<[string, string]>): Record<string, string> =>
 	Object.fromEntries([...headers].filter(([name]) => !connectionHeaders.has(name.toLowerCase())));
 
+/** Headers of an endpoint's answer without those of the connection and mastvalve's own, which an entry takes for the sidecar's word. */
 const toHeaders = (raw: IncomingHttpHeaders): Headers => {
 	const headers = new Headers();
 	Object.entries(raw).forEach(([name, value]) => {
-		if (!connectionHeaders.has(name)) {
+		if (!connectionHeaders.has(name) && !isOwnHeader(name)) {
 			[value ?? []].flat().forEach(item => {
 				headers.append(name, item);
 			});
