One bound for informational heads, for all clients

Two developers had built it at the same time: 32 heads, 64 KB and 30 s at entries, 16 heads at control, peers and sidecars. The former is kept for all: a server that tells its progress each second is heard for half a minute.

--- a/packages/mastvalve-gateway/__tests__/heads-of-answers.feature
+++ b/packages/mastvalve-gateway/__tests__/heads-of-answers.feature
@@ -22,7 +22,7 @@
 
     Examples:
       | manner                                  | limit | bound       |
-      | as fast as they are read                | 500   | 32 of them  |
+      | as fast as they are read                | 500   | more than 32 |
       | of 8000 bytes, as fast as they are read | 500   | 65536 bytes |
 
   Scenario: Some informational heads go before an answer
--- a/packages/mastvalve-gateway/__tests__/heads-of-answers.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/heads-of-answers.steps.ts
@@ -6,9 +6,8 @@
 import {
 	After, Given, Then, When, type World,
 } from '@cucumber/cucumber';
-import {systemClock} from 'mastvalve-utils';
+import {InformationalHeads, systemClock} from 'mastvalve-utils';
 import {waitUntil} from '../../../features/support/conditions.js';
-import {InformationalHeads} from '../src/upstream/informational-heads.js';
 import {RunningGateway} from './__fixtures__/running-gateway.js';
 import {
 	formatAnswer, idOf, startScriptedEndpoint, type Script, type ScriptedEndpoint,
--- a/packages/mastvalve-gateway/src/upstream/exchange.ts
+++ b/packages/mastvalve-gateway/src/upstream/exchange.ts
@@ -4,9 +4,8 @@
 
 import {request, type IncomingMessage} from 'node:http';
 import {
-	assumeType, describeError, dropIdleConnections, systemClock, watchForReset,
+	assumeType, describeError, dropIdleConnections, limitInformationalHeads, maxAnswerHeadBytes, watchForReset,
 } from 'mastvalve-utils';
-import {InformationalHeads} from './informational-heads.js';
 import type {UpstreamAgent} from './upstream-agent.js';
 import {watchSurplus} from './watch-surplus.js';
 
@@ -49,23 +48,20 @@
  */
 const staleConnectionMs = 600;
 
-/** Most bytes of one head, as for callers' heads by default. */
-const maxHeadBytes = 16_384;
-
 /** Returns why a connection failed; Node's parser doesn't name the bound. */
 const describeFailure = (error: NodeJS.ErrnoException): string =>
-	(error.code === 'HPE_HEADER_OVERFLOW' ? `a head of more than ${maxHeadBytes} bytes` : describeError(error));
+	(error.code === 'HPE_HEADER_OVERFLOW' ? `a head of more than ${maxAnswerHeadBytes} bytes` : describeError(error));
 
 /** Sends an attempt; the promise never rejects. */
 export const exchange = async ({agent, address, method, path, headers, body, connectTimeoutMs, signal}: ExchangeOptions): Promise<ExchangeOutcome> =>
 	new Promise(resolve => {
 		const [host, port] = address.split(':');
 		const req = request({
-			host, port, method, path, agent, headers, setHost: false, maxHeaderSize: maxHeadBytes,
+			host, port, method, path, agent, headers, setHost: false, maxHeaderSize: maxAnswerHeadBytes,
 		});
 		// Node drops fields beyond a thousand, the identity of the request among them; the size of the head bounds their number.
 		req.maxHeadersCount = 0;
-		const informationalHeads = new InformationalHeads(() => systemClock.now());
+		limitInformationalHeads(req);
 		let isSent = false;
 		const hasFailed = watchForReset(req);
 		const hasSurplus = watchSurplus(req);
@@ -105,13 +101,6 @@
 			isConnectionRefused = assumeType<NodeJS.ErrnoException>(error).code === 'ECONNREFUSED';
 			reason ||= describeFailure(error);
 		});
-		req.on('information', ({rawHeaders}) => {
-			const exceeded = informationalHeads.add(rawHeaders);
-			if (exceeded !== undefined) {
-				reason ||= exceeded;
-				req.destroy();
-			}
-		});
 		req.once('close', () => {
 			clearTimeout(connectTimer);
 			clearTimeout(staleTimer);
--- a/packages/mastvalve-sidecar/__tests__/broken-answers.feature
+++ b/packages/mastvalve-sidecar/__tests__/broken-answers.feature
@@ -60,7 +60,7 @@
 
     Examples:
       | heads               | bound                               |
-      | informational heads | more than 16 informational heads    |
+      | informational heads | more than 32 informational heads    |
       | fields of a head    | Header overflow                     |
 
   # Guards against a refusal or a body that reaches the caller of the next request: an endpoint had answered twice on a kept connection.
--- a/packages/mastvalve-utils/src/index.ts
+++ b/packages/mastvalve-utils/src/index.ts
@@ -15,6 +15,7 @@
 export * from './format-table.js';
 export * from './guard-connections.js';
 export * from './hybrid-clock.js';
+export * from './informational-heads.js';
 export * from './limit-answer-heads.js';
 export * from './random.js';
 export * from './suspension-detector.js';
--- a/packages/mastvalve-utils/src/limit-answer-heads.ts
+++ b/packages/mastvalve-utils/src/limit-answer-heads.ts
@@ -4,19 +4,18 @@
 
 import type {ClientRequest} from 'node:http';
 import {ExceededBoundError} from './exceeded-bound.js';
+import {InformationalHeads} from './informational-heads.js';
 
 /** Bytes of one head or of the trailers of one answer, to be given to Node's HTTP client: its default, whatever the process was started with. */
 export const maxAnswerHeadBytes = 16_384;
-/** Informational heads (1xx) before an answer. Nothing of ours asks for any; servers send one or two. */
-const maxInformationalHeads = 16;
 
 /** Destroys a request whose server sends informational heads without end. */
 export const limitInformationalHeads = (req: ClientRequest): void => {
-	let count = 0;
-	req.on('information', () => {
-		count += 1;
-		if (count > maxInformationalHeads) {
-			req.destroy(new ExceededBoundError(`there are more than ${maxInformationalHeads} informational heads`));
+	const heads = new InformationalHeads(() => performance.now());
+	req.on('information', ({rawHeaders}) => {
+		const exceeded = heads.add(rawHeaders);
+		if (exceeded !== undefined) {
+			req.destroy(new ExceededBoundError(exceeded));
 		}
 	});
 };
