A refused body cuts off no request before it, and a stopping entry waits for none

An entry that stops with a body outstanding ended after 9.3 s; its grace is 8 s. A body that is read was given up only by its own times. Ruled out: guardConnections, which keeps the answers that are due. Change: the rest of a refused request may end its connection only once the refusal has been sent; a stopping entry refuses the bodies that it reads (503, stopping: nothing was routed). A request behind an answer that has announced the close isn't looked at any more. Conclusion: each refusal keeps its place.

--- a/packages/mastvalve-gateway/__tests__/caller-connections.feature
+++ b/packages/mastvalve-gateway/__tests__/caller-connections.feature
@@ -10,6 +10,8 @@
       | a head that is too large  |
       | a chunk without a length  |
       | a request to open a tunnel |
+      | a body that is too large  |
+      | a body that stops         |
       | nothing                   |
     Then each gets the whole answer to its request
     And the connections of all but the last are closed behind the answer
@@ -95,3 +97,11 @@
   Scenario: A body in parts of one byte is kept in one buffer
     When a buffer for a body takes 300000 parts of one byte
     Then it keeps at most 64 KB more, and returns all of them
+
+  # Guards against an entry that is killed at the end of its grace since a caller's body doesn't come.
+  Scenario: An entry that stops doesn't wait for bodies
+    Given an entry with an endpoint that answers after 0 ms
+    When a caller with 9000 ms left sends a part of its body
+    And the entry stops
+    Then each of them gets the status 503
+    And the entry has stopped within 3000 ms
--- a/packages/mastvalve-gateway/__tests__/caller-connections.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/caller-connections.steps.ts
@@ -18,7 +18,7 @@
 
 /** A caller's connection with all that it has received. */
 type Caller = {name: string; socket: Socket; received: string};
-type CallersWorld = World & {gateway: RunningGateway; endpoint: ScriptedEndpoint; callers: Caller[]; /** Requests that were cancelled at the endpoint. */ cancelled: number; buffer: BodyBuffer; /** Parts that the buffer has taken. */ parts: number};
+type CallersWorld = World & {gateway: RunningGateway; endpoint: ScriptedEndpoint; callers: Caller[]; /** Requests that were cancelled at the endpoint. */ cancelled: number; buffer: BodyBuffer; /** Parts that the buffer has taken. */ parts: number; stoppedAt: number; stopping: Promise<void>};
 
 const eventIntervalMs = 300;
 const lastBody = 'the last byte.';
@@ -34,6 +34,8 @@
 	['a head that is too large', `POST /draft/x HTTP/1.1\r\nx: ${'y'.repeat(tooLargeBytes)}`],
 	['a chunk without a length', 'POST /draft/x HTTP/1.1\r\nhost: h\r\nx-id: chunked\r\ntransfer-encoding: chunked\r\n\r\nno length\r\n'],
 	['a request to open a tunnel', 'CONNECT h:1 HTTP/1.1\r\nhost: h\r\n\r\n'],
+	['a body that is too large', 'POST /draft/x HTTP/1.1\r\nhost: h\r\nx-id: large\r\nx-left: 9000\r\ncontent-length: 99999\r\n\r\nhi'],
+	['a body that stops', 'POST /draft/x HTTP/1.1\r\nhost: h\r\nx-id: stops\r\nx-left: 500\r\ncontent-length: 50\r\n\r\nhi'],
 	['nothing', ''],
 ]);
 
@@ -143,6 +145,16 @@
 	caller.socket.write(request('r-first') + request('r-second'));
 });
 
+When('the entry stops', function (this: CallersWorld) {
+	this.stoppedAt = systemClock.now();
+	this.stopping = this.gateway.gateway.drain(eventIntervalMs);
+});
+
+Then('the entry has stopped within {int} ms', async function (this: CallersWorld, limitMs: number) {
+	await this.stopping;
+	assert.ok(systemClock.now() - this.stoppedAt < limitMs, `after ${Math.round(systemClock.now() - this.stoppedAt)} ms`);
+});
+
 Then('its connection is closed', async function (this: CallersWorld) {
 	await waitUntil('the connection is closed', async () => this.callers.every(({socket}) => socket.closed));
 });
@@ -193,7 +205,7 @@
 const listStatuses = ({received}: Caller): number[] => [...received.matchAll(/HTTP\/1\.1 (?<status>\d+)/gv)].map(({groups}) => Number(groups?.status));
 
 /** Statuses of what callers send behind a request, where it is a request of its own. */
-const laterStatuses = new Map([['a chunk without a length', [400]]]);
+const laterStatuses = new Map([['a chunk without a length', [400]], ['a body that is too large', [413]], ['a body that stops', [408]]]);
 
 /** Whether a caller has all of the answer to its request, and no other status in its place. */
 const isAnswered = (caller: Caller): boolean =>
--- a/packages/mastvalve-gateway/src/server/gateway.ts
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -61,6 +61,7 @@
 	/** Whether new requests are still served; the last ones must end before the process is killed. */
 	isAccepting = true;
 	private server: Server | undefined;
+	private readonly stopping = new AbortController();
 
 	private readonly core: GatewayCore;
 	private readonly admission: ConnectionAdmission;
@@ -147,6 +148,7 @@
 		});
 		await waitFor(acceptMs);
 		this.isAccepting = false;
+		this.stopping.abort();
 		this.server?.close();
 		this.server?.closeIdleConnections();
 		while (this.inFlight > 0) {
@@ -161,6 +163,11 @@
 	}
 
 	private async handle(req: IncomingMessage, res: ServerResponse, closed: AbortController): Promise<void> {
+		// The answer before this one has announced that the connection closes.
+		if (res.destroyed) {
+			return;
+		}
+
 		const arrivedAt = this.core.clock.now();
 		const reply = new Reply(res);
 		if (this.isDraining) {
@@ -168,17 +175,14 @@
 		}
 
 		const {remainingMs = maxDeadlineMs} = this.core.dialect.parseCallerHeaders(req.headers);
-		const body = await readBody(req, {maxBytes: this.limits.maxBodyBytes, idleMs: this.limits.idleTimeoutMs, totalMs: Math.min(remainingMs, maxDeadlineMs)}, {heldBodies: this.core.heldBodies, signal: closed.signal});
+		const body = await readBody(req, {maxBytes: this.limits.maxBodyBytes, idleMs: this.limits.idleTimeoutMs, totalMs: Math.min(remainingMs, maxDeadlineMs)}, {heldBodies: this.core.heldBodies, signal: closed.signal, stopping: this.stopping.signal});
 		if (typeof body === 'string') {
 			this.rejectBody(req, res, body);
 			return;
 		}
 
 		if (!this.isAccepting) {
-			this.recordRefusal(req, 'stopping');
-			reply.send({
-				status: 503, code: 'stopping', message: 'This entry is about to end. Nothing was run.', retryAfterSeconds: stoppingRetrySeconds,
-			});
+			this.rejectBody(req, res, UnreadBody.Stopping);
 			return;
 		}
 
@@ -200,7 +204,7 @@
 		await this.route(req, reply, closed, {arrivedAt, body, configuration});
 	}
 
-	/** Answers a request whose body was not read. */
+	/** Answers a request whose body was not read, or isn't needed. */
 	private rejectBody(req: IncomingMessage, res: ServerResponse, reason: UnreadBody): void {
 		if (reason === UnreadBody.Broken) {
 			return;
@@ -211,11 +215,14 @@
 			[UnreadBody.NoRoom]: {
 				status: 503, code: 'no-room', message: 'This entry holds too many request bodies. Nothing was run.', retryAfterSeconds: noRoomRetrySeconds,
 			},
+			[UnreadBody.Stopping]: {
+				status: 503, code: 'stopping', message: 'This entry is about to end. Nothing was run.', retryAfterSeconds: stoppingRetrySeconds,
+			},
 			[UnreadBody.TooSlow]: {status: 408, code: 'body-too-slow', message: 'The body was not whole in time. Nothing was run.'},
 		};
 		this.recordRefusal(req, reason);
 		new Reply(res).send(answers[reason]);
-		dropRest(req, this.limits.maxBodyBytes);
+		dropRest(req, res, this.limits.maxBodyBytes);
 	}
 
 	private async route(req: IncomingMessage, reply: Reply, closed: AbortController, read: {arrivedAt: number; body: Uint8Array; configuration: ActiveConfiguration}): Promise<void> {
--- a/packages/mastvalve-gateway/src/server/read-body.ts
+++ b/packages/mastvalve-gateway/src/server/read-body.ts
@@ -14,6 +14,8 @@
 	NoRoom = 'no-room',
 	/** No byte of it came for too long, or it was not whole when its caller's time was over. */
 	TooSlow = 'too-slow',
+	/** The entry is about to end. */
+	Stopping = 'stopping',
 	/** The caller disconnected before its end. */
 	Broken = 'broken',
 }
@@ -26,8 +28,16 @@
 	totalMs: number;
 };
 
+export type BodyContext = {
+	heldBodies: HeldBodies;
+	/** Aborts when the request is closed. */
+	signal: AbortSignal;
+	/** Aborts when the entry takes no more requests. */
+	stopping: AbortSignal;
+};
+
 /** Returns the body, or why it was not read. The room that it takes is released when the request is closed. */
-export const readBody = async (req: IncomingMessage, {maxBytes, idleMs, totalMs}: BodyLimits, {heldBodies, signal}: {heldBodies: HeldBodies; signal: AbortSignal}): Promise<Uint8Array | UnreadBody> =>
+export const readBody = async (req: IncomingMessage, {maxBytes, idleMs, totalMs}: BodyLimits, {heldBodies, signal, stopping}: BodyContext): Promise<Uint8Array | UnreadBody> =>
 	new Promise(resolve => {
 		const body = new BodyBuffer();
 		let size = 0;
@@ -35,6 +45,7 @@
 		const settle = (outcome: Uint8Array | UnreadBody): void => {
 			clearTimeout(totalTimer);
 			clearTimeout(idleTimer);
+			stopping.removeEventListener('abort', refuseStopping);
 			resolve(outcome);
 		};
 
@@ -65,6 +76,11 @@
 			refuse(UnreadBody.TooSlow);
 		};
 
+		const refuseStopping = (): void => {
+			refuse(UnreadBody.Stopping);
+		};
+
+		stopping.addEventListener('abort', refuseStopping);
 		const totalTimer = setTimeout(refuseSlow, totalMs);
 		const idleTimer = setTimeout(refuseSlow, idleMs);
 		signal.addEventListener('abort', () => {
