No warning when more than ten bodies are read at a time

Cause: each body listens to the signal that the entry stops, and Node warns of more than ten listeners on standard error. Shown by thirty listeners on a signal in a process of Node 20.20; the limit is lifted for this signal.

--- a/packages/mastvalve-gateway/src/server/gateway.ts
+++ b/packages/mastvalve-gateway/src/server/gateway.ts
@@ -2,6 +2,7 @@
  * HTTP server for callers: reads requests, matches their routes, and shuts down without aborting any.
  */
 
+import {setMaxListeners} from 'node:events';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -67,6 +68,8 @@
 	private readonly admission: ConnectionAdmission;
 
 	constructor({memoryLimits, readBusyMs, ...dependencies}: GatewayDependencies) {
+		// Each body that is being read listens to it.
+		setMaxListeners(0, this.stopping.signal);
 		const {maxUnreadBytes, maxHeldBodyBytes} = {...defaultMemoryLimits, ...memoryLimits};
 		this.core = {
 			...dependencies, isDraining: () => this.isDraining, drainListeners: new Set(), observer: noopObserver, unreadAnswers: new UnreadAnswers(maxUnreadBytes), heldBodies: new HeldBodies(maxHeldBodyBytes),
