--- a/packages/mastvalve-cluster/__tests__/catching-up.steps.ts
+++ b/packages/mastvalve-cluster/__tests__/catching-up.steps.ts
@@ -93,10 +93,14 @@
 });
 
 Given('{int} snapshots of the log that wait for a slow link, with heartbeats between them', function (this: CatchUpWorld, count: number) {
-	const ids = {from: leaderId, to: disconnectedId, term: 1, sentAt: 0};
+	const ids = {
+		from: leaderId, to: disconnectedId, term: 1, sentAt: 0,
+	};
 	this.waiting = Array.from({length: count}, (): Message[] => [
 		{
-			...ids, kind: MessageKind.SnapshotRequest, snapshot: {index: 1, term: 1, membership: {voters: [leaderId], learners: []}, data: {}},
+			...ids, kind: MessageKind.SnapshotRequest, snapshot: {
+				index: 1, term: 1, membership: {voters: [leaderId], learners: []}, data: {},
+			},
 		},
 		{
 			...ids, kind: MessageKind.AppendRequest, prevIndex: 1, prevTerm: 1, entries: [], commit: 1,
@@ -106,7 +110,7 @@
 
 When('the link takes calls', function (this: CatchUpWorld) {
 	this.batches = [];
-	let waiting = this.waiting;
+	let {waiting} = this;
 	while (waiting.length > 0) {
 		const batch = takeBatch(waiting);
 		this.batches.push(batch);
