Entries notice overload whose connections wait to be accepted

Cause: a saturated loop accepts no faster than it serves, so the others wait in the system's queue. The backlog was estimated from accepted connections at the cost learned from them, which balances whatever waits outside, and the loop's own delay stayed at some ms. Class: a measure taken behind the place where work waits. Change: an entry without an idle moment for a second limits its new connections, as with a backlog.

--- a/packages/mastvalve-gateway/__tests__/connection-admission.feature
+++ b/packages/mastvalve-gateway/__tests__/connection-admission.feature
@@ -20,6 +20,20 @@
       | 10         | 800   |
       | 1          | 3000  |
 
+  # Guards against overload that nothing shows: a saturated loop accepts no faster than it serves, and the others wait in the system's queue.
+  Scenario Outline: Connections that wait to be accepted are noticed
+    Given an entry that takes <request ms> ms of its processor for a request, and accepts a connection when its other work is done
+    When after 10 s with 20 connections a second, <crowd> a second arrive for 10 s
+    Then from 3 s on, what is taken waits for less than 1000 ms
+    And the processor is busy for at least 0.6 of that time
+    And in each second some connections are taken
+
+    Examples:
+      | request ms | crowd |
+      | 10         | 150   |
+      | 10         | 270   |
+      | 4          | 500   |
+
   Scenario: An entry whose processor is slowed down takes less, and more again afterwards
     Given an entry that takes 4 ms of its processor for a request
     When 150 connections a second arrive, and from second 5 to 15 its processor is five times slower
--- a/packages/mastvalve-gateway/__tests__/connection-admission.steps.ts
+++ b/packages/mastvalve-gateway/__tests__/connection-admission.steps.ts
@@ -32,7 +32,11 @@
 });
 
 Given('an entry that takes {int} ms of its processor for a request, and everything that comes', function (this: AdmissionWorld, requestMs: number) {
-	this.entry = new VirtualEntry(requestMs, true);
+	this.entry = new VirtualEntry(requestMs, {takesAll: true});
+});
+
+Given('an entry that takes {int} ms of its processor for a request, and accepts a connection when its other work is done', function (this: AdmissionWorld, requestMs: number) {
+	this.entry = new VirtualEntry(requestMs, {acceptsSlowly: true});
 });
 
 When('for {int} s {int} connections a second arrive, evenly or {int} at once', function (this: AdmissionWorld, seconds: number, perSecond: number, burst: number) {
--- a/packages/mastvalve-gateway/src/server/connection-admission.ts
+++ b/packages/mastvalve-gateway/src/server/connection-admission.ts
@@ -34,7 +34,12 @@
 const saturatedUtilization = 0.95;
 /** Time for which work has to wait before connections are limited, ms: shorter bursts are worked off, and a closed connection costs its caller a try. */
 const maxBacklogMs = 300;
-/** Correction of the rate while work waits for longer than that. */
+/**
+ * Time of saturation after which connections are limited, ms. A saturated loop accepts no faster than it serves, so that the other connections wait in the
+ * system's queue, where no measure of the loop shows them.
+ */
+const maxSaturatedMs = 1000;
+/** Correction of the rate while work waits for longer than `maxBacklogMs`. */
 const backlogCorrection = 0.3;
 /** Utilization that the limit aims at: what comes in bursts is still begun within some 100 ms. */
 const targetUtilization = 0.85;
@@ -57,7 +62,7 @@
 
 export class ConnectionAdmission {
 	private readonly state = {
-		sampledAt: 0, busyMs: 0, requests: 0, ended: 0, taken: 0, closed: 0, backlogMs: 0, delayMs: 0, utilization: 0, decayedBusyMs: 0, decayedWork: 0, closedPerSecond: 0, correction: 1, tokens: 0, filledAt: 0, refusedAt: Number.NEGATIVE_INFINITY, isLimiting: false,
+		sampledAt: 0, busyMs: 0, requests: 0, ended: 0, taken: 0, closed: 0, backlogMs: 0, delayMs: 0, saturatedMs: 0, utilization: 0, decayedBusyMs: 0, decayedWork: 0, closedPerSecond: 0, correction: 1, tokens: 0, filledAt: 0, refusedAt: Number.NEGATIVE_INFINITY, isLimiting: false,
 	};
 
 	constructor(private readonly options: AdmissionOptions) {
@@ -133,6 +138,7 @@
 		state.backlogMs = Math.max(0, state.backlogMs + (arrived * (this.requestMs ?? 0)) - elapsedMs);
 		const decay = Math.exp(-elapsedMs / costDecayMs);
 		state.utilization = elapsedMs > maxWindowMs ? Math.min(state.utilization, windowBusyMs / elapsedMs) : windowBusyMs / elapsedMs;
+		state.saturatedMs = state.utilization >= saturatedUtilization ? state.saturatedMs + elapsedMs : 0;
 		state.decayedBusyMs = (state.decayedBusyMs * decay) + windowBusyMs;
 		state.decayedWork = (state.decayedWork * decay) + state.ended + (closingWork * state.closed);
 		state.closedPerSecond = state.closed * msPerSecond / elapsedMs;
@@ -152,7 +158,8 @@
 	private limit(now: number): void {
 		const {state} = this;
 		if (!state.isLimiting) {
-			state.isLimiting = state.utilization >= saturatedUtilization && Math.max(state.backlogMs, state.delayMs) >= maxBacklogMs;
+			const isLate = Math.max(state.backlogMs, state.delayMs) >= maxBacklogMs || state.saturatedMs >= maxSaturatedMs;
+			state.isLimiting = state.utilization >= saturatedUtilization && isLate;
 			state.correction = 1;
 			state.tokens = 0;
 			state.filledAt = now;
