--- a/review/stand-ins-2/plain-replica.mjs
+++ b/review/stand-ins-2/plain-replica.mjs
@@ -1,13 +1,13 @@
 /**
- * A stand-in replica of a service without models, as a process of its own. Its answers come in pieces and, as the rule MIXED allows, carry no
- * length: they finish when their channel does. Every start is a new boot with a new id.
+ * A stand-in replica of a service without models, as a process of its own. Its answers come in pieces. One in `unframedEvery` carries no length and
+ * finishes when its channel does, as the rule MIXED allows; the others have a length or chunks. Every start is a new boot with a new id.
  */
 
 import {createServer} from 'node:http';
 import process from 'node:process';
 import {Registration} from './registration.mjs';
 
-const {id, service, address, controls, pieces, pieceBytes, gapMs, isStream} = JSON.parse(process.env.REPLICA);
+const {id, service, address, controls, pieces, pieceBytes, gapMs, isStream, unframedEvery} = JSON.parse(process.env.REPLICA);
 const [host, port] = address.split(':');
 const tell = message => process.send?.(message);
 
@@ -15,6 +15,18 @@
 	? `id: ${index}\ndata: ${attempt} ${index}\n\n`
 	: `${`${attempt} ${index} `.padEnd(pieceBytes - 1, '.')}\n`);
 
+let answers = 0;
+
+/** Returns the headers that frame the next answer, and whether it is one without a length. */
+const frameNext = attempt => {
+	answers += 1;
+	if (unframedEvery > 0 && answers % unframedEvery === 0) {
+		return {isUnframed: true, headers: {Connection: 'close'}};
+	}
+
+	return {isUnframed: false, headers: isStream ? {'Transfer-Encoding': 'chunked'} : {'Content-Length': pieces * formatPiece(attempt, 0).length}};
+};
+
 const server = createServer((req, res) => {
 	if (req.url === '/health') {
 		res.writeHead(200, {'Instance-Id': id, 'Content-Length': 0});
@@ -32,11 +44,14 @@
 		return;
 	}
 
-	tell({kind: 'runs', attempt, id});
+	const {isUnframed, headers} = frameNext(attempt);
+	tell({
+		kind: 'runs', attempt, id, isUnframed,
+	});
 	req.resume();
 	res.useChunkedEncodingByDefault = false;
 	res.writeHead(200, {
-		'Attempt-Id': attempt, 'Response-Stamp': `${id}.${attempt}`, 'Content-Type': isStream ? 'text/event-stream' : 'application/octet-stream', Connection: 'close',
+		'Attempt-Id': attempt, 'Response-Stamp': `${id}.${attempt}`, 'Content-Type': isStream ? 'text/event-stream' : 'application/octet-stream', ...headers,
 	});
 	let index = 0;
 	const timer = setInterval(() => {
@@ -56,7 +71,7 @@
 	tell({kind: 'listens', id});
 	const registration = new Registration({
 		id, controls, describe: () => ({
-			service, address, zone: 'hala-a', version: 'v1', slots: 6, state: 'ready', 'cold-left-ms': 0,
+			service, address, zone: 'hala-a', version: 'v1', slots: 64, state: 'ready', 'cold-left-ms': 0,
 		}),
 	});
 	registration.run();
