--- a/review/stand-ins-2/plain-replica.mjs
+++ b/review/stand-ins-2/plain-replica.mjs
@@ -1,6 +1,6 @@
 /**
- * A stand-in replica of a service without models, as a process of its own. Its answers come in pieces. One in `unframedEvery` carries no length and
- * finishes when its channel does, as the rule MIXED allows; the others have a length or chunks. Every start is a new boot with a new id.
+ * A stand-in replica of a service without models, as a process of its own. Its answers come in pieces. While it is told so, one in `unframedEvery` carries no
+ * length and finishes when its channel does, as the rule MIXED allows; the others have a length or chunks. Every start is a new boot with a new id.
  */
 
 import {createServer} from 'node:http';
@@ -16,11 +16,15 @@
 	: `${`${attempt} ${index} `.padEnd(pieceBytes - 1, '.')}\n`);
 
 let answers = 0;
+let mayBeUnframed = false;
+process.on('message', message => {
+	mayBeUnframed = message.mayBeUnframed;
+});
 
 /** Returns the headers that frame the next answer, and whether it is one without a length. */
 const frameNext = attempt => {
-	answers += 1;
-	if (unframedEvery > 0 && answers % unframedEvery === 0) {
+	answers += mayBeUnframed ? 1 : 0;
+	if (mayBeUnframed && answers % unframedEvery === unframedEvery - 5) {
 		return {isUnframed: true, headers: {Connection: 'close'}};
 	}
 
